Serve one prompt through a node, with settings, records and stand-ins

The first whole path: an HTTP caller, an entry node, an engine stand-in, and the log stand-in from which the node reads models, accounts and endpoints, each a process of its own.

--- /dev/null
+++ b/src/fireflyspur/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for prompts of very unlike lengths that share engines."""
--- /dev/null
+++ b/src/fireflyspur/admission/exceptions.py
@@ -0,0 +1,34 @@
+"""Errors of admission."""
+
+from fireflyspur.errors import exceptions
+
+
+class UnauthorizedError(exceptions.FireflyspurError):
+    """The request carries no valid key."""
+
+    code = "invalid_api_key"
+    http_status = 401
+
+
+class BodyTooLargeError(exceptions.FireflyspurError):
+    """The body is larger than the node takes."""
+
+    code = "body_too_large"
+    http_status = 413
+
+
+class BodyBudgetError(exceptions.FireflyspurError):
+    """The node holds as many bytes of bodies as it may."""
+
+    code = "node_busy"
+    http_status = 503
+
+
+class NotAdmittingError(exceptions.FireflyspurError):
+    """The node admits no requests now.
+
+    :param reason: such as ``stopping`` or ``config_stale``
+    """
+
+    code = "not_admitting"
+    http_status = 503
--- /dev/null
+++ b/src/fireflyspur/audit/audit_trail.py
@@ -0,0 +1,94 @@
+"""Trail of configuration changes and of the node's own actions."""
+
+import collections
+import dataclasses
+import time
+from typing import Any
+
+from fireflyspur.clients import log_client
+from fireflyspur.records import catalog as catalogs
+
+# Enough for four days of changes at 2,300 a day.
+_MAX_EVENTS = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class AuditEvent:
+    """One line of the trail.
+
+    :param time: wall-clock time in seconds
+    :param part: part of the program that acted
+    :param action: what was done, such as ``accepted``
+    :param subject: what it was done to
+    :param reason: why
+    :param author: who asked for it; empty for the node itself
+    :param offset: offset of the record behind it, or None
+    """
+
+    time: float
+    part: str
+    action: str
+    subject: str
+    reason: str
+    author: str = ""
+    offset: int | None = None
+
+
+class AuditTrail:
+    """Holds the latest events in memory; the log holds what must last."""
+
+    def __init__(self) -> None:
+        self._events: collections.deque[AuditEvent] = collections.deque(
+            maxlen=_MAX_EVENTS
+        )
+
+    @property
+    def events(self) -> list[AuditEvent]:
+        """The events, oldest first."""
+        return list(self._events)
+
+    def add(
+        self,
+        part: str,
+        action: str,
+        subject: str,
+        reason: str,
+        offset: int | None = None,
+    ) -> None:
+        """Add an action of the node itself."""
+        event = AuditEvent(
+            time.time(), part, action, subject, reason, offset=offset
+        )
+        self._events.append(event)
+
+    def add_change(
+        self, item: log_client.LogRecord, result: catalogs.ApplyResult
+    ) -> None:
+        """Add what the node did about a record of the log."""
+        value: dict[str, Any] = (
+            item.value if isinstance(item.value, dict) else {}
+        )
+        subject = f"{value.get('kind', '?')}/{value.get('name', '?')}"
+        match result:
+            case catalogs.Accepted():
+                action, reason = "accepted", "latest record in force"
+            case catalogs.Superseded(None):
+                action, reason = "beaten", "based on a version not in force"
+            case catalogs.Superseded(by):
+                action, reason = "beaten", f"offset {by.offset} is in force"
+            case catalogs.Rejected(errors):
+                action, reason = "refused", "; ".join(errors)
+            case catalogs.Restored(entries):
+                action, subject = "restored", "snapshot"
+                reason = f"{len(entries)} entries were not known"
+        self._events.append(
+            AuditEvent(
+                item.time,
+                "records",
+                action,
+                subject,
+                reason,
+                str(value.get("author", "")),
+                item.offset,
+            )
+        )
--- /dev/null
+++ b/src/fireflyspur/clients/exceptions.py
@@ -0,0 +1,49 @@
+"""Errors of the clients of the platform and the endpoints."""
+
+from fireflyspur.errors import exceptions
+
+
+class LogUnavailableError(exceptions.FireflyspurError):
+    """The log did not answer, or refused."""
+
+    code = "log_unavailable"
+    http_status = 503
+
+
+class RecordsExpiredError(exceptions.FireflyspurError):
+    """The wanted records are older than what the log retains."""
+
+    code = "records_expired"
+
+
+class EngineUnavailableError(exceptions.FireflyspurError):
+    """The engine could not be reached, so nothing was sent to it."""
+
+    code = "engine_unavailable"
+    http_status = 503
+
+
+class EngineRefusedError(exceptions.FireflyspurError):
+    """The engine refused the request.
+
+    :param reason: the engine's code, such as ``leaving``
+    """
+
+    code = "engine_refused"
+    http_status = 503
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"the engine refused the request: {reason}")
+        self._reason = reason
+
+    @property
+    def reason(self) -> str:
+        """The engine's code."""
+        return self._reason
+
+
+class EngineConnectionLostError(exceptions.FireflyspurError):
+    """The connection to the engine broke while a stream was open."""
+
+    code = "engine_connection_lost"
+    http_status = 502
--- /dev/null
+++ b/src/fireflyspur/clients/log_client.py
@@ -0,0 +1,143 @@
+"""Client of the platform's append-only log."""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+from tornado import httpclient
+
+from fireflyspur.clients import exceptions
+
+_READ_TIMEOUT_S = 5.0
+_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LogRecord:
+    """A record of a stream.
+
+    :param offset: position in the stream, from 1
+    :param time: time of the append by the log's clock, in seconds
+    :param value: the decoded JSON value
+    """
+
+    offset: int
+    time: float
+    value: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class LogPage:
+    """The answer to a read.
+
+    :param records: records in the order of their offsets
+    :param next: offset from which to read on
+    :param first: lowest offset that the log retains
+    :param tail: offset of the next append
+    """
+
+    records: list[LogRecord]
+    next: int
+    first: int
+    tail: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LogInfo:
+    """What the log says about itself.
+
+    :param retention_s: seconds for which a record is kept
+    :param max_appends_per_s: appends a second that the log takes
+    """
+
+    retention_s: float
+    max_appends_per_s: float
+
+
+class LogClient:
+    """Appends to streams of the log and reads them.
+
+    :param http: the shared HTTP client
+    :param url: base URL of the log
+    :param client_name: sent with each request, for the log's own records
+    :param append_timeout_s: seconds to wait for the answer to an append
+    """
+
+    def __init__(
+        self,
+        http: httpclient.AsyncHTTPClient,
+        url: str,
+        client_name: str,
+        append_timeout_s: float = 1.0,
+    ) -> None:
+        self._http = http
+        self._url = url
+        self._headers = {"Client-Name": client_name}
+        self._append_timeout_s = append_timeout_s
+
+    async def append(
+        self, stream: str, values: list[dict[str, Any]]
+    ) -> list[int]:
+        """Append records in one request.
+
+        :param stream: name of the stream
+        :param values: the records, each with its own ``uid``
+        :returns: the offsets
+        :raises LogUnavailableError: if there is no answer in time; the
+            records may be in the log all the same
+        """
+        body = await self._fetch(
+            f"/streams/{stream}/records",
+            self._append_timeout_s,
+            method="POST",
+            body=msgspec.json.encode({"records": values}),
+        )
+        return msgspec.json.decode(body)["offsets"]
+
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        *,
+        limit: int = 1000,
+        wait_s: float = 0.0,
+    ) -> LogPage:
+        """Read records from an offset on.
+
+        :param stream: name of the stream
+        :param start: first offset wanted
+        :param limit: greatest number of records
+        :param wait_s: seconds to wait for a record when there is none
+        :raises LogUnavailableError: if the log does not answer
+        """
+        query = f"from={start}&limit={limit}&wait_ms={int(wait_s * 1000)}"
+        body = await self._fetch(
+            f"/streams/{stream}/records?{query}", wait_s + _READ_TIMEOUT_S
+        )
+        return msgspec.json.decode(body, type=LogPage)
+
+    async def info(self) -> LogInfo:
+        """Return the log's retention and rate.
+
+        :raises LogUnavailableError: if the log does not answer
+        """
+        body = await self._fetch("/info", _READ_TIMEOUT_S)
+        return msgspec.json.decode(body, type=LogInfo)
+
+    async def _fetch(
+        self, path: str, timeout_s: float, **kwargs: Any
+    ) -> bytes:
+        try:
+            response = await self._http.fetch(
+                self._url + path,
+                headers=self._headers,
+                connect_timeout=timeout_s,
+                request_timeout=timeout_s,
+                **kwargs,
+            )
+        except (httpclient.HTTPError, OSError) as error:
+            raise exceptions.LogUnavailableError(
+                f"the log did not answer: {error}",
+                retry_after_s=_RETRY_AFTER_S,
+            ) from error
+        return response.body
--- /dev/null
+++ b/src/fireflyspur/config/json_schema.py
@@ -0,0 +1,57 @@
+"""Checks against the JSON Schemas that the package carries."""
+
+import functools
+import importlib.resources
+from typing import Any
+
+import jsonschema
+import yaml
+
+
+@functools.cache
+def load_schema(name: str) -> dict[str, Any]:
+    """Return a schema of the package.
+
+    :param name: ``settings`` or ``records``
+    """
+    source = importlib.resources.files("fireflyspur.schema")
+    return yaml.safe_load((source / f"{name}.yaml").read_text("utf-8"))
+
+
+@functools.cache
+def _validator(name: str, definition: str) -> jsonschema.Draft202012Validator:
+    schema = load_schema(name)
+    if definition:
+        schema = {**schema["$defs"][definition], "$defs": schema["$defs"]}
+    return jsonschema.Draft202012Validator(
+        schema, format_checker=jsonschema.FormatChecker()
+    )
+
+
+def find_errors(name: str, value: Any, definition: str = "") -> list[str]:
+    """Check a value against a schema.
+
+    :param name: name of the schema
+    :param value: the decoded value
+    :param definition: a definition of the schema, or empty for the root
+    :returns: one line for each error, with the key and what was expected
+    """
+    errors = _validator(name, definition).iter_errors(value)
+    return [_describe(e) for e in sorted(errors, key=lambda e: str(e.path))]
+
+
+def _describe(error: jsonschema.ValidationError) -> str:
+    key = ".".join(str(part) for part in error.absolute_path) or "(top)"
+    match error.validator:
+        case "type":
+            expected = f"expected {error.validator_value}"
+        case "minimum" | "maximum" | "exclusiveMinimum" | "exclusiveMaximum":
+            expected = f"expected {error.validator} {error.validator_value}"
+        case "pattern":
+            expected = f"expected a match of {error.validator_value}"
+        case "enum":
+            names = ", ".join(str(v) for v in error.validator_value)
+            expected = f"expected one of {names}"
+        case _:
+            return f"{key}: {error.message}"
+    return f"{key}: {expected}, found {error.instance!r:.80}"
--- /dev/null
+++ b/src/fireflyspur/console/commands/standin.py
@@ -0,0 +1,76 @@
+"""The commands that run the stand-ins of the platform and endpoints."""
+
+import argparse
+import asyncio
+
+from tornado import web
+
+from fireflyspur.console import command
+from fireflyspur.observability import logs
+from fireflyspur.standins import engine
+from fireflyspur.standins import log
+from fireflyspur.standins import server
+from fireflyspur.standins import vm_list
+
+
+class StandinCommand(command.Command):
+    """``fireflyspur standin``."""
+
+    name = "standin"
+    help = "run a stand-in of the platform or of an endpoint"
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """Add the command's arguments to its parser."""
+        kinds = parser.add_subparsers(metavar="KIND", required=True)
+        self._add_log(kinds.add_parser("log", help="append-only log"))
+        self._add_vm_list(kinds.add_parser("vm-list", help="list of VMs"))
+        self._add_engine(kinds.add_parser("engine", help="model engine"))
+        for parser in kinds.choices.values():
+            parser.add_argument("--address", default="127.0.0.1")
+            parser.add_argument("--port", type=int, default=0)
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Run the stand-in until it is told to stop."""
+        logs.configure("WARNING")
+        asyncio.run(_serve(arguments))
+        return command.ExitCode.DONE
+
+    def _add_log(self, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument("--retention-s", type=float, default=86400.0)
+        parser.add_argument("--max-appends-per-s", type=float, default=300.0)
+        parser.set_defaults(build=_build_log)
+
+    def _add_vm_list(self, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument("--lag-s", type=float, default=2.0)
+        parser.set_defaults(build=_build_vm_list)
+
+    def _add_engine(self, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument(
+            "--prefill-tokens-per-s", type=float, default=20000.0
+        )
+        parser.add_argument("--decode-tokens-per-s", type=float, default=30.0)
+        parser.add_argument("--time-factor", type=float, default=1.0)
+        parser.set_defaults(build=_build_engine)
+
+
+def _build_log(arguments: argparse.Namespace) -> web.Application:
+    return log.application(arguments.retention_s, arguments.max_appends_per_s)
+
+
+def _build_vm_list(arguments: argparse.Namespace) -> web.Application:
+    return vm_list.application(arguments.lag_s)
+
+
+def _build_engine(arguments: argparse.Namespace) -> web.Application:
+    return engine.application(
+        engine.EngineRates(
+            arguments.prefill_tokens_per_s,
+            arguments.decode_tokens_per_s,
+            arguments.time_factor,
+        )
+    )
+
+
+async def _serve(arguments: argparse.Namespace) -> None:
+    application = arguments.build(arguments)
+    await server.serve(application, arguments.address, arguments.port)
--- /dev/null
+++ b/src/fireflyspur/node/context.py
@@ -0,0 +1,26 @@
+"""The parts of a node that its HTTP handlers use."""
+
+import dataclasses
+
+from fireflyspur.admission import authenticator
+from fireflyspur.admission import body_budget
+from fireflyspur.audit import audit_trail
+from fireflyspur.engines import prompt_runner
+from fireflyspur.generated import settings
+from fireflyspur.node import drain_controller
+from fireflyspur.records import catalog_follower
+from fireflyspur.routing import router
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeContext:
+    """What a handler may use; the node owns it all."""
+
+    settings: settings.NodeSettings
+    follower: catalog_follower.CatalogFollower
+    trail: audit_trail.AuditTrail
+    authenticator: authenticator.Authenticator
+    bodies: body_budget.BodyBudget
+    router: router.Router
+    runner: prompt_runner.PromptRunner
+    drain: drain_controller.DrainController
--- /dev/null
+++ b/src/fireflyspur/node/drain_controller.py
@@ -0,0 +1,71 @@
+"""Graceful shutdown of a node."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+
+from fireflyspur.admission import exceptions
+from fireflyspur.observability import logs
+
+_RETRY_AFTER_S = 1.0
+
+_log = logs.log_for("node")
+
+
+class DrainController:
+    """Counts requests in progress and brings a stop in order.
+
+    The balancer's view lags, so a stopping node first reports that it is
+    not ready, goes on serving for a while, and only then refuses.
+
+    :param drain_s: seconds for which it goes on serving
+    """
+
+    def __init__(self, drain_s: float) -> None:
+        self._drain_s = drain_s
+        self._in_progress = 0
+        self._stopping = False
+        self._refusing = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a stop has begun."""
+        return self._stopping
+
+    @property
+    def in_progress(self) -> int:
+        """Requests in progress."""
+        return self._in_progress
+
+    @contextlib.contextmanager
+    def request(self) -> Iterator[None]:
+        """Count a request as in progress.
+
+        :raises NotAdmittingError: if the node takes no more requests
+        """
+        if self._refusing:
+            raise exceptions.NotAdmittingError(
+                "the node is stopping", retry_after_s=_RETRY_AFTER_S
+            )
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    def begin(self) -> None:
+        """Report the node as not ready."""
+        self._stopping = True
+        _log.info("Stop begun, {} requests in progress", self._in_progress)
+
+    async def drain(self) -> None:
+        """Serve on for the drain time and until no request is left."""
+        await asyncio.sleep(self._drain_s)
+        await self._idle.wait()
+        self._refusing = True
+        _log.info("No request in progress")
--- /dev/null
+++ b/src/fireflyspur/node/handlers/admin.py
@@ -0,0 +1,62 @@
+"""Handlers for operators."""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+from tornado import web
+
+from fireflyspur.node import context
+
+
+class AdminHandler(web.RequestHandler):
+    """Base of the handlers on the admin port."""
+
+    def initialize(self, node: context.NodeContext) -> None:
+        """Set the handler up for one request."""
+        self._node = node
+
+    def send(self, value: Any) -> None:
+        """Answer with a JSON value."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(value))
+
+
+class ViewHandler(AdminHandler):
+    """``GET /admin/view``: what the node knows."""
+
+    def get(self) -> None:
+        """Answer with the node's view."""
+        follower, view = self._node.follower, self._node.router.view
+        engines = [
+            {
+                "name": name,
+                "address": spec.address,
+                "port": spec.port,
+                "failure_domain": spec.failure_domain,
+                "role": spec.role,
+                "outstanding": len(view.outstanding(name)),
+                "leaving": view.is_leaving(spec.address, spec.port),
+            }
+            for name, spec in sorted(view.specs().items())
+        ]
+        self.send(
+            {
+                "node": self._node.settings.node.name,
+                "failure_domain": self._node.settings.node.failure_domain,
+                "config_offset": follower.catalog.offset,
+                "log_reachable": follower.is_log_reachable,
+                "stopping": self._node.drain.is_stopping,
+                "requests_in_progress": self._node.drain.in_progress,
+                "engines": engines,
+            }
+        )
+
+
+class AuditHandler(AdminHandler):
+    """``GET /admin/audit``: the node's audit trail."""
+
+    def get(self) -> None:
+        """Answer with all events that the node holds."""
+        events = self._node.trail.events
+        self.send({"events": [dataclasses.asdict(e) for e in events]})
--- /dev/null
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -0,0 +1,178 @@
+"""Handlers of prompts."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Any
+
+import msgspec
+from tornado import iostream
+
+from fireflyspur.admission import authenticator
+from fireflyspur.clients import engine_client
+from fireflyspur.engines import exceptions as engine_exceptions
+from fireflyspur.engines import prompt_request
+from fireflyspur.errors import exceptions
+from fireflyspur.errors import verdict
+from fireflyspur.generated import records
+from fireflyspur.node.handlers import base
+from fireflyspur.node.handlers import openai_api
+from fireflyspur.routing import exceptions as routing_exceptions
+
+
+class _PromptHandler(base.CallerHandler):
+    """Runs a prompt and sends the answer whole or as a stream."""
+
+    body_type: type[openai_api.Body]
+
+    async def post(self) -> None:
+        """Answer one prompt."""
+        account = self.account()
+        timeout_s = self.timeout_s(account)
+        body = await self.read_json(self.body_type)
+        prompt = self._admit(account, body, timeout_s)
+        answer = asyncio.ensure_future(self._answer(body, prompt))
+        gone = asyncio.ensure_future(self._disconnected.wait())
+        try:
+            async with asyncio.timeout_at(prompt.deadline):
+                await asyncio.wait(
+                    {answer, gone}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if answer.done():
+                    answer.result()
+        except TimeoutError:
+            await _cancel(answer)
+            await self._fail(
+                engine_exceptions.DeadlineExceededError(
+                    "the time limit passed",
+                    verdict=verdict.Verdict.MAY_HAVE_RUN,
+                )
+            )
+        except exceptions.FireflyspurError as error:
+            await self._fail(error)
+        except iostream.StreamClosedError:
+            pass
+        finally:
+            gone.cancel()
+            await _cancel(answer)
+
+    def _admit(
+        self,
+        account: authenticator.Account,
+        body: openai_api.Body,
+        timeout_s: float,
+    ) -> prompt_request.PromptRequest:
+        self._check_model(account, body)
+        text = openai_api.prompt_of(body)
+        per_token = self._node.settings.limits.prompt_bytes_per_token
+        return prompt_request.PromptRequest(
+            request_id=self.request_id,
+            account=account.name,
+            model=body.model,
+            adapter=body.adapter,
+            prompt=text,
+            prompt_tokens=max(1, round(len(text) / per_token)),
+            max_tokens=openai_api.max_tokens_of(body),
+            priority=account.spec.priority,
+            deadline=self._received_at + timeout_s,
+        )
+
+    def _check_model(
+        self, account: authenticator.Account, body: openai_api.Body
+    ) -> None:
+        catalog = self._node.follower.catalog
+        allowed = account.spec.models
+        if catalog.get("model", body.model) is None or (
+            allowed is not None and body.model not in allowed
+        ):
+            raise routing_exceptions.ModelNotFoundError(
+                f"the account has no model {body.model!r:.80}"
+            )
+        if not body.adapter:
+            return
+        entry = catalog.get("adapter", body.adapter)
+        spec = entry.spec if entry else None
+        if not isinstance(spec, records.AdapterSpec) or (
+            spec.model != body.model
+        ):
+            raise routing_exceptions.ModelNotFoundError(
+                f"model {body.model} has no adapter {body.adapter!r:.80}"
+            )
+
+    async def _answer(
+        self, body: openai_api.Body, prompt: prompt_request.PromptRequest
+    ) -> None:
+        async with contextlib.aclosing(self._node.runner.run(prompt)) as lines:
+            if body.stream:
+                await self._send_stream(body, lines)
+            else:
+                await self._send_whole(body, lines)
+
+    async def _send_whole(
+        self,
+        body: openai_api.Body,
+        lines: AsyncIterator[engine_client.StreamLine],
+    ) -> None:
+        parts = []
+        async for line in lines:
+            if line.type == "token":
+                parts.append(line.text)
+                continue
+            answer = openai_api.answer(
+                body, self.request_id, "".join(parts), line
+            )
+            self.set_header("Content-Type", "application/json")
+            await self.finish(msgspec.json.encode(answer))
+
+    async def _send_stream(
+        self,
+        body: openai_api.Body,
+        lines: AsyncIterator[engine_client.StreamLine],
+    ) -> None:
+        async for line in lines:
+            await self._send_event(
+                openai_api.chunk(body, self.request_id, line)
+            )
+            if line.type == "done" and openai_api.wants_usage(body):
+                await self._send_event(
+                    openai_api.usage_chunk(body, self.request_id, line.usage)
+                )
+        self.write(b"data: [DONE]\n\n")
+        await self.finish()
+
+    async def _send_event(self, event: dict[str, Any]) -> None:
+        if not self._headers_written:
+            self.set_header("Content-Type", "text/event-stream")
+            self.set_header("Cache-Control", "no-store")
+        self.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
+        await self.flush()
+
+    async def _fail(self, error: exceptions.FireflyspurError) -> None:
+        """Report an error, inside the stream once it has begun."""
+        if not self._headers_written:
+            raise error
+        body = base.error_body(error, self.request_id)
+        with contextlib.suppress(iostream.StreamClosedError):
+            # The openai client raises an error for a data event that has
+            # the key "error"; other clients see the event's name.
+            self.write(
+                b"event: error\ndata: " + msgspec.json.encode(body) + b"\n\n"
+            )
+            await self.finish()
+
+
+class CompletionsHandler(_PromptHandler):
+    """``POST /v1/completions``."""
+
+    body_type = openai_api.CompletionBody
+
+
+class ChatCompletionsHandler(_PromptHandler):
+    """``POST /v1/chat/completions``."""
+
+    body_type = openai_api.ChatBody
+
+
+async def _cancel(task: "asyncio.Task[None]") -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/src/fireflyspur/node/handlers/health.py
@@ -0,0 +1,35 @@
+"""Handlers for the balancer."""
+
+from tornado import web
+
+from fireflyspur.node import context
+
+
+class HealthHandler(web.RequestHandler):
+    """``GET /healthz``: the process runs."""
+
+    def get(self) -> None:
+        """Answer that the process runs."""
+        self.finish({"status": "ok"})
+
+
+class ReadyHandler(web.RequestHandler):
+    """``GET /readyz``: the node takes requests."""
+
+    def initialize(self, node: context.NodeContext) -> None:
+        """Set the handler up for one request."""
+        self._node = node
+
+    def get(self) -> None:
+        """Answer 200 when the node takes requests, else 503."""
+        reason = self._reason()
+        if reason:
+            self.set_status(503)
+        self.finish({"ready": not reason, "reason": reason})
+
+    def _reason(self) -> str:
+        if self._node.drain.is_stopping:
+            return "stopping"
+        if not self._node.follower.is_loaded:
+            return "config_not_loaded"
+        return ""
--- /dev/null
+++ b/src/fireflyspur/node/handlers/openai_api.py
@@ -0,0 +1,177 @@
+"""Bodies of the API that OpenAI's clients speak."""
+
+import dataclasses
+import time
+from typing import Any
+
+from fireflyspur.clients import engine_client
+from fireflyspur.errors import exceptions
+
+_DEFAULT_MAX_TOKENS = 16
+_MAX_TOKENS_LIMIT = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamOptions:
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class CompletionBody:
+    """Body of ``POST /v1/completions``."""
+
+    model: str
+    prompt: str | list[str]
+    max_tokens: int | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    adapter: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatMessage:
+    """One message of a chat."""
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatBody:
+    """Body of ``POST /v1/chat/completions``."""
+
+    model: str
+    messages: list[ChatMessage]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    adapter: str = ""
+
+
+Body = CompletionBody | ChatBody
+
+
+def prompt_of(body: Body) -> str:
+    """Return the text that the engine is given.
+
+    :raises InvalidInputError: if there is no text or more than one prompt
+    """
+    match body:
+        case CompletionBody(prompt=str() as prompt):
+            text = prompt
+        case CompletionBody(prompt=[prompt]):
+            text = prompt
+        case CompletionBody():
+            raise exceptions.InvalidInputError(
+                f"prompt: expected one prompt, found {len(body.prompt)}"
+            )
+        case ChatBody():
+            text = "\n".join(_message_text(m) for m in body.messages)
+    if not text:
+        raise exceptions.InvalidInputError("the prompt is empty")
+    return text
+
+
+def max_tokens_of(body: Body) -> int:
+    """Return the greatest number of tokens to generate.
+
+    :raises InvalidInputError: if the number is out of range
+    """
+    wanted = body.max_tokens
+    if isinstance(body, ChatBody) and body.max_completion_tokens is not None:
+        wanted = body.max_completion_tokens
+    if wanted is None:
+        return _DEFAULT_MAX_TOKENS
+    if not 1 <= wanted <= _MAX_TOKENS_LIMIT:
+        raise exceptions.InvalidInputError(
+            f"max_tokens: expected 1 to {_MAX_TOKENS_LIMIT}, found {wanted}"
+        )
+    return wanted
+
+
+def wants_usage(body: Body) -> bool:
+    """Whether a streamed answer ends with the number of tokens."""
+    return (
+        body.stream_options is not None and body.stream_options.include_usage
+    )
+
+
+def chunk(
+    body: Body, request_id: str, line: engine_client.StreamLine
+) -> dict[str, Any]:
+    """Return one event of a streamed answer."""
+    finish_reason = line.finish_reason or None
+    match body:
+        case CompletionBody():
+            choice: dict[str, Any] = {"text": line.text}
+            kind = "text_completion"
+        case ChatBody():
+            delta = {"content": line.text} if line.type == "token" else {}
+            if line.type == "token" and line.index == 0:
+                delta["role"] = "assistant"
+            choice, kind = {"delta": delta}, "chat.completion.chunk"
+    choice.update(index=0, finish_reason=finish_reason, logprobs=None)
+    return _envelope(body, request_id, kind, [choice])
+
+
+def usage_chunk(
+    body: Body, request_id: str, usage: dict[str, int]
+) -> dict[str, Any]:
+    """Return the last event of a stream that carries the token counts."""
+    kind = "text_completion"
+    if isinstance(body, ChatBody):
+        kind = "chat.completion.chunk"
+    return {**_envelope(body, request_id, kind, []), "usage": usage}
+
+
+def answer(
+    body: Body,
+    request_id: str,
+    text: str,
+    closing: engine_client.StreamLine,
+) -> dict[str, Any]:
+    """Return the whole answer of a request that is not streamed."""
+    match body:
+        case CompletionBody():
+            choice: dict[str, Any] = {"text": text}
+            kind = "text_completion"
+        case ChatBody():
+            message = {"role": "assistant", "content": text, "refusal": None}
+            choice, kind = {"message": message}, "chat.completion"
+    choice.update(index=0, finish_reason=closing.finish_reason, logprobs=None)
+    envelope = _envelope(body, request_id, kind, [choice])
+    return {**envelope, "usage": closing.usage}
+
+
+def _message_text(message: ChatMessage) -> str:
+    match message.content:
+        case str() as text:
+            pass
+        case None:
+            text = ""
+        case parts:
+            text = "".join(_part_text(part) for part in parts)
+    return f"{message.role}: {text}"
+
+
+def _part_text(part: dict[str, Any]) -> str:
+    if part.get("type") != "text" or not isinstance(part.get("text"), str):
+        raise exceptions.InvalidInputError(
+            "messages: only parts of type text are supported"
+        )
+    return part["text"]
+
+
+def _envelope(
+    body: Body, request_id: str, kind: str, choices: list[dict[str, Any]]
+) -> dict[str, Any]:
+    return {
+        "id": request_id,
+        "object": kind,
+        "created": int(time.time()),
+        "model": body.model,
+        "choices": choices,
+    }
--- /dev/null
+++ b/src/fireflyspur/node/http_server.py
@@ -0,0 +1,69 @@
+"""The node's HTTP interfaces."""
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from fireflyspur.node import context
+from fireflyspur.node.handlers import admin
+from fireflyspur.node.handlers import base
+from fireflyspur.node.handlers import completions
+from fireflyspur.node.handlers import health
+from fireflyspur.node.handlers import models
+
+# Handlers check the size of a body themselves, to answer with JSON.
+_SERVER_MAX_BODY_BYTES = 2**40
+
+
+def caller_application(node: context.NodeContext) -> web.Application:
+    """Return the application for callers and the balancer."""
+    arguments = {"node": node}
+    return web.Application(
+        [
+            ("/v1/completions", completions.CompletionsHandler, arguments),
+            (
+                "/v1/chat/completions",
+                completions.ChatCompletionsHandler,
+                arguments,
+            ),
+            ("/v1/models", models.ModelsHandler, arguments),
+            ("/healthz", health.HealthHandler),
+            ("/readyz", health.ReadyHandler, arguments),
+        ],
+        default_handler_class=base.UnknownPathHandler,
+        default_handler_args=arguments,
+        log_function=lambda handler: None,
+    )
+
+
+def admin_application(node: context.NodeContext) -> web.Application:
+    """Return the application for operators."""
+    arguments = {"node": node}
+    return web.Application(
+        [
+            ("/admin/view", admin.ViewHandler, arguments),
+            ("/admin/audit", admin.AuditHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+def listen(
+    application: web.Application,
+    address: str,
+    port: int,
+    max_header_bytes: int = 65536,
+) -> tuple[httpserver.HTTPServer, int]:
+    """Serve an application.
+
+    :param port: the port, 0 for a free one
+    :returns: the server and its port
+    """
+    sockets = netutil.bind_sockets(port, address)
+    server = httpserver.HTTPServer(
+        application,
+        max_body_size=_SERVER_MAX_BODY_BYTES,
+        max_header_size=max_header_bytes,
+    )
+    server.add_sockets(sockets)
+    return server, sockets[0].getsockname()[1]
--- /dev/null
+++ b/src/fireflyspur/node/node.py
@@ -0,0 +1,139 @@
+"""An entry node."""
+
+import asyncio
+import contextlib
+import dataclasses
+import signal
+import time
+
+from tornado import httpserver
+
+from fireflyspur.admission import authenticator
+from fireflyspur.admission import body_budget
+from fireflyspur.audit import audit_trail
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import http_client
+from fireflyspur.clients import log_client
+from fireflyspur.engines import prompt_runner
+from fireflyspur.generated import settings
+from fireflyspur.node import context
+from fireflyspur.node import drain_controller
+from fireflyspur.node import http_server
+from fireflyspur.observability import logs
+from fireflyspur.records import catalog as catalogs
+from fireflyspur.records import catalog_follower
+from fireflyspur.routing import engine_view
+from fireflyspur.routing import router
+
+_log = logs.log_for("node")
+
+
+@dataclasses.dataclass(frozen=True)
+class Ports:
+    """Ports on which the node listens."""
+
+    http: int
+    admin: int
+
+
+class Node:
+    """Builds the parts of a node, runs them and stops them in order.
+
+    :param config: the node's settings
+    """
+
+    def __init__(self, config: settings.NodeSettings) -> None:
+        self._config = config
+        self._stack = contextlib.AsyncExitStack()
+        self._stop = asyncio.Event()
+
+    async def start(self) -> Ports:
+        """Start all parts.
+
+        :returns: the ports on which the node listens
+        """
+        node = self._build()
+        self._context = node
+        self._start_task(node.follower.run())
+        limits = self._config.limits
+        address = self._config.node.address
+        http, http_port = http_server.listen(
+            http_server.caller_application(node),
+            address,
+            self._config.node.http_port,
+            limits.max_header_bytes,
+        )
+        admin, admin_port = http_server.listen(
+            http_server.admin_application(node),
+            address,
+            self._config.node.admin_port,
+        )
+        self._stack.push_async_callback(_close_server, admin)
+        self._stack.push_async_callback(_close_server, http)
+        _log.info("Listening on {} port {}", address, http_port)
+        return Ports(http_port, admin_port)
+
+    async def run_until_stopped(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        await self._stop.wait()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop gracefully: no request in progress is cut."""
+        self._context.drain.begin()
+        await self._context.drain.drain()
+        await self._stack.aclose()
+        _log.info("Stopped")
+
+    def _build(self) -> context.NodeContext:
+        config = self._config
+        http = http_client.create()
+        self._stack.callback(http.close)
+        log = log_client.LogClient(
+            http,
+            config.log.url,
+            config.node.name,
+            config.log.append_timeout_s,
+        )
+        catalog = catalogs.Catalog()
+        trail = audit_trail.AuditTrail()
+        routing = router.Router(catalog, engine_view.EngineView(catalog))
+        incarnation = int(time.time() * 1000)
+        runner = prompt_runner.PromptRunner(
+            engine_client.EngineClient(http, config.node.name),
+            routing,
+            f"{config.node.name}:{incarnation}",
+        )
+        self._stack.push_async_callback(runner.close)
+        return context.NodeContext(
+            settings=config,
+            follower=catalog_follower.CatalogFollower(
+                log, catalog, trail, config.log.poll_wait_s
+            ),
+            trail=trail,
+            authenticator=authenticator.Authenticator(catalog),
+            bodies=body_budget.BodyBudget(
+                config.limits.max_body_bytes,
+                config.limits.buffered_body_bytes,
+            ),
+            router=routing,
+            runner=runner,
+            drain=drain_controller.DrainController(config.node.drain_s),
+        )
+
+    def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._stack.push_async_callback(_cancel_task, task)
+
+
+async def _cancel_task(task: "asyncio.Future[None]") -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def _close_server(server: httpserver.HTTPServer) -> None:
+    server.stop()
+    await server.close_all_connections()
--- /dev/null
+++ b/src/fireflyspur/observability/logs.py
@@ -0,0 +1,70 @@
+"""Set-up of the structured logs."""
+
+import json
+import sys
+from typing import Any
+from typing import TYPE_CHECKING
+
+import loguru
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_HUMAN_FORMAT = (
+    "{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {extra[part]}: {message}"
+    "{extra[fields]}"
+)
+
+
+def log_for(part: str) -> Any:
+    """Return the logger of one part of the program.
+
+    :param part: fixed prefix of the part's lines, such as ``claims``
+    :returns: a loguru logger bound to the part
+    """
+    return loguru.logger.bind(part=part)
+
+
+def configure(
+    level: str = "INFO", log_format: str = "human", node: str = ""
+) -> None:
+    """Send all logs to standard error in one format.
+
+    :param level: lowest level that is written
+    :param log_format: ``human`` or ``json``
+    :param node: name of the node, added to JSON lines
+    """
+    loguru.logger.remove()
+    loguru.logger.configure(
+        extra={"part": "main", "fields": ""}, patcher=_add_fields
+    )
+    if log_format == "json":
+        loguru.logger.add(_json_sink(node), level=level, format="{message}")
+    else:
+        loguru.logger.add(sys.stderr, level=level, format=_HUMAN_FORMAT)
+
+
+def _add_fields(record: Any) -> None:
+    extra = record["extra"]
+    pairs = [
+        f"{key}={value}"
+        for key, value in extra.items()
+        if key not in ("part", "fields")
+    ]
+    extra["fields"] = " [" + " ".join(pairs) + "]" if pairs else ""
+
+
+def _json_sink(node: str) -> "Callable[[Any], None]":
+    def write(message: Any) -> None:
+        record = message.record
+        line = {
+            "time": record["time"].isoformat(),
+            "level": record["level"].name,
+            "node": node,
+            "message": record["message"],
+        }
+        extra = record["extra"]
+        line.update({k: v for k, v in extra.items() if k != "fields"})
+        sys.stderr.write(json.dumps(line, default=str) + "\n")
+
+    return write
--- /dev/null
+++ b/src/fireflyspur/routing/exceptions.py
@@ -0,0 +1,17 @@
+"""Errors of the choice of an engine."""
+
+from fireflyspur.errors import exceptions
+
+
+class ModelNotFoundError(exceptions.FireflyspurError):
+    """No record describes the model, or the account may not use it."""
+
+    code = "model_not_found"
+    http_status = 404
+
+
+class NoEngineError(exceptions.FireflyspurError):
+    """No engine can take the prompt now."""
+
+    code = "no_engine_available"
+    http_status = 503
