Choose engines by predicted time to first token, admit by deadline

Routing compares a few engines by backlog, own unfinished work, cached prefix and memory; round robin and least outstanding stay selectable. Long prompts use a share of the engines that follows the mix with hysteresis. Admission refuses at once what would wait too long or miss its deadline. Account limits are divided in proportion to demand instead of evenly.

--- /dev/null
+++ b/src/fireflyspur/admission/admission_controller.py
@@ -0,0 +1,93 @@
+"""Admission of prompts by what can be served in time."""
+
+import time
+
+from fireflyspur.admission import exceptions
+from fireflyspur.engines import prompt_request
+from fireflyspur.records import catalog as catalogs
+from fireflyspur.routing import router as routers
+from fireflyspur.routing import ttft_predictor
+
+_MIDDLE_PRIORITY = 5
+_LOWEST_PRIORITY = 9
+# A long prompt may wait for this part of its own prefill, so that its first
+# token comes within the target of 1.3 times that of an idle fleet.
+_LONG_WAIT_RATIO = 0.3
+# A predicted finish this close to the deadline is refused: an admitted
+# request that expires costs the engine's work and the caller's time.
+_SAFETY_RATIO = 1.1
+
+
+class AdmissionController:
+    """Refuses at once what the fleet cannot serve within its time limit.
+
+    :param catalog: the records in force
+    :param router: predicts the wait and the duration
+    """
+
+    def __init__(
+        self, catalog: catalogs.Catalog, router: routers.Router
+    ) -> None:
+        self._catalog = catalog
+        self._router = router
+
+    def check(
+        self, request: prompt_request.PromptRequest
+    ) -> ttft_predictor.Prediction | None:
+        """Admit a prompt or refuse it.
+
+        :param request: the prompt
+        :returns: the prediction, or None when admission is switched off
+        :raises InfeasibleError: if an idle engine would be too slow
+        :raises OverloadedError: if the prompt would wait too long
+        :raises NoEngineError: if no engine can take the prompt now
+        """
+        if not self._catalog.policy().admission:
+            return None
+        route = routers.RouteRequest(
+            request.model,
+            request.adapter,
+            request.prompt,
+            request.prompt_tokens,
+            request.max_tokens,
+            request.priority,
+        )
+        best = self._router.best(route, self._router.work(route))
+        remaining_s = request.deadline - time.monotonic()
+        self._check_limit(best, remaining_s)
+        self._check_queue(best, request)
+        return best
+
+    def _check_limit(
+        self, best: ttft_predictor.Prediction, remaining_s: float
+    ) -> None:
+        alone_s = best.prefill_s + best.decode_s
+        if alone_s > remaining_s:
+            raise exceptions.InfeasibleError(
+                f"the prompt needs about {alone_s:.1f} s and has"
+                f" {remaining_s:.1f} s"
+            )
+        needed_s = best.total_s * _SAFETY_RATIO
+        if best.queue_s and needed_s > remaining_s:
+            raise exceptions.OverloadedError(
+                f"the prompt would take {needed_s:.1f} s and has"
+                f" {remaining_s:.1f} s",
+                retry_after_s=best.queue_s,
+            )
+
+    def _check_queue(
+        self,
+        best: ttft_predictor.Prediction,
+        request: prompt_request.PromptRequest,
+    ) -> None:
+        # Priority 0 may wait twice as long as priority 5, priority 9 a fifth,
+        # so the least urgent prompts are refused first.
+        urgency = (_LOWEST_PRIORITY + 1 - request.priority) / _MIDDLE_PRIORITY
+        allowed_s = self._catalog.policy().max_queue_s * urgency
+        if self._router.is_long(request.prompt_tokens):
+            allowed_s = max(allowed_s, _LONG_WAIT_RATIO * best.prefill_s)
+        if best.queue_s > allowed_s:
+            raise exceptions.OverloadedError(
+                f"the prompt would wait {best.queue_s:.1f} s for an engine",
+                retry_after_s=best.queue_s - allowed_s,
+            )
--- /dev/null
+++ b/src/fireflyspur/admission/demand_reporter.py
@@ -0,0 +1,114 @@
+"""Reports of this node's demand to the accounts' coordinators."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import time
+
+from fireflyspur.admission import account_limiter
+from fireflyspur.admission import share_coordinator
+from fireflyspur.generated import records
+from fireflyspur.membership import rendezvous
+from fireflyspur.observability import logs
+from fireflyspur.records import catalog as catalogs
+
+_PERIOD_S = 1.0
+
+# Sends demands by account to a node and returns the shares, or None when the
+# node does not answer.
+SendDemands = Callable[
+    [str, dict[str, float]], Awaitable[dict[str, float] | None]
+]
+
+_log = logs.log_for("admission")
+
+
+class DemandReporter:
+    """Asks each account's coordinator for this node's share.
+
+    The coordinator of an account is the live member with the highest
+    rendezvous hash; two nodes that disagree for a moment get shares from two
+    coordinators, which errs by what the late one has not heard of.
+
+    :param node_name: name of this node
+    :param live_names: returns the names of the live members
+    :param send: sends demands to another node
+    """
+
+    def __init__(
+        self,
+        node_name: str,
+        catalog: catalogs.Catalog,
+        limiter: account_limiter.AccountLimiter,
+        live_names: Callable[[], list[str]],
+        send: SendDemands,
+    ) -> None:
+        self._node_name = node_name
+        self._catalog = catalog
+        self._limiter = limiter
+        self._live_names = live_names
+        self._send = send
+        self._coordinator = share_coordinator.ShareCoordinator()
+
+    async def run(self) -> None:
+        """Report once a second until cancelled."""
+        while True:
+            await self.report_once(time.monotonic())
+            await asyncio.sleep(_PERIOD_S * random.uniform(0.9, 1.1))
+
+    async def report_once(self, now: float) -> None:
+        """Send the demands to their coordinators and take the shares.
+
+        :param now: monotonic time in seconds
+        """
+        names = self._live_names()
+        self._limiter.set_members(len(names))
+        self._coordinator.forget_idle(now)
+        by_node: dict[str, dict[str, float]] = {}
+        for account, demand in self._limiter.demands(
+            self._limits(), now
+        ).items():
+            node = rendezvous.owner(f"account/{account}", names)
+            by_node.setdefault(node or self._node_name, {})[account] = demand
+        await asyncio.gather(
+            *(self._ask(node, demands) for node, demands in by_node.items())
+        )
+
+    def receive(
+        self, node: str, demands: dict[str, float]
+    ) -> dict[str, float]:
+        """Answer another node's report as the coordinator.
+
+        :param node: name of the node
+        :param demands: tokens a second by account
+        :returns: shares in tokens a second by account
+        """
+        limits, now = self._limits(), time.monotonic()
+        return {
+            account: self._coordinator.share(
+                account, limits[account], node, demand, now
+            )
+            for account, demand in demands.items()
+            if account in limits
+        }
+
+    async def _ask(self, node: str, demands: dict[str, float]) -> None:
+        if node == self._node_name:
+            shares: dict[str, float] | None = self.receive(node, demands)
+        else:
+            shares = await self._send(node, demands)
+        if shares is None:
+            _log.debug("No shares from {}, its lease of them runs out", node)
+            return
+        now = time.monotonic()
+        for account, rate in shares.items():
+            self._limiter.grant(account, rate, now)
+
+    def _limits(self) -> dict[str, float]:
+        accounts = self._catalog.specs(records.AccountSpec)
+        return {
+            name: spec.tokens_per_s
+            for name, spec in accounts.items()
+            if spec.tokens_per_s is not None
+        }
--- a/src/fireflyspur/admission/exceptions.py
+++ b/src/fireflyspur/admission/exceptions.py
@@ -32,3 +32,24 @@
 
     code = "not_admitting"
     http_status = 503
+
+
+class OverloadedError(exceptions.FireflyspurError):
+    """The fleet cannot serve the prompt soon enough."""
+
+    code = "overloaded"
+    http_status = 503
+
+
+class InfeasibleError(exceptions.FireflyspurError):
+    """The prompt takes longer than its time limit even on an idle engine."""
+
+    code = "timeout_too_short"
+    http_status = 400
+
+
+class AccountLimitError(exceptions.FireflyspurError):
+    """The client account uses more than its limit."""
+
+    code = "account_limit_exceeded"
+    http_status = 429
--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from fireflyspur.admission import account_limiter
+from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
@@ -21,6 +23,8 @@
     trail: audit_trail.AuditTrail
     authenticator: authenticator.Authenticator
     bodies: body_budget.BodyBudget
+    admission: admission_controller.AdmissionController
+    limiter: account_limiter.AccountLimiter
     router: router.Router
     runner: prompt_runner.PromptRunner
     drain: drain_controller.DrainController
--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -24,6 +24,8 @@
     """Runs a prompt and sends the answer whole or as a stream."""
 
     body_type: type[openai_api.Body]
+    _account_name = ""
+    _unused_tokens = 0
 
     async def post(self) -> None:
         """Answer one prompt."""
@@ -65,7 +67,7 @@
         self._check_model(account, body)
         text = openai_api.prompt_of(body)
         per_token = self._node.settings.limits.prompt_bytes_per_token
-        return prompt_request.PromptRequest(
+        prompt = prompt_request.PromptRequest(
             request_id=self.request_id,
             account=account.name,
             model=body.model,
@@ -76,6 +78,27 @@
             priority=account.spec.priority,
             deadline=self._received_at + timeout_s,
         )
+        self._node.admission.check(prompt)
+        self._charge(account, prompt)
+        return prompt
+
+    def _charge(
+        self,
+        account: authenticator.Account,
+        prompt: prompt_request.PromptRequest,
+    ) -> None:
+        """Charge the most that the prompt may use; the rest is refunded."""
+        charged = prompt.prompt_tokens + prompt.max_tokens
+        self._node.limiter.charge(account, charged)
+        self._account_name = account.name
+        self._unused_tokens = charged
+
+    def on_finish(self) -> None:
+        """Give back what the request held and tokens that it did not use."""
+        if self._unused_tokens:
+            self._node.limiter.refund(self._account_name, self._unused_tokens)
+            self._unused_tokens = 0
+        super().on_finish()
 
     def _check_model(
         self, account: authenticator.Account, body: openai_api.Body
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -8,6 +8,8 @@
 
 from tornado import httpserver
 
+from fireflyspur.admission import account_limiter
+from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
@@ -23,6 +25,7 @@
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
+from fireflyspur.routing import load_poller
 from fireflyspur.routing import router
 
 _log = logs.log_for("node")
@@ -55,6 +58,7 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
+        self._start_task(self._load_poller.run())
         limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
@@ -100,10 +104,16 @@
         )
         catalog = catalogs.Catalog()
         trail = audit_trail.AuditTrail()
-        routing = router.Router(catalog, engine_view.EngineView(catalog))
+        routing = router.Router(
+            catalog,
+            engine_view.EngineView(catalog, config.node.name),
+            config.node.failure_domain,
+        )
+        engines = engine_client.EngineClient(http, config.node.name)
+        self._load_poller = load_poller.LoadPoller(engines, routing.view)
         incarnation = int(time.time() * 1000)
         runner = prompt_runner.PromptRunner(
-            engine_client.EngineClient(http, config.node.name),
+            engines,
             routing,
             f"{config.node.name}:{incarnation}",
         )
@@ -119,6 +129,10 @@
                 config.limits.max_body_bytes,
                 config.limits.buffered_body_bytes,
             ),
+            admission=admission_controller.AdmissionController(
+                catalog, routing
+            ),
+            limiter=account_limiter.AccountLimiter(),
             router=routing,
             runner=runner,
             drain=drain_controller.DrainController(config.node.drain_s),
--- a/src/fireflyspur/routing/engine_view.py
+++ b/src/fireflyspur/routing/engine_view.py
@@ -1,60 +1,84 @@
 """What a node knows about the engines."""
 
+from collections.abc import Callable
 import dataclasses
 import time
 
 from fireflyspur.clients import engine_client
 from fireflyspur.generated import records
+from fireflyspur.membership import rendezvous
 from fireflyspur.records import catalog as catalogs
+from fireflyspur.routing import load_report
 
 # An engine that did not answer is passed over for this long.
 _UNREACHABLE_S = 2.0
+# Above this number a node uses a subset of the engines, so that it need not
+# follow the load of them all.
+_MAX_ENGINES = 32
 
 
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """Work that this node has sent to an engine.
 
-    :param prefill_tokens: prompt tokens that the engine has to process
+    :param prefill_tokens: prompt tokens that the engine has to process,
+        without those expected in its cache
     :param total_tokens: prompt and generated tokens that it has to hold
+    :param sent_at: monotonic time in seconds
+    :param priority: as the engine gets it; 0 is the most urgent
     """
 
     engine: str
     prefill_tokens: int
     total_tokens: int
+    sent_at: float = dataclasses.field(default_factory=time.monotonic)
+    priority: int = 0
 
 
 class EngineView:
     """Engines of the catalog with this node's own outstanding work.
 
     :param catalog: the records in force
+    :param node_name: name of the node, which chooses its subset of engines
     """
 
-    def __init__(self, catalog: catalogs.Catalog) -> None:
+    def __init__(self, catalog: catalogs.Catalog, node_name: str = "") -> None:
         self._catalog = catalog
+        self._node_name = node_name
         self._outstanding: dict[str, list[Placement]] = {}
+        self._prefilling: dict[str, list[Placement]] = {}
+        self._loads: dict[str, load_report.LoadReport] = {}
         self._leaving: set[tuple[str, int]] = set()
         self._unreachable_until: dict[str, float] = {}
+        self._restart_listeners: list[Callable[[str], None]] = []
+        self._specs: dict[str, records.EngineSpec] = {}
+        self._specs_offset = -1
 
     def specs(self) -> dict[str, records.EngineSpec]:
         """Return the engines of the catalog by name."""
-        return self._catalog.specs(records.EngineSpec)
+        if self._specs_offset != self._catalog.offset:
+            self._specs = self._catalog.specs(records.EngineSpec)
+            self._specs_offset = self._catalog.offset
+        return self._specs
 
     def address(self, name: str) -> engine_client.EngineAddress:
         """Return where an engine listens."""
         spec = self.specs()[name]
         return engine_client.EngineAddress(name, spec.address, spec.port)
 
+    def followed(self) -> list[str]:
+        """Return the engines whose load this node follows."""
+        return self._subset(sorted(self.specs()))
+
     def candidates(self, model: str, adapter: str) -> list[str]:
         """Return the engines that may get new work, in order of name."""
         now = time.monotonic()
+        specs = self.specs()
+        names = [n for n in specs if self._serves(specs[n], model, adapter)]
         return sorted(
             name
-            for name, spec in self.specs().items()
-            if model in spec.models
-            and (not adapter or adapter in spec.adapters)
-            and spec.role in (records.Role.any, records.Role.decode)
-            and (spec.address, spec.port) not in self._leaving
+            for name in self._subset(names)
+            if (specs[name].address, specs[name].port) not in self._leaving
             and self._unreachable_until.get(name, 0.0) <= now
         )
 
@@ -62,13 +86,43 @@
         """Return this node's unfinished work on an engine."""
         return self._outstanding.get(name, [])
 
+    def pending_prefills(self, name: str) -> list[Placement]:
+        """Return this node's work that has had no first token."""
+        return self._prefilling.get(name, [])
+
     def add(self, placement: Placement) -> None:
         """Count work as sent, at the moment of the choice."""
         self._outstanding.setdefault(placement.engine, []).append(placement)
+        self._prefilling.setdefault(placement.engine, []).append(placement)
+
+    def end_prefill(self, placement: Placement) -> None:
+        """Note the first token of a placement."""
+        _remove(self._prefilling.get(placement.engine, []), placement)
 
     def remove(self, placement: Placement) -> None:
         """Count work as ended."""
-        self._outstanding[placement.engine].remove(placement)
+        self.end_prefill(placement)
+        _remove(self._outstanding.get(placement.engine, []), placement)
+
+    def load(self, name: str) -> load_report.LoadReport | None:
+        """Return the latest load report of an engine, or None."""
+        return self._loads.get(name)
+
+    def update_load(self, name: str, report: load_report.LoadReport) -> None:
+        """Take a load report of an engine."""
+        former = self._loads.get(name)
+        self._loads[name] = report
+        self._unreachable_until.pop(name, None)
+        spec = self.specs().get(name)
+        if spec is not None and report.leaving:
+            self.mark_leaving(spec.address, spec.port)
+        if former and former.incarnation != report.incarnation:
+            for listener in self._restart_listeners:
+                listener(name)
+
+    def add_restart_listener(self, listener: Callable[[str], None]) -> None:
+        """Call a function with the name of each engine that restarted."""
+        self._restart_listeners.append(listener)
 
     def mark_leaving(self, address: str, port: int) -> None:
         """Give an endpoint no new work from now on."""
@@ -85,3 +139,26 @@
     def mark_unreachable(self, name: str) -> None:
         """Pass over an engine that did not answer, for a short time."""
         self._unreachable_until[name] = time.monotonic() + _UNREACHABLE_S
+
+    def _serves(
+        self, spec: records.EngineSpec, model: str, adapter: str
+    ) -> bool:
+        return (
+            model in spec.models
+            and (not adapter or adapter in spec.adapters)
+            and spec.role in (records.Role.any, records.Role.decode)
+        )
+
+    def _subset(self, names: list[str]) -> list[str]:
+        """Return the engines of a model that this node uses."""
+        if len(names) <= _MAX_ENGINES:
+            return names
+        return rendezvous.rank(self._node_name, names)[:_MAX_ENGINES]
+
+
+def _remove(placements: list[Placement], placement: Placement) -> None:
+    # Equal placements may both be in the list, so identity decides.
+    for index, item in enumerate(placements):
+        if item is placement:
+            del placements[index]
+            return
--- a/src/fireflyspur/routing/router.py
+++ b/src/fireflyspur/routing/router.py
@@ -2,13 +2,26 @@
 
 from collections.abc import Collection
 import dataclasses
+import math
+import random
+import time
 
+from fireflyspur.clients import engine_client
 from fireflyspur.generated import records
+from fireflyspur.membership import rendezvous
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.routing import engine_view
 from fireflyspur.routing import exceptions
+from fireflyspur.routing import load_report
+from fireflyspur.routing import long_share
+from fireflyspur.routing import prefix_index
+from fireflyspur.routing import ttft_predictor
 
 _RETRY_AFTER_S = 1.0
+# A short prompt goes to an engine for long ones only when it gains this much.
+_SPILL_GAIN_S = 0.1
+# Long prompts come after all short ones on an engine.
+_LONG_PRIORITY_OFFSET = 10
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,6 +30,7 @@
 
     :param prompt_tokens: estimated length of the prompt
     :param max_tokens: greatest number of generated tokens
+    :param priority: of the client account; 0 is the most urgent
     """
 
     model: str
@@ -24,6 +38,15 @@
     prompt: str
     prompt_tokens: int
     max_tokens: int
+    priority: int = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class _Decision:
+    """Why a placement was made, kept until its first token."""
+
+    predicted: ttft_predictor.Prediction
+    work: ttft_predictor.PromptWork
 
 
 class Router:
@@ -31,50 +54,229 @@
 
     :param catalog: the records in force
     :param view: what the node knows about the engines
+    :param failure_domain: failure domain of the node
+    :param seed: seed of the random choices, or None
     """
 
     def __init__(
-        self, catalog: catalogs.Catalog, view: engine_view.EngineView
+        self,
+        catalog: catalogs.Catalog,
+        view: engine_view.EngineView,
+        failure_domain: str = "",
+        seed: int | None = None,
     ) -> None:
         self._catalog = catalog
         self._view = view
+        self._prefixes = prefix_index.PrefixIndex()
+        self._predictor = ttft_predictor.TtftPredictor(
+            view, self._prefixes, failure_domain
+        )
+        self._random = random.Random(seed)
+        self._share = long_share.LongShare(catalog.policy().long_engine_share)
         self._turn = 0
+        self._decisions: dict[int, _Decision] = {}
+        view.add_restart_listener(self._prefixes.forget)
 
     @property
     def view(self) -> engine_view.EngineView:
         """What the node knows about the engines."""
         return self._view
 
+    @property
+    def long_share(self) -> float:
+        """Share of the engines that long prompts may use now."""
+        return self._share.share
+
+    def is_long(self, prompt_tokens: int) -> bool:
+        """Whether the policy counts a prompt as long."""
+        return prompt_tokens >= self._catalog.policy().long_prompt_tokens
+
+    def engine_priority(self, priority: int, prompt_tokens: int) -> int:
+        """Return the priority that an engine is given.
+
+        :param priority: of the client account
+        """
+        if self.is_long(prompt_tokens):
+            return priority + _LONG_PRIORITY_OFFSET
+        return priority
+
+    def work(self, request: RouteRequest) -> ttft_predictor.PromptWork:
+        """Return what a prompt asks of an engine."""
+        return ttft_predictor.PromptWork(
+            request.prompt_tokens,
+            len(request.prompt),
+            request.max_tokens,
+            self.engine_priority(request.priority, request.prompt_tokens),
+            prefix_index.digests(
+                request.model, request.adapter, request.prompt
+            ),
+        )
+
+    def best(
+        self, request: RouteRequest, work: ttft_predictor.PromptWork
+    ) -> ttft_predictor.Prediction:
+        """Predict the first token on the best engine, whatever the policy.
+
+        :raises NoEngineError: if no engine can take the prompt now
+        """
+        names = self._names(request, ())
+        now = time.monotonic()
+        predictions = [self._predictor.predict(n, work, now) for n in names]
+        return self._fastest(predictions, request)
+
     def choose(
-        self, request: RouteRequest, avoid: Collection[str] = ()
+        self,
+        request: RouteRequest,
+        avoid: Collection[str] = (),
+        work: ttft_predictor.PromptWork | None = None,
     ) -> engine_view.Placement:
         """Choose an engine and count the work as sent to it.
 
         :param request: the prompt
         :param avoid: engines to pass over when there are others
+        :param work: result of :meth:`work`, when it is known already
         :returns: the placement; the caller removes it from the view
         :raises NoEngineError: if no engine can take the prompt now
         """
-        names = self._view.candidates(request.model, request.adapter)
-        names = [n for n in names if n not in avoid] or names
-        if not names:
-            raise exceptions.NoEngineError(
-                f"no engine with model {request.model} takes work now",
-                retry_after_s=_RETRY_AFTER_S,
-            )
+        work = work or self.work(request)
+        names = self._names(request, avoid)
+        now = time.monotonic()
         match self._catalog.policy().routing:
             case records.Routing.round_robin:
                 name = self._next_in_turn(names)
-            case _:
+            case records.Routing.least_outstanding:
                 name = self._least_outstanding(names)
+            case _:
+                name = self._predicted(names, request, work, now)
+        predicted = self._predictor.predict(name, work, now)
+        return self._place(predicted, work, now)
+
+    def first_token(self, placement: engine_view.Placement) -> None:
+        """Note the first token of a placement."""
+        self._view.end_prefill(placement)
+        decision = self._decisions.pop(id(placement), None)
+        if decision is None:
+            return
+        elapsed_s = time.monotonic() - placement.sent_at
+        self._predictor.observe(decision.predicted, elapsed_s)
+        self._prefixes.add(placement.engine, decision.work.chain)
+
+    def finish(
+        self,
+        placement: engine_view.Placement,
+        line: engine_client.StreamLine | None = None,
+    ) -> None:
+        """Count a placement as ended.
+
+        :param line: the closing line with the engine's load, if there was one
+        """
+        self._decisions.pop(id(placement), None)
+        self._view.remove(placement)
+        if line is not None and line.load:
+            self._view.update_load(
+                placement.engine, load_report.parse(line.load)
+            )
+
+    def _place(
+        self,
+        predicted: ttft_predictor.Prediction,
+        work: ttft_predictor.PromptWork,
+        now: float,
+    ) -> engine_view.Placement:
+        cached = predicted.cached_bytes / max(1, work.prompt_bytes)
         placement = engine_view.Placement(
-            name,
-            request.prompt_tokens,
-            request.prompt_tokens + request.max_tokens,
+            predicted.engine,
+            math.ceil(work.prompt_tokens * (1 - cached)),
+            work.prompt_tokens + work.max_tokens,
+            now,
+            work.priority,
         )
+        self._share.observe(
+            placement.prefill_tokens, self.is_long(work.prompt_tokens), now
+        )
+        self._decisions[id(placement)] = _Decision(predicted, work)
         self._view.add(placement)
         return placement
 
+    def _names(
+        self, request: RouteRequest, avoid: Collection[str]
+    ) -> list[str]:
+        names = self._view.candidates(request.model, request.adapter)
+        names = [n for n in names if n not in avoid] or names
+        if not names:
+            raise exceptions.NoEngineError(
+                f"no engine with model {request.model} takes work now",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        return names
+
+    def _long_engines(self, names: list[str]) -> set[str]:
+        self._share.reset(self._catalog.policy().long_engine_share)
+        # All nodes rank alike, so a node with a larger share uses the same
+        # engines and some more.
+        return set(
+            rendezvous.rank("long", names)[: self._share.count(len(names))]
+        )
+
+    def _predicted(
+        self,
+        names: list[str],
+        request: RouteRequest,
+        work: ttft_predictor.PromptWork,
+        now: float,
+    ) -> str:
+        compared = self._compared(names, request, work)
+        predictions = [self._predictor.predict(n, work, now) for n in compared]
+        return self._fastest(predictions, request).engine
+
+    def _compared(
+        self,
+        names: list[str],
+        request: RouteRequest,
+        work: ttft_predictor.PromptWork,
+    ) -> list[str]:
+        """Draw the engines to compare.
+
+        Comparing all of them would send every node that sees the same report
+        to the same engine.
+        """
+        long_engines = self._long_engines(names)
+        if self.is_long(request.prompt_tokens):
+            return [n for n in names if n in long_engines] or names
+        own = [n for n in names if n not in long_engines] or names
+        count = min(self._catalog.policy().candidates, len(own))
+        drawn = set(self._random.sample(own, count))
+        drawn.add(min(own, key=self._own_prefill_tokens))
+        drawn.add(max(names, key=lambda n: self._cached(n, work)))
+        drawn.add(self._random.choice(names))
+        return sorted(drawn)
+
+    def _fastest(
+        self,
+        predictions: list[ttft_predictor.Prediction],
+        request: RouteRequest,
+    ) -> ttft_predictor.Prediction:
+        names = self._view.candidates(request.model, request.adapter)
+        long_engines = self._long_engines(names)
+        spill_s = _SPILL_GAIN_S
+        if self.is_long(request.prompt_tokens):
+            # A long prompt never uses the engines kept for short ones.
+            allowed = [p for p in predictions if p.engine in long_engines]
+            predictions, spill_s = allowed or predictions, 0.0
+
+        def cost_s(prediction: ttft_predictor.Prediction) -> float:
+            extra = spill_s if prediction.engine in long_engines else 0.0
+            return prediction.ttft_s + extra
+
+        self._random.shuffle(predictions)
+        return min(predictions, key=cost_s)
+
+    def _cached(self, name: str, work: ttft_predictor.PromptWork) -> int:
+        return self._prefixes.cached_bytes(name, work.chain)
+
+    def _own_prefill_tokens(self, name: str) -> int:
+        return sum(p.prefill_tokens for p in self._view.pending_prefills(name))
+
     def _next_in_turn(self, names: list[str]) -> str:
         self._turn += 1
         return names[self._turn % len(names)]
--- /dev/null
+++ b/src/fireflyspur/routing/ttft_predictor.py
@@ -0,0 +1,159 @@
+"""Prediction of the time to first token on an engine."""
+
+import dataclasses
+
+from fireflyspur.generated import records
+from fireflyspur.routing import engine_view
+from fireflyspur.routing import prefix_index
+
+# One way, between VMs of different failure domains.
+_CROSS_DOMAIN_LATENCY_S = 0.0015
+# A prompt that does not fit in the free memory waits for others to end; this
+# is charged for each multiple of the memory that is missing.
+_MEMORY_WAIT_S = 5.0
+_MIN_CORRECTION = 0.5
+_MAX_CORRECTION = 4.0
+_CORRECTION_WEIGHT = 0.1
+# Shorter times are dominated by batch steps and say nothing of the rate.
+_MIN_MEASURED_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Prediction:
+    """What a prompt would meet on an engine.
+
+    :param engine: name of the engine
+    :param queue_s: seconds until its prefill starts
+    :param prefill_s: seconds of its own prefill
+    :param decode_s: seconds to generate all its tokens
+    :param cached_bytes: length of the prefix expected in the cache
+    """
+
+    engine: str
+    queue_s: float
+    prefill_s: float
+    decode_s: float
+    cached_bytes: int
+
+    @property
+    def ttft_s(self) -> float:
+        """Seconds to the first token."""
+        return self.queue_s + self.prefill_s
+
+    @property
+    def total_s(self) -> float:
+        """Seconds to the last token."""
+        return self.ttft_s + self.decode_s
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptWork:
+    """What a prompt asks of an engine.
+
+    :param chain: digests of the prompt's beginnings
+    :param priority: as the engine gets it; 0 is the most urgent
+    """
+
+    prompt_tokens: int
+    prompt_bytes: int
+    max_tokens: int
+    priority: int
+    chain: list[prefix_index.PrefixDigest]
+
+
+class TtftPredictor:
+    """Predicts from reports, from own work, and from past errors.
+
+    :param view: what the node knows about the engines
+    :param prefixes: guess of the engines' prefix caches
+    :param failure_domain: failure domain of the node
+    """
+
+    def __init__(
+        self,
+        view: engine_view.EngineView,
+        prefixes: prefix_index.PrefixIndex,
+        failure_domain: str,
+    ) -> None:
+        self._view = view
+        self._prefixes = prefixes
+        self._failure_domain = failure_domain
+        self._corrections: dict[str, float] = {}
+
+    def predict(self, engine: str, work: PromptWork, now: float) -> Prediction:
+        """Predict how a prompt would fare on an engine.
+
+        :param now: monotonic time in seconds
+        """
+        spec = self._view.specs()[engine]
+        cached = self._prefixes.cached_bytes(engine, work.chain)
+        fresh = 1.0 - cached / max(1, work.prompt_bytes)
+        correction = self._corrections.get(engine, 1.0)
+        rate = spec.prefill_tokens_per_s / correction
+        backlog = self._backlog_tokens(engine, spec, work, now)
+        queue_s = backlog / rate + self._memory_wait_s(engine, spec, work)
+        if spec.failure_domain != self._failure_domain:
+            queue_s += 2 * _CROSS_DOMAIN_LATENCY_S
+        return Prediction(
+            engine=engine,
+            queue_s=queue_s,
+            prefill_s=work.prompt_tokens * fresh / rate,
+            decode_s=work.max_tokens / spec.decode_tokens_per_s,
+            cached_bytes=cached,
+        )
+
+    def observe(self, predicted: Prediction, actual_ttft_s: float) -> None:
+        """Learn from the time that a prompt took.
+
+        :param predicted: the prediction made when it was sent
+        :param actual_ttft_s: seconds from the sending to the first token
+        """
+        if predicted.ttft_s < _MIN_MEASURED_S:
+            return
+        old = self._corrections.get(predicted.engine, 1.0)
+        error = actual_ttft_s / predicted.ttft_s
+        new = old * (1 + _CORRECTION_WEIGHT * (min(error, 2.0) - 1))
+        self._corrections[predicted.engine] = min(
+            max(new, _MIN_CORRECTION), _MAX_CORRECTION
+        )
+
+    def _backlog_tokens(
+        self,
+        engine: str,
+        spec: records.EngineSpec,
+        work: PromptWork,
+        now: float,
+    ) -> float:
+        report = self._view.load(engine)
+        pending = self._view.pending_prefills(engine)
+        own = sum(
+            p.prefill_tokens for p in pending if p.priority <= work.priority
+        )
+        if report is None:
+            return own
+        drained = (now - report.received_at) * spec.prefill_tokens_per_s
+        ahead = report.prefill_ahead_of(work.priority)
+        # What the node sent before the report is in the report as well.
+        before = sum(
+            p.prefill_tokens
+            for p in pending
+            if p.sent_at < report.received_at and p.priority <= work.priority
+        )
+        return own + max(0.0, ahead - drained - before)
+
+    def _memory_wait_s(
+        self, engine: str, spec: records.EngineSpec, work: PromptWork
+    ) -> float:
+        report = self._view.load(engine)
+        needed = work.prompt_tokens + work.max_tokens
+        free = float(spec.memory_tokens)
+        since = 0.0
+        if report is not None and report.free_kv_tokens is not None:
+            free, since = report.free_kv_tokens, report.received_at
+        free -= sum(
+            p.total_tokens
+            for p in self._view.outstanding(engine)
+            if p.sent_at >= since
+        )
+        missing = max(0.0, needed - free)
+        return _MEMORY_WAIT_S * missing / max(1, needed)
--- /dev/null
+++ b/tests/routing/test_long_share.py
@@ -0,0 +1,41 @@
+"""The share of engines for long prompts follows the mix with hysteresis."""
+
+import testtools
+
+from fireflyspur.routing import long_share
+
+
+class TestLongShare(testtools.TestCase):
+    def feed(self, share, long_tokens, short_tokens, start, seconds):
+        changes, former = 0, share.share
+        for i in range(seconds):
+            share.observe(short_tokens, False, start + i)
+            if long_tokens:
+                share.observe(long_tokens, True, start + i)
+            changes += share.share != former
+            former = share.share
+        return changes
+
+    def test_follows_a_lasting_change_of_the_mix(self):
+        share = long_share.LongShare(0.3)
+        self.feed(share, 0, 1000, 0, 120)
+        self.assertEqual(0.1, share.share)
+        self.feed(share, 1000, 1000, 120, 120)
+        self.assertGreaterEqual(share.share, 0.5)
+
+    def test_does_not_oscillate_on_a_steady_mix_of_rare_long_prompts(self):
+        """A move at each long prompt would scatter cached prefixes."""
+        share = long_share.LongShare(0.3)
+        changes = 0
+        for round_number in range(60):
+            start = round_number * 10
+            changes += self.feed(share, 0, 20_000, start, 9)
+            share.observe(100_000, True, start + 9)
+        self.assertLessEqual(changes, 2)
+
+    def test_leaves_an_engine_to_either_kind(self):
+        share = long_share.LongShare(0.01)
+        self.assertEqual(1, share.count(20))
+        share = long_share.LongShare(1.0)
+        self.assertEqual(19, share.count(20))
+        self.assertEqual(1, share.count(1))
