Model the engine stand-in with batching, KV memory and orders

The stand-in handled one prompt at a time, had no memory and no prefix cache, so that neither routing nor reservations, the sweeper or orders could be checked against it.

It is now a package with a step loop (continuous batching with chunked prefill), KV memory in blocks with an evicting prefix cache, priorities, reservations and groups, KV export and import, cache events and load reports that lag, orders with fencing, and faults. A step lasts as long as reading the weights or computing the prompt tokens, whichever is longer. Answers are those of token_source, as before.

--- a/src/fireflyspur/console/commands/standin.py
+++ b/src/fireflyspur/console/commands/standin.py
@@ -7,10 +7,11 @@
 
 from fireflyspur.console import command
 from fireflyspur.observability import logs
-from fireflyspur.standins import engine
 from fireflyspur.standins import log
 from fireflyspur.standins import server
 from fireflyspur.standins import vm_list
+from fireflyspur.standins.engine import http_api as engine_api  # noqa: H306
+from fireflyspur.standins.engine import options as engine_options
 
 
 class StandinCommand(command.Command):
@@ -45,11 +46,7 @@
         parser.set_defaults(build=_build_vm_list)
 
     def _add_engine(self, parser: argparse.ArgumentParser) -> None:
-        parser.add_argument(
-            "--prefill-tokens-per-s", type=float, default=20000.0
-        )
-        parser.add_argument("--decode-tokens-per-s", type=float, default=30.0)
-        parser.add_argument("--time-factor", type=float, default=1.0)
+        engine_options.add_options(parser)
         parser.set_defaults(build=_build_engine)
 
 
@@ -62,13 +59,7 @@
 
 
 def _build_engine(arguments: argparse.Namespace) -> web.Application:
-    return engine.application(
-        engine.EngineRates(
-            arguments.prefill_tokens_per_s,
-            arguments.decode_tokens_per_s,
-            arguments.time_factor,
-        )
-    )
+    return engine_api.application(engine_options.settings_from(arguments))
 
 
 async def _serve(arguments: argparse.Namespace) -> None:
--- a/src/fireflyspur/standins/token_source.py
+++ b/src/fireflyspur/standins/token_source.py
@@ -13,3 +13,20 @@
     """
     source = f"{model}\0{adapter}\0{index}\0{prompt}"
     return hashlib.blake2b(source.encode(), digest_size=3).hexdigest() + " "
+
+
+def token_texts(
+    model: str, adapter: str, prompt: str, indexes: range
+) -> list[str]:
+    """Return several tokens of the answer to a prompt.
+
+    Encodes a long prompt only once; hashing it lets other threads run.
+    """
+    encoded = prompt.encode()
+    texts = []
+    for index in indexes:
+        digest = hashlib.blake2b(digest_size=3)
+        digest.update(f"{model}\0{adapter}\0{index}\0".encode())
+        digest.update(encoded)
+        texts.append(digest.hexdigest() + " ")
+    return texts
