--- a/src/fireflyspur/routing/engine_view.py
+++ b/src/fireflyspur/routing/engine_view.py
@@ -53,12 +53,16 @@
         self._restart_listeners: list[Callable[[str], None]] = []
         self._specs: dict[str, records.EngineSpec] = {}
         self._specs_offset = -1
+        self._followed: list[str] = []
+        self._serving: dict[tuple[str, str], list[str]] = {}
 
     def specs(self) -> dict[str, records.EngineSpec]:
         """Return the engines of the catalog by name."""
         if self._specs_offset != self._catalog.offset:
             self._specs = self._catalog.specs(records.EngineSpec)
             self._specs_offset = self._catalog.offset
+            self._followed = self._subset(sorted(self._specs))
+            self._serving.clear()
         return self._specs
 
     def address(self, name: str) -> engine_client.EngineAddress:
@@ -68,19 +72,20 @@
 
     def followed(self) -> list[str]:
         """Return the engines whose load this node follows."""
-        return self._subset(sorted(self.specs()))
+        self.specs()
+        return self._followed
 
     def candidates(self, model: str, adapter: str) -> list[str]:
         """Return the engines that may get new work, in order of name."""
         now = time.monotonic()
         specs = self.specs()
-        names = [n for n in specs if self._serves(specs[n], model, adapter)]
-        return sorted(
+        return [
             name
-            for name in self._subset(names)
+            for name in self._names_serving(model, adapter)
             if (specs[name].address, specs[name].port) not in self._leaving
             and self._unreachable_until.get(name, 0.0) <= now
-        )
+            and self._is_resident(name, model)
+        ]
 
     def outstanding(self, name: str) -> list[Placement]:
         """Return this node's unfinished work on an engine."""
@@ -140,20 +145,37 @@
         """Pass over an engine that did not answer, for a short time."""
         self._unreachable_until[name] = time.monotonic() + _UNREACHABLE_S
 
-    def _serves(
-        self, spec: records.EngineSpec, model: str, adapter: str
-    ) -> bool:
+    def _names_serving(self, model: str, adapter: str) -> list[str]:
+        names = self._serving.get((model, adapter))
+        if names is None:
+            specs = self._specs
+            names = self._subset(
+                sorted(n for n in specs if _serves(specs[n], model, adapter))
+            )
+            self._serving[model, adapter] = names
+        return names
+
+    def _is_resident(self, name: str, model: str) -> bool:
+        """Whether an engine holds a model, as far as its report says."""
+        report = self._loads.get(name)
         return (
-            model in spec.models
-            and (not adapter or adapter in spec.adapters)
-            and spec.role in (records.Role.any, records.Role.decode)
+            report is None or report.models is None or model in report.models
         )
 
     def _subset(self, names: list[str]) -> list[str]:
-        """Return the engines of a model that this node uses."""
+        """Return the engines that this node uses, in order of name."""
         if len(names) <= _MAX_ENGINES:
             return names
-        return rendezvous.rank(self._node_name, names)[:_MAX_ENGINES]
+        ranked = rendezvous.rank(self._node_name, names)
+        return sorted(ranked[:_MAX_ENGINES])
+
+
+def _serves(spec: records.EngineSpec, model: str, adapter: str) -> bool:
+    return (
+        model in spec.models
+        and (not adapter or adapter in spec.adapters)
+        and spec.role in (records.Role.any, records.Role.decode)
+    )
 
 
 def _remove(placements: list[Placement], placement: Placement) -> None:
--- a/src/fireflyspur/routing/load_poller.py
+++ b/src/fireflyspur/routing/load_poller.py
@@ -11,6 +11,10 @@
 
 # Answers carry the load as well, so a busy engine is seldom asked.
 _MAX_AGE_S = 1.0
+# A poll costs 0.45 ms of processor time and some 500 bytes. In a fleet with
+# more engines than this, reports may be older in proportion, so that a node
+# that follows 32 of 800 engines polls at most once a second.
+_ENGINES_AT_FULL_RATE = 25
 _PERIOD_S = 0.25
 
 
@@ -28,18 +32,19 @@
     ) -> None:
         self._client = client
         self._view = view
+        self._polled_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            now = time.monotonic()
-            due = [n for n in self._view.followed() if self._is_due(n, now)]
+            due = self._due(time.monotonic())
             await asyncio.gather(*(self.poll(name) for name in due))
             # Nodes must not all ask an engine at the same moment.
             await asyncio.sleep(_PERIOD_S * random.uniform(0.75, 1.25))
 
     async def poll(self, name: str) -> None:
         """Ask one engine; one that does not answer is passed over."""
+        self._polled_at[name] = time.monotonic()
         try:
             values = await self._client.fetch(
                 self._view.address(name), "/load"
@@ -51,6 +56,16 @@
         else:
             self._view.update_load(name, load_report.parse(values))
 
-    def _is_due(self, name: str, now: float) -> bool:
+    def _due(self, now: float) -> list[str]:
+        scale = max(1.0, len(self._view.specs()) / _ENGINES_AT_FULL_RATE)
+        oldest = now - _MAX_AGE_S * scale
+        return [
+            name
+            for name in self._view.followed()
+            if self._polled_at.get(name, oldest) <= oldest
+            and self._reported_at(name) <= oldest
+        ]
+
+    def _reported_at(self, name: str) -> float:
         report = self._view.load(name)
-        return report is None or now - report.received_at >= _MAX_AGE_S
+        return report.received_at if report else 0.0
--- a/src/fireflyspur/routing/load_report.py
+++ b/src/fireflyspur/routing/load_report.py
@@ -15,6 +15,8 @@
     :param waiting_streams: streams that are not yet in the batch
     :param free_kv_tokens: tokens for which there is memory, or None if the
         engine does not say
+    :param models: models that are resident, or None if the engine takes all
+        models or does not say
     :param prefill_by_priority: the waiting prompt tokens by priority; empty
         if the engine does not say
     """
@@ -27,6 +29,7 @@
     prefill_by_priority: dict[int, int] = dataclasses.field(
         default_factory=dict
     )
+    models: frozenset[str] | None = None
     incarnation: str = ""
     leaving: bool = False
 
@@ -49,6 +52,7 @@
 
     :param values: the decoded report
     """
+    models = values.get("models")
     return LoadReport(
         received_at=time.monotonic(),
         waiting_prefill_tokens=int(values.get("waiting_prefill_tokens", 0)),
@@ -61,6 +65,7 @@
                 "prefill_by_priority", {}
             ).items()
         },
+        models=None if models is None else frozenset(models),
         incarnation=str(values.get("incarnation", "")),
         leaving=bool(values.get("leaving", False)),
     )
