--- a/src/fireflyspur/audit/audit_trail.py
+++ b/src/fireflyspur/audit/audit_trail.py
@@ -78,6 +78,9 @@
                 action, reason = "beaten", f"offset {by.offset} is in force"
             case catalogs.Rejected(errors):
                 action, reason = "refused", "; ".join(errors)
+            case catalogs.Deferred():
+                action = "deferred"
+                reason = "the records before it have expired"
             case catalogs.Restored(entries):
                 action, subject = "restored", "snapshot"
                 reason = f"{len(entries)} entries were not known"
--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -16,6 +16,13 @@
     code = "records_expired"
 
 
+class VmListUnavailableError(exceptions.FireflyspurError):
+    """The VM list did not answer, or not in its form."""
+
+    code = "vm_list_unavailable"
+    http_status = 503
+
+
 class EngineUnavailableError(exceptions.FireflyspurError):
     """The engine could not be reached, so nothing was sent to it."""
 
--- /dev/null
+++ b/src/fireflyspur/membership/gossiper.py
@@ -0,0 +1,294 @@
+"""Exchange of gossip with one member in each period."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+import time
+
+from fireflyspur.generated import peer_pb2
+from fireflyspur.membership import member
+from fireflyspur.membership import member_table
+from fireflyspur.membership import peer_client
+from fireflyspur.membership import update_queue
+from fireflyspur.observability import logs
+
+_SMALL_FLEET = 16
+_INDIRECT_PROBES = 2
+_JOIN_EXCHANGES = 5
+_RECENT_EXCHANGES = 10
+# Each message carries a few members besides the updates, so that tables that
+# have diverged after lost messages become equal again.
+_EXTRA_MEMBERS = 1
+
+_log = logs.log_for("gossip")
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """What a node says of its configuration.
+
+    :param config_offset: offset up to which it has applied the stream
+    :param config_age_s: seconds since it knew itself at the tail
+    :param log_reachable: whether its own last read succeeded
+    """
+
+    config_offset: int
+    config_age_s: float
+    log_reachable: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerReport:
+    """A heartbeat in the reply of a peer.
+
+    :param sent_at: monotonic time at which the request was sent; the reply
+        may have waited in a buffer while this process was paused
+    """
+
+    peer: member.Member
+    heartbeat: Heartbeat
+    sent_at: float
+
+
+class Gossiper:
+    """Exchanges gossip and detects members that do not answer.
+
+    :param table: the members
+    :param client: calls the members
+    :param heartbeat: returns what this node says of its configuration
+    :param period_s: period of large fleets; small ones use half of it
+    """
+
+    def __init__(
+        self,
+        table: member_table.MemberTable,
+        client: peer_client.PeerClient,
+        heartbeat: Callable[[], Heartbeat],
+        period_s: float = 1.0,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._table = table
+        self._client = client
+        self._heartbeat = heartbeat
+        self._full_period_s = period_s
+        self._random = random_source or random.Random()
+        self._round: list[str] = []
+        self._suspected_at: dict[str, tuple[int, float]] = {}
+        self._recent: list[bool] = []
+        self._failing: set[str] = set()
+        self._listeners: list[Callable[[PeerReport], None]] = []
+        self._messages = 0
+        self._message_bytes = 0
+        table.add_listener(self._watch_change)
+
+    @property
+    def period_s(self) -> float:
+        """Seconds between two exchanges."""
+        small = len(self._table.members()) <= _SMALL_FLEET
+        return self._full_period_s / 2 if small else self._full_period_s
+
+    @property
+    def failing(self) -> set[str]:
+        """Members whose last probe by this node failed."""
+        return set(self._failing)
+
+    @property
+    def traffic(self) -> tuple[int, int]:
+        """Messages sent and their bytes, before gRPC's framing."""
+        return self._messages, self._message_bytes
+
+    def is_recent_majority(self) -> bool:
+        """Whether most of the last exchanges were answered."""
+        return 2 * sum(self._recent) > len(self._recent) or not self._recent
+
+    def add_report_listener(
+        self, listener: Callable[[PeerReport], None]
+    ) -> None:
+        """Call a function with the heartbeat of each reply."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Exchange gossip until cancelled."""
+        while True:
+            started = time.monotonic()
+            await self.run_period()
+            spent = time.monotonic() - started
+            await asyncio.sleep(max(0.0, self.period_s - spent))
+
+    async def run_period(self) -> None:
+        """Exchange gossip with the next member; join when there is none."""
+        self.expire_suspicions()
+        if not self._table.others():
+            await self.join()
+            return
+        target = self._next_target()
+        if target is not None:
+            await self._probe(target)
+
+    async def join(self) -> None:
+        """Exchange gossip with several members at once, at the start."""
+        contacts = self._table.contacts()
+        count = min(_JOIN_EXCHANGES, len(contacts))
+        chosen = self._random.sample(contacts, count)
+        await asyncio.gather(*(self.exchange(c) for c in chosen))
+
+    async def exchange(self, target: member.Member) -> bool:
+        """Exchange gossip with one member; False without an answer."""
+        sent_at = time.monotonic()
+        request = self._make_gossip(_EXTRA_MEMBERS, target.name)
+        self._count(request)
+        reply = await self._client.exchange(
+            target.target, request, self.period_s
+        )
+        if reply is None:
+            return False
+        sender = member.from_message(reply.sender)
+        if sender is None or sender.name != target.name:
+            return False
+        self._failing.discard(sender.name)
+        self._merge(reply)
+        report = PeerReport(sender, _heartbeat_of(reply), sent_at)
+        for listener in self._listeners:
+            listener(report)
+        return True
+
+    def handle_exchange(self, request: peer_pb2.Gossip) -> peer_pb2.Gossip:
+        """Answer the gossip of another member."""
+        known = self._table.get(request.sender.name)
+        self._merge(request)
+        is_new = known is None or known.incarnation == 0
+        reply = self._make_gossip(
+            update_queue.MAX_UPDATES if is_new else _EXTRA_MEMBERS,
+            request.sender.name,
+        )
+        self._count(reply)
+        return reply
+
+    async def handle_probe(self, request: peer_pb2.ProbeRequest) -> bool:
+        """Probe a third member for another one."""
+        target = member.from_message(request.target)
+        return target is not None and await self.exchange(target)
+
+    def expire_suspicions(self) -> None:
+        """Remove members that have been suspected for too long."""
+        count = len(self._table.members())
+        limit_s = update_queue.send_limit(count) * self.period_s
+        now = time.monotonic()
+        for name, (incarnation, since) in list(self._suspected_at.items()):
+            known = self._table.get(name)
+            if known is None or known.incarnation != incarnation:
+                del self._suspected_at[name]
+            elif now - since >= limit_s:
+                del self._suspected_at[name]
+                dead = dataclasses.replace(
+                    known, state=member.MemberState.DEAD
+                )
+                self._table.apply(dead)
+
+    async def _probe(self, target: member.Member) -> None:
+        if await self.exchange(target) or await self._probe_indirectly(target):
+            self._note_result(target, True)
+            return
+        self._note_result(target, False)
+        known = self._table.get(target.name)
+        if known is None or known.state is member.MemberState.DEAD:
+            return
+        if known.state is member.MemberState.LEAVING:
+            # A leaving member stays leaving; the timer removes it.
+            self._suspected_at.setdefault(
+                known.name, (known.incarnation, time.monotonic())
+            )
+            return
+        self._table.apply(
+            dataclasses.replace(known, state=member.MemberState.SUSPECT)
+        )
+
+    async def _probe_indirectly(self, target: member.Member) -> bool:
+        helpers = [m for m in self._table.others() if m.name != target.name]
+        chosen = self._random.sample(
+            helpers, min(_INDIRECT_PROBES, len(helpers))
+        )
+        request = peer_pb2.ProbeRequest(target=target.to_message())
+        # The helper itself waits up to one period for the third member.
+        timeout_s = 2 * self.period_s
+        results = await asyncio.gather(
+            *(
+                self._client.probe(helper.target, request, timeout_s)
+                for helper in chosen
+            )
+        )
+        return any(results)
+
+    def _note_result(self, target: member.Member, answered: bool) -> None:
+        if answered:
+            self._failing.discard(target.name)
+        else:
+            self._failing.add(target.name)
+        count = min(_RECENT_EXCHANGES, len(self._table.contacts()))
+        self._recent = [*self._recent, answered][-max(1, count) :]
+
+    def _next_target(self) -> member.Member | None:
+        contacts = {c.name: c for c in self._table.contacts()}
+        while contacts:
+            while self._round:
+                target = contacts.get(self._round.pop())
+                if target is not None:
+                    return target
+            self._round = list(contacts)
+            self._random.shuffle(self._round)
+        return None
+
+    def _make_gossip(self, fill: int, reader: str) -> peer_pb2.Gossip:
+        heartbeat = self._heartbeat()
+        updates = {u.name: u for u in self._table.take_updates()}
+        accused = self._table.get(reader)
+        if accused is not None and accused.state in (
+            member.MemberState.SUSPECT,
+            member.MemberState.DEAD,
+        ):
+            # Only a member that hears of its suspicion can refute it.
+            updates = dict(
+                list(updates.items())[: update_queue.MAX_UPDATES - 1]
+            )
+            updates[reader] = accused
+        room = min(fill, update_queue.MAX_UPDATES - len(updates))
+        others = [m for m in self._table.others() if m.name != reader]
+        for extra in self._random.sample(others, min(room, len(others))):
+            updates.setdefault(extra.name, extra)
+        return peer_pb2.Gossip(
+            sender=self._table.own.to_message(),
+            config_offset=heartbeat.config_offset,
+            config_age_ms=round(min(heartbeat.config_age_s, 1e9) * 1000),
+            log_reachable=heartbeat.log_reachable,
+            updates=[u.to_message() for u in updates.values()],
+        )
+
+    def _merge(self, gossip: peer_pb2.Gossip) -> None:
+        for message in [gossip.sender, *gossip.updates]:
+            update = member.from_message(message)
+            if update is not None:
+                self._table.apply(update)
+
+    def _watch_change(
+        self, former: member.Member | None, current: member.Member
+    ) -> None:
+        if current.state is member.MemberState.SUSPECT:
+            self._suspected_at[current.name] = (
+                current.incarnation,
+                time.monotonic(),
+            )
+        if current.state is not (former.state if former else None):
+            _log.info("Member {} is {}", current.name, current.state.name)
+
+    def _count(self, message: peer_pb2.Gossip) -> None:
+        self._messages += 1
+        self._message_bytes += message.ByteSize()
+
+
+def _heartbeat_of(gossip: peer_pb2.Gossip) -> Heartbeat:
+    return Heartbeat(
+        gossip.config_offset,
+        gossip.config_age_ms / 1000,
+        gossip.log_reachable,
+    )
--- /dev/null
+++ b/src/fireflyspur/membership/news.py
@@ -0,0 +1,86 @@
+"""Urgent news between nodes."""
+
+import dataclasses
+
+from fireflyspur.generated import peer_pb2
+from fireflyspur.membership import member as members
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointLeaving:
+    """An endpoint takes no new work.
+
+    :param kind: ``engine`` or ``service``
+    """
+
+    kind: str
+    name: str
+    address: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class MemberNews:
+    """A member changed its state."""
+
+    member: members.Member
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineCrash:
+    """An engine died with these requests on it."""
+
+    uid: str
+    engine: str
+    incarnation: str
+    fingerprints: tuple[str, ...]
+
+
+News = EndpointLeaving | MemberNews | EngineCrash
+
+
+def to_message(news: News, uid: str, lifetime_ms: int) -> peer_pb2.News:
+    """Return the wire form."""
+    message = peer_pb2.News(uid=uid, lifetime_ms=lifetime_ms)
+    match news:
+        case EndpointLeaving(kind, name, address, port):
+            message.endpoint_leaving.CopyFrom(
+                peer_pb2.EndpointLeaving(
+                    kind=kind, name=name, address=address, port=port
+                )
+            )
+        case MemberNews(member):
+            message.member.CopyFrom(member.to_message())
+        case EngineCrash(crash_uid, engine, incarnation, fingerprints):
+            message.engine_crash.CopyFrom(
+                peer_pb2.EngineCrash(
+                    uid=crash_uid,
+                    engine=engine,
+                    incarnation=incarnation,
+                    fingerprints=fingerprints,
+                )
+            )
+    return message
+
+
+def from_message(message: peer_pb2.News) -> News | None:
+    """Return the news, or None for a kind that this version lacks."""
+    match message.WhichOneof("body"):
+        case "endpoint_leaving":
+            body = message.endpoint_leaving
+            return EndpointLeaving(
+                body.kind, body.name, body.address, body.port
+            )
+        case "member":
+            member = members.from_message(message.member)
+            return None if member is None else MemberNews(member)
+        case "engine_crash":
+            body = message.engine_crash
+            return EngineCrash(
+                body.uid,
+                body.engine,
+                body.incarnation,
+                tuple(body.fingerprints),
+            )
+        case _:
+            return None
--- /dev/null
+++ b/src/fireflyspur/membership/news_bus.py
@@ -0,0 +1,120 @@
+"""Spreading of urgent news."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+from typing import Any
+import uuid
+
+from fireflyspur.generated import peer_pb2
+from fireflyspur.membership import member
+from fireflyspur.membership import member_table
+from fireflyspur.membership import news as urgent
+from fireflyspur.membership import peer_client
+from fireflyspur.observability import logs
+
+_FANOUT = 3
+_PUSH_TIMEOUT_S = 1.0
+_LIFETIME_MS = 30_000
+_MAX_SEEN = 20_000
+
+_log = logs.log_for("news")
+
+
+class NewsBus:
+    """Pushes news to three members and forwards it on first sight.
+
+    :param table: the members
+    :param client: calls the members
+    :param random_source: chooses the members
+    """
+
+    def __init__(
+        self,
+        table: member_table.MemberTable,
+        client: peer_client.PeerClient,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._table = table
+        self._client = client
+        self._random = random_source or random.Random()
+        self._seen: dict[str, float] = {}
+        self._subscribers: dict[type, list[Callable[[Any], None]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def subscribe(
+        self, news_type: type, function: Callable[[Any], None]
+    ) -> None:
+        """Call a function with each news of a type from another node."""
+        self._subscribers.setdefault(news_type, []).append(function)
+
+    def publish(self, news: urgent.News) -> None:
+        """Spread news of this node."""
+        message = urgent.to_message(news, str(uuid.uuid4()), _LIFETIME_MS)
+        self._remember(message)
+        self._start_push(message)
+
+    def receive(self, message: peer_pb2.News) -> None:
+        """Take news from another node and forward it on first sight."""
+        if message.uid in self._seen:
+            return
+        self._remember(message)
+        # News of a kind that only newer versions know is passed on too.
+        self._start_push(message)
+        news = urgent.from_message(message)
+        for function in self._subscribers.get(type(news), []):
+            try:
+                function(news)
+            except Exception as error:
+                _log.opt(exception=error).error("News not handled: {}", news)
+
+    async def flush(self) -> None:
+        """Wait until the pushes in progress have ended."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Cancel the pushes in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await self.flush()
+
+    def choose_targets(self) -> list[member.Member]:
+        """Return three random members, one in another failure domain."""
+        others = self._table.others()
+        chosen = self._random.sample(others, min(_FANOUT, len(others)))
+        own_domain = self._table.own.failure_domain
+        if chosen and all(m.failure_domain == own_domain for m in chosen):
+            far = [m for m in others if m.failure_domain != own_domain]
+            if far:
+                chosen[-1] = self._random.choice(far)
+        return chosen
+
+    def _remember(self, message: peer_pb2.News) -> None:
+        now = time.monotonic()
+        self._seen[message.uid] = now + message.lifetime_ms / 1000
+        while self._seen:
+            oldest = next(iter(self._seen))
+            if self._seen[oldest] > now and len(self._seen) <= _MAX_SEEN:
+                break
+            del self._seen[oldest]
+
+    def _start_push(self, message: peer_pb2.News) -> None:
+        for target in self.choose_targets():
+            task = asyncio.ensure_future(self._push(target, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _push(
+        self, target: member.Member, message: peer_pb2.News
+    ) -> None:
+        if await self._client.push_news(
+            target.target, message, _PUSH_TIMEOUT_S
+        ):
+            return
+        # Another member takes the place of one that does not answer.
+        others = [m for m in self._table.others() if m.name != target.name]
+        if others:
+            await self._client.push_news(
+                self._random.choice(others).target, message, _PUSH_TIMEOUT_S
+            )
--- a/src/fireflyspur/node/handlers/base.py
+++ b/src/fireflyspur/node/handlers/base.py
@@ -87,6 +87,7 @@
                 "the node has no configuration yet",
                 retry_after_s=_RETRY_AFTER_S,
             )
+        self._node.membership.freshness.check()
         declared = self.request.headers.get("Content-Length", "0")
         if declared.isdigit():
             self._acquire_body(int(declared))
--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -25,11 +25,18 @@
         reason = self._reason()
         if reason:
             self.set_status(503)
-        self.finish({"ready": not reason, "reason": reason})
+        explanation = self._node.membership.freshness.explanation
+        self.finish(
+            {
+                "ready": not reason,
+                "reason": reason,
+                "explanation": explanation,
+            }
+        )
 
     def _reason(self) -> str:
         if self._node.drain.is_stopping:
             return "stopping"
         if not self._node.follower.is_loaded:
             return "config_not_loaded"
-        return ""
+        return self._node.membership.freshness.reason
--- /dev/null
+++ b/src/fireflyspur/node/membership_parts.py
@@ -0,0 +1,253 @@
+"""The parts of a node that deal with other nodes."""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import dataclasses
+import time
+from typing import Any
+
+from tornado import httpclient
+
+from fireflyspur.audit import audit_trail
+from fireflyspur.clients import log_client
+from fireflyspur.clients import vm_list_client
+from fireflyspur.generated import settings
+from fireflyspur.membership import catalog_exchange
+from fireflyspur.membership import freshness_monitor
+from fireflyspur.membership import gossiper as gossipers
+from fireflyspur.membership import member
+from fireflyspur.membership import member_table
+from fireflyspur.membership import news as urgent
+from fireflyspur.membership import news_bus
+from fireflyspur.membership import peer_client
+from fireflyspur.membership import peer_server
+from fireflyspur.membership import vm_list_watcher
+from fireflyspur.records import catalog_follower
+from fireflyspur.records import snapshot_writer
+from fireflyspur.routing import engine_view
+
+_FRESHNESS_CHECK_S = 0.5
+
+
+class MembershipParts:
+    """Builds and runs membership, news, freshness and snapshots.
+
+    :param config: the node's settings
+    :param incarnation: start time of the process in milliseconds
+    :param follower: keeps the catalog
+    :param log: client of the log
+    :param http: the shared HTTP client
+    :param view: takes the endpoints that are leaving
+    :param trail: told of the node's actions
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        incarnation: int,
+        follower: catalog_follower.CatalogFollower,
+        log: log_client.LogClient,
+        http: httpclient.AsyncHTTPClient,
+        view: engine_view.EngineView,
+        trail: audit_trail.AuditTrail,
+    ) -> None:
+        self._config = config
+        self._trail = trail
+        self._view = view
+        self._table = member_table.MemberTable(
+            member.Member(
+                config.node.name,
+                config.node.address,
+                config.node.peer_port,
+                config.node.failure_domain,
+                incarnation,
+            )
+        )
+        self._client = peer_client.PeerClient()
+        self._bus = news_bus.NewsBus(self._table, self._client)
+        self._gossiper = gossipers.Gossiper(
+            self._table,
+            self._client,
+            lambda: self._freshness.heartbeat(),
+            config.membership.period_s,
+        )
+        self._freshness = freshness_monitor.FreshnessMonitor(
+            follower,
+            self._table,
+            self._gossiper,
+            trail,
+            config.membership.staleness_bound_s,
+        )
+        self._exchange = catalog_exchange.CatalogExchange(
+            follower,
+            self._client,
+            trail,
+            lambda: self._freshness.age_s,
+            self._freshness.confirm,
+        )
+        self._server = peer_server.PeerServer(
+            self._gossiper, self._bus, self._exchange.read
+        )
+        self._watcher = vm_list_watcher.VmListWatcher(
+            vm_list_client.VmListClient(http, config.vm_list.url),
+            self._table,
+            view,
+            self._bus,
+            trail,
+            self._freshness.confirm_removals,
+            config.vm_list.poll_interval_s,
+        )
+        self._snapshots = snapshot_writer.SnapshotWriter(
+            log, follower, self._table.live_names, config.node.name, trail
+        )
+        self._subscribe()
+
+    @property
+    def table(self) -> member_table.MemberTable:
+        """The members."""
+        return self._table
+
+    @property
+    def bus(self) -> news_bus.NewsBus:
+        """Spreads urgent news."""
+        return self._bus
+
+    @property
+    def gossiper(self) -> gossipers.Gossiper:
+        """Exchanges gossip."""
+        return self._gossiper
+
+    @property
+    def freshness(self) -> freshness_monitor.FreshnessMonitor:
+        """Whether the configuration may be stale."""
+        return self._freshness
+
+    @property
+    def client(self) -> peer_client.PeerClient:
+        """Calls other nodes."""
+        return self._client
+
+    @property
+    def server(self) -> peer_server.PeerServer:
+        """Answers other nodes."""
+        return self._server
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> int:
+        """Listen and run all parts; the stack ends them.
+
+        :returns: the peer port
+        """
+        node = self._config.node
+        port = await self._server.start(node.address, node.peer_port)
+        self._table.set_own_port(port)
+        stack.push_async_callback(self._client.close)
+        stack.push_async_callback(self._server.close)
+        stack.push_async_callback(self._bus.close)
+        # The first exchange needs the seeds.
+        await self._watcher.read_once()
+        for run in (
+            self._gossiper.run(),
+            self._watcher.run(),
+            self._exchange.run(),
+            self._snapshots.run(),
+            self._watch_freshness(),
+        ):
+            _start_task(stack, run)
+        return port
+
+    def announce_leaving(self) -> None:
+        """Tell the members that this node is about to stop."""
+        self._change_own_state(member.MemberState.LEAVING)
+
+    async def announce_end(self) -> None:
+        """Tell the members that this node has no more requests."""
+        self._change_own_state(member.MemberState.DEAD)
+        await self._bus.flush()
+
+    def _change_own_state(self, state: member.MemberState) -> None:
+        self._table.set_own_state(state)
+        self._bus.publish(urgent.MemberNews(self._table.own))
+        self._trail.add(
+            "members",
+            "announced",
+            f"{self._table.own.name} {state.name}",
+            "the node was told to stop",
+        )
+
+    def _subscribe(self) -> None:
+        self._gossiper.add_report_listener(self._freshness.note)
+        self._gossiper.add_report_listener(self._exchange.consider)
+        self._table.add_listener(self._record_change)
+        self._bus.subscribe(
+            urgent.MemberNews, lambda news: self._table.apply(news.member)
+        )
+        self._bus.subscribe(urgent.EndpointLeaving, self._mark_leaving)
+
+    def _mark_leaving(self, news: urgent.EndpointLeaving) -> None:
+        if self._view.is_leaving(news.address, news.port):
+            return
+        self._view.mark_leaving(news.address, news.port)
+        self._trail.add(
+            "news", "marked_leaving", news.name, "news from another node"
+        )
+
+    def _record_change(
+        self, former: member.Member | None, current: member.Member
+    ) -> None:
+        if former is not None and (
+            former.state is current.state
+            and former.incarnation == current.incarnation
+        ):
+            return
+        was = former.state.name if former else "not known"
+        if current.name == self._table.own.name:
+            reason = f"own state {was} until incarnation {current.incarnation}"
+        else:
+            reason = f"was {was}, now at incarnation {current.incarnation}"
+        self._trail.add(
+            "members", current.state.name.lower(), current.name, reason
+        )
+
+    async def _watch_freshness(self) -> None:
+        # The trail shows the change also when no request asks for it.
+        while True:
+            _ = self._freshness.reason
+            await asyncio.sleep(_FRESHNESS_CHECK_S)
+
+    def describe(self) -> dict[str, Any]:
+        """Return what ``/admin/view`` shows of the members."""
+        freshness, table = self._freshness, self._table
+        return {
+            "incarnation": table.own.incarnation,
+            "members": [
+                {**dataclasses.asdict(m), "state": m.state.name.lower()}
+                for m in sorted(table.members(), key=lambda m: m.name)
+            ],
+            "candidates": sorted(c.name for c in table.candidates()),
+            "vm_list_reachable": self._watcher.is_reachable,
+            "freshness": {
+                "age_s": round(min(freshness.age_s, 1e9), 3),
+                "reason": freshness.reason,
+                "explanation": freshness.explanation,
+                "heard": freshness.heard,
+                "electorate": freshness.electorate,
+            },
+        }
+
+
+def start_incarnation() -> int:
+    """Return the incarnation of a process that starts now."""
+    return int(time.time() * 1000)
+
+
+def _start_task(
+    stack: contextlib.AsyncExitStack, coroutine: Coroutine[Any, Any, None]
+) -> None:
+    task = asyncio.ensure_future(coroutine)
+    stack.push_async_callback(_cancel, task)
+
+
+async def _cancel(task: "asyncio.Task[None]") -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import signal
-import time
 
 from tornado import httpserver
 
@@ -19,6 +18,7 @@
 from fireflyspur.node import context
 from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
+from fireflyspur.node import membership_parts
 from fireflyspur.observability import logs
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
@@ -34,6 +34,7 @@
 
     http: int
     admin: int
+    peer: int
 
 
 class Node:
@@ -55,6 +56,7 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
+        peer_port = await node.membership.start(self._stack)
         limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
@@ -71,7 +73,7 @@
         self._stack.push_async_callback(_close_server, admin)
         self._stack.push_async_callback(_close_server, http)
         _log.info("Listening on {} port {}", address, http_port)
-        return Ports(http_port, admin_port)
+        return Ports(http_port, admin_port, peer_port)
 
     async def run_until_stopped(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -84,7 +86,9 @@
     async def stop(self) -> None:
         """Stop gracefully: no request in progress is cut."""
         self._context.drain.begin()
+        self._context.membership.announce_leaving()
         await self._context.drain.drain()
+        await self._context.membership.announce_end()
         await self._stack.aclose()
         _log.info("Stopped")
 
@@ -100,19 +104,29 @@
         )
         catalog = catalogs.Catalog()
         trail = audit_trail.AuditTrail()
-        routing = router.Router(catalog, engine_view.EngineView(catalog))
-        incarnation = int(time.time() * 1000)
+        view = engine_view.EngineView(catalog)
+        routing = router.Router(catalog, view)
+        incarnation = membership_parts.start_incarnation()
         runner = prompt_runner.PromptRunner(
             engine_client.EngineClient(http, config.node.name),
             routing,
             f"{config.node.name}:{incarnation}",
         )
         self._stack.push_async_callback(runner.close)
+        follower = catalog_follower.CatalogFollower(
+            log,
+            catalog,
+            trail,
+            # A read that waits longer would let the configuration grow older
+            # than the bound while the log is well.
+            min(
+                config.log.poll_wait_s,
+                config.membership.staleness_bound_s / 2,
+            ),
+        )
         return context.NodeContext(
             settings=config,
-            follower=catalog_follower.CatalogFollower(
-                log, catalog, trail, config.log.poll_wait_s
-            ),
+            follower=follower,
             trail=trail,
             authenticator=authenticator.Authenticator(catalog),
             bodies=body_budget.BodyBudget(
@@ -122,6 +136,9 @@
             router=routing,
             runner=runner,
             drain=drain_controller.DrainController(config.node.drain_s),
+            membership=membership_parts.MembershipParts(
+                config, incarnation, follower, log, http, view, trail
+            ),
         )
 
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
--- a/src/fireflyspur/records/catalog.py
+++ b/src/fireflyspur/records/catalog.py
@@ -1,5 +1,6 @@
 """The configuration as a pure function of the ``config`` stream's prefix."""
 
+import collections
 import dataclasses
 from typing import Any
 from typing import TypeVar
@@ -9,6 +10,9 @@
 
 SNAPSHOT_KIND = "snapshot"
 
+# Rounds that were begun and never ended are dropped beyond this number.
+_MAX_OPEN_ROUNDS = 8
+
 _SpecT = TypeVar("_SpecT")
 
 
@@ -45,12 +49,31 @@
     """A snapshot was merged.
 
     :param entries: entries that were not known before
+    :param judged: results of records that had been deferred, by offset
     """
 
     entries: list[record.Entry]
+    judged: dict[int, "ApplyResult"] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Deferred:
+    """The record cannot be judged before a snapshot restores the prefix."""
+
+
+ApplyResult = Accepted | Superseded | Rejected | Restored | Deferred
+
+
+@dataclasses.dataclass(frozen=True)
+class SnapshotRound:
+    """The latest complete round of snapshots.
 
+    :param covers: last offset of the prefix that it restores
+    :param time: time of the append of its last part, in seconds
+    """
 
-ApplyResult = Accepted | Superseded | Rejected | Restored
+    covers: int
+    time: float
 
 
 class Catalog:
@@ -63,12 +86,28 @@
     def __init__(self) -> None:
         self._entries: dict[tuple[str, str], record.Entry] = {}
         self._offset = 0
+        self._gap_first: int | None = None
+        self._deferred: list[tuple[int, float, dict[str, Any]]] = []
+        self._rounds: collections.OrderedDict[
+            str, dict[int, list[dict[str, Any]]]
+        ] = collections.OrderedDict()
+        self._last_round: SnapshotRound | None = None
 
     @property
     def offset(self) -> int:
         """Offset of the last record that was applied."""
         return self._offset
 
+    @property
+    def has_gap(self) -> bool:
+        """Whether records expired unread and no snapshot restored them."""
+        return self._gap_first is not None
+
+    @property
+    def last_round(self) -> SnapshotRound | None:
+        """The latest complete round of snapshots, or None."""
+        return self._last_round
+
     @property
     def entries(self) -> list[record.Entry]:
         """All entries, tombstones included."""
@@ -116,9 +155,12 @@
         :param value: the decoded record
         :returns: what the record did
         """
-        self._offset = max(self._offset, offset)
         if isinstance(value, dict) and value.get("kind") == SNAPSHOT_KIND:
-            return self.merge_entries(value["covers"], value["entries"])
+            return self._apply_snapshot(offset, time, value)
+        if self._gap_first is not None:
+            self._deferred.append((offset, time, value))
+            return Deferred()
+        self._offset = max(self._offset, offset)
         errors = record.find_envelope_errors(value)
         # A record of a newer schema version stands or falls by its envelope,
         # so that old and new nodes decide alike.
@@ -140,6 +182,26 @@
         self._entries[key] = entry
         return Accepted(entry)
 
+    def mark_gap(self, first: int) -> None:
+        """Note that the log no longer has the records after the last one.
+
+        Without the prefix, a record's ``based_on`` cannot be judged: the
+        version that it names may have expired. Records are deferred until a
+        snapshot or a peer's catalog restores the prefix.
+
+        :param first: lowest offset that the log retains
+        """
+        if first > self._offset + 1:
+            self._gap_first = first
+            self._deferred.clear()
+
+    def close_gap(self) -> Restored:
+        """Judge deferred records by what is known, as nothing restores it.
+
+        :returns: the results of the deferred records
+        """
+        return Restored([], self._judge_deferred(self._offset))
+
     def merge_entries(
         self, covers: int, entries: list[dict[str, Any]]
     ) -> Restored:
@@ -152,7 +214,6 @@
         :param entries: each with ``offset``, ``time`` and ``value``
         :returns: the entries that were not known
         """
-        self._offset = max(self._offset, covers)
         restored = []
         for item in entries:
             value, offset = item["value"], item["offset"]
@@ -167,7 +228,51 @@
             entry = self._make_entry(offset, item["time"], value)
             self._entries[key] = entry
             restored.append(entry)
-        return Restored(restored)
+        self._offset = max(self._offset, covers)
+        judged = {}
+        if self._gap_first is not None and covers >= self._gap_first - 1:
+            judged = self._judge_deferred(covers)
+        return Restored(restored, judged)
+
+    def _apply_snapshot(
+        self, offset: int, time: float, value: dict[str, Any]
+    ) -> ApplyResult:
+        errors = _find_snapshot_errors(offset, value)
+        if errors:
+            if self._gap_first is None:
+                self._offset = max(self._offset, offset)
+            return Rejected(errors)
+        covers, entries = value["covers"], value["entries"]
+        parts = value.get("parts", 1)
+        name = value.get("round", f"offset-{offset}")
+        known = self._rounds.setdefault(name, {})
+        known[value.get("part", 0)] = entries
+        if len(self._rounds) > _MAX_OPEN_ROUNDS:
+            self._rounds.popitem(last=False)
+        is_complete = len(known) >= parts
+        if is_complete:
+            self._rounds.pop(name, None)
+            if self._last_round is None or covers >= self._last_round.covers:
+                self._last_round = SnapshotRound(covers, time)
+        if self._gap_first is None:
+            result = self.merge_entries(covers, entries)
+        elif is_complete:
+            merged = [item for part in known.values() for item in part]
+            result = self.merge_entries(covers, merged)
+        else:
+            return Deferred()
+        if self._gap_first is None:
+            self._offset = max(self._offset, offset)
+        return result
+
+    def _judge_deferred(self, covers: int) -> dict[int, ApplyResult]:
+        deferred, self._deferred = self._deferred, []
+        self._gap_first = None
+        return {
+            offset: self.apply(offset, time, value)
+            for offset, time, value in deferred
+            if offset > covers
+        }
 
     def _make_entry(
         self, offset: int, time: float, value: dict[str, Any]
@@ -180,3 +285,26 @@
         else:
             spec = record.parse_spec(value)
         return record.Entry(offset, time, value, spec)
+
+
+def _find_snapshot_errors(offset: int, value: dict[str, Any]) -> list[str]:
+    covers, entries = value.get("covers"), value.get("entries")
+    if not isinstance(covers, int) or not 0 <= covers < offset:
+        return ["covers: expected an offset below the snapshot's own"]
+    if not isinstance(entries, list) or not all(
+        isinstance(item, dict)
+        and isinstance(item.get("offset"), int)
+        and isinstance(item.get("time"), (int, float))
+        and item["offset"] <= covers
+        for item in entries
+    ):
+        return ["entries: expected offset, time and value up to covers"]
+    part, parts = value.get("part", 0), value.get("parts", 1)
+    if not (
+        isinstance(part, int)
+        and isinstance(parts, int)
+        and 0 <= part < parts
+        and isinstance(value.get("round", ""), str)
+    ):
+        return ["part: expected a number below parts"]
+    return []
--- a/src/fireflyspur/records/catalog_follower.py
+++ b/src/fireflyspur/records/catalog_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import time
+from typing import Any
 
 from fireflyspur.audit import audit_trail
 from fireflyspur.clients import exceptions
@@ -13,6 +14,9 @@
 CONFIG_STREAM = "config"
 
 _RETRY_S = 0.2
+# A round of snapshots that is being written ends within this time. After it,
+# a fleet that was down for the whole retention goes on with what is left.
+_GAP_GRACE_S = 10.0
 
 _log = logs.log_for("records")
 
@@ -40,6 +44,7 @@
         self._next = 1
         self._log_reachable = False
         self._tail_read_at: float | None = None
+        self._gap_since: float | None = None
         self._loaded = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
 
@@ -53,6 +58,11 @@
         """Whether the catalog is complete as of some moment."""
         return self._loaded.is_set()
 
+    @property
+    def has_gap(self) -> bool:
+        """Whether expired records have not been restored."""
+        return self._catalog.has_gap
+
     @property
     def is_log_reachable(self) -> bool:
         """Whether the last read of the log succeeded."""
@@ -60,7 +70,7 @@
 
     @property
     def tail_read_at(self) -> float | None:
-        """Monotonic time of the last read that reached the tail."""
+        """Monotonic start of the last read that reached the tail."""
         return self._tail_read_at
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -87,18 +97,67 @@
 
         :raises LogUnavailableError: if the log does not answer
         """
-        wait_s = self._poll_wait_s if self._loaded.is_set() else 0.0
+        is_following = self._loaded.is_set() and not self._catalog.has_gap
+        wait_s = self._poll_wait_s if is_following else 0.0
+        started_at = time.monotonic()
         page = await self._log.read(CONFIG_STREAM, self._next, wait_s=wait_s)
         self._log_reachable = True
+        if page.first > self._next:
+            self._note_expiry(page.first)
         for item in page.records:
-            self._apply(item)
+            # A peer's catalog may have covered it during the read.
+            if item.offset >= self._next:
+                self._apply(item)
         self._next = max(self._next, page.next)
-        if self._next >= page.tail:
-            self._tail_read_at = time.monotonic()
+        if self._next >= page.tail and not await self._is_gap_open():
+            # The answer may have waited in a buffer while the process was
+            # paused, so only the start of the read is sure.
+            self._tail_read_at = started_at
             self._loaded.set()
         if page.records:
             self._notify()
 
+    def adopt(self, covers: int, entries: list[dict[str, Any]]) -> None:
+        """Take over a peer's catalog that is ahead of this one.
+
+        :param covers: offset of the peer's catalog
+        :param entries: its entries above this catalog's offset
+        """
+        if covers <= self._catalog.offset:
+            return
+        result = self._catalog.merge_entries(covers, entries)
+        self._next = max(self._next, covers + 1)
+        for entry in result.entries:
+            _log.info(
+                "Record {}/{} in force at offset {}", *entry.key, entry.offset
+            )
+        if not self._catalog.has_gap:
+            self._gap_since = None
+            self._loaded.set()
+        self._notify()
+
+    def _note_expiry(self, first: int) -> None:
+        self._catalog.mark_gap(first)
+        if self._catalog.has_gap:
+            self._gap_since = None
+            _log.warning("Records before offset {} have expired", first)
+
+    async def _is_gap_open(self) -> bool:
+        if not self._catalog.has_gap:
+            self._gap_since = None
+            return False
+        now = time.monotonic()
+        if self._gap_since is None:
+            self._gap_since = now
+        if now - self._gap_since < _GAP_GRACE_S:
+            await asyncio.sleep(_RETRY_S)
+            return self._catalog.has_gap
+        judged = self._catalog.close_gap().judged
+        reason = "no snapshot restores the records that have expired"
+        self._trail.add("records", "gap_closed", "config", reason)
+        _log.error("{}; {} records judged without", reason, len(judged))
+        return False
+
     def _apply(self, item: log_client.LogRecord) -> None:
         result = self._catalog.apply(item.offset, item.time, item.value)
         self._trail.add_change(item, result)
@@ -122,6 +181,14 @@
                     *entry.key,
                     item.offset,
                 )
+            case catalogs.Restored(entries, judged):
+                _log.info(
+                    "Snapshot at offset {} restored {} entries, {} records"
+                    " judged after it",
+                    item.offset,
+                    len(entries),
+                    len(judged),
+                )
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/src/fireflyspur/records/record.py
+++ b/src/fireflyspur/records/record.py
@@ -59,6 +59,14 @@
         """Whether the record is a tombstone."""
         return bool(self.value.get("deleted", False))
 
+    def to_item(self) -> dict[str, Any]:
+        """Return the form in which snapshots and peers carry the entry."""
+        return {
+            "offset": self.offset,
+            "time": self.time,
+            "value": self.value,
+        }
+
     @property
     def timestamp(self) -> str:
         """Time of the append in ISO 8601."""
--- a/src/fireflyspur/records/record_publisher.py
+++ b/src/fireflyspur/records/record_publisher.py
@@ -88,16 +88,21 @@
         self, uid: str | None
     ) -> tuple[catalogs.Catalog, catalogs.ApplyResult | None]:
         catalog = catalogs.Catalog()
-        found, start = None, 1
+        found, found_at, start = None, None, 1
         while True:
             page = await self._log.read(catalog_follower.CONFIG_STREAM, start)
+            if page.first > start:
+                catalog.mark_gap(page.first)
             for item in page.records:
                 result = catalog.apply(item.offset, item.time, item.value)
                 if uid is not None and item.value.get("uid") == uid:
-                    found = result
+                    found, found_at = result, item.offset
+                elif isinstance(result, catalogs.Restored):
+                    found = result.judged.get(found_at, found)
             start = page.next
             if start >= page.tail:
-                return catalog, found
+                # Without a snapshot, what the log still has must do.
+                return catalog, catalog.close_gap().judged.get(found_at, found)
 
 
 def _describe_winner(entry: record.Entry | None) -> str:
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,220 @@
+"""Gossip and news between real gRPC servers in one process."""
+
+import asyncio
+import contextlib
+import random
+
+import testtools
+
+from fireflyspur.membership import gossiper as gossipers
+from fireflyspur.membership import member
+from fireflyspur.membership import member_table
+from fireflyspur.membership import news as urgent
+from fireflyspur.membership import news_bus
+from fireflyspur.membership import peer_client
+from fireflyspur.membership import peer_server
+
+State = member.MemberState
+_ROUNDS = 200
+
+
+class Peer:
+    def __init__(self, name, domain, incarnation=1000):
+        self.table = member_table.MemberTable(
+            member.Member(name, "127.0.0.1", 0, domain, incarnation)
+        )
+        self.client = peer_client.PeerClient()
+        source = random.Random(name)
+        self.gossiper = gossipers.Gossiper(
+            self.table,
+            self.client,
+            lambda: gossipers.Heartbeat(0, 0.0, True),
+            random_source=source,
+        )
+        self.bus = news_bus.NewsBus(self.table, self.client, source)
+        self.server = peer_server.PeerServer(
+            self.gossiper, self.bus, lambda after: None
+        )
+        self.heard = []
+        self.bus.subscribe(urgent.EndpointLeaving, self.heard.append)
+
+    async def start(self, stack):
+        port = await self.server.start("127.0.0.1", 0)
+        self.table.set_own_port(port)
+        stack.push_async_callback(self.client.close)
+        stack.push_async_callback(self.server.close)
+        stack.push_async_callback(self.bus.close)
+
+    def state_of(self, name):
+        known = self.table.get(name)
+        return known.state if known else None
+
+
+async def start_peers(stack, count):
+    """Start peers of which each knows only the first one."""
+    peers = [Peer(f"n{i}", f"domain-{i % 3}") for i in range(count)]
+    for peer in peers:
+        await peer.start(stack)
+    for peer in peers[1:]:
+        peer.table.set_candidates([peers[0].table.own])
+    return peers
+
+
+async def run_until(peers, condition):
+    """Run periods without their pauses until a condition holds."""
+    for _ in range(_ROUNDS):
+        if condition():
+            return
+        await asyncio.gather(*(p.gossiper.run_period() for p in peers))
+    raise AssertionError("the members did not agree")
+
+
+def knows_all(peers):
+    names = sorted(p.table.own.name for p in peers)
+    return lambda: all(p.table.live_names() == names for p in peers)
+
+
+class TestGossip(testtools.TestCase):
+    def run_with_peers(self, count, check):
+        async def run():
+            async with contextlib.AsyncExitStack() as stack:
+                peers = await start_peers(stack, count)
+                await run_until(peers, knows_all(peers))
+                await check(peers, stack)
+
+        asyncio.run(run())
+
+    def test_all_meet_through_one_seed(self):
+        async def check(peers, stack):
+            pass
+
+        self.run_with_peers(12, check)
+
+    def test_stopped_member_is_suspected_by_all(self):
+        async def check(peers, stack):
+            await peers[-1].server.close()
+            rest = peers[:-1]
+            await run_until(
+                rest,
+                lambda: all(
+                    p.state_of("n4") in (State.SUSPECT, State.DEAD)
+                    for p in rest
+                ),
+            )
+
+        self.run_with_peers(5, check)
+
+    def test_wrong_suspicion_is_refuted_everywhere(self):
+        async def check(peers, stack):
+            accused = peers[2].table.own
+            peers[0].table.apply(
+                member.Member(
+                    accused.name,
+                    accused.address,
+                    accused.peer_port,
+                    accused.failure_domain,
+                    accused.incarnation,
+                    State.DEAD,
+                )
+            )
+            await run_until(
+                peers,
+                lambda: all(
+                    p.table.get("n2").incarnation > accused.incarnation
+                    and p.state_of("n2") is State.ALIVE
+                    for p in peers
+                ),
+            )
+
+        self.run_with_peers(5, check)
+
+    def test_indirect_probe_keeps_a_member_whose_link_is_cut(self):
+        """Guards against a removal because one link of many is cut."""
+
+        async def check(peers, stack):
+            target = peers[3].table.own.target
+            peers[0].client.exchange = _cut(peers[0].client.exchange, target)
+            for _ in range(12):
+                await peers[0].gossiper.run_period()
+            self.assertIs(State.ALIVE, peers[0].state_of("n3"))
+            peers[0].client.probe = _no_probe
+            await run_until(
+                peers[:1],
+                lambda: peers[0].state_of("n3") is State.SUSPECT,
+            )
+
+        self.run_with_peers(5, check)
+
+    def test_restarted_member_replaces_its_former_process(self):
+        async def check(peers, stack):
+            await peers[-1].server.close()
+            again = Peer("n4", "domain-1", incarnation=50_000)
+            await again.start(stack)
+            again.table.set_candidates([peers[0].table.own])
+            now = [*peers[:-1], again]
+            await run_until(
+                now,
+                lambda: all(
+                    p.table.get("n4").incarnation == 50_000
+                    and p.state_of("n4") is State.ALIVE
+                    for p in now
+                ),
+            )
+            self.assertTrue(peers[0].table.is_dead("n4", 1000))
+
+        self.run_with_peers(5, check)
+
+    def test_leaving_spreads_by_gossip_without_news(self):
+        async def check(peers, stack):
+            peers[1].table.set_own_state(State.LEAVING)
+            await run_until(
+                peers,
+                lambda: all(
+                    "n1" not in p.table.live_names()
+                    and p.state_of("n1") is State.LEAVING
+                    for p in peers
+                ),
+            )
+
+        self.run_with_peers(8, check)
+
+    def test_urgent_news_is_forwarded_and_heard_once(self):
+        async def check(peers, stack):
+            # Three random targets each can miss a member. Eight independent
+            # pieces of news all miss it with a chance below 1e-9.
+            for port in range(8):
+                peers[0].bus.publish(
+                    urgent.EndpointLeaving("engine", "e", "127.0.0.1", port)
+                )
+            for _ in range(20):
+                await asyncio.gather(*(p.bus.flush() for p in peers))
+            for peer in peers[1:]:
+                self.assertNotEqual([], peer.heard)
+                self.assertEqual(len(set(peer.heard)), len(peer.heard))
+
+        self.run_with_peers(10, check)
+
+    def test_news_goes_to_another_failure_domain(self):
+        peer = Peer("n0", "a")
+        for number in range(30):
+            domain = "b" if number == 7 else "a"
+            peer.table.apply(
+                member.Member(f"m{number}", "127.0.0.1", 1, domain, 1)
+            )
+        for _ in range(50):
+            targets = peer.bus.choose_targets()
+            self.assertEqual(3, len({t.name for t in targets}))
+            self.assertIn("b", [t.failure_domain for t in targets])
+
+
+def _cut(exchange, cut_target):
+    async def exchange_unless_cut(target, gossip, timeout_s):
+        if target == cut_target:
+            return None
+        return await exchange(target, gossip, timeout_s)
+
+    return exchange_unless_cut
+
+
+async def _no_probe(target, request, timeout_s):
+    return False
