--- a/src/fireflyspur/membership/gossiper.py
+++ b/src/fireflyspur/membership/gossiper.py
@@ -192,7 +192,12 @@
             return
         self._note_result(target, False)
         known = self._table.get(target.name)
-        if known is None or known.state is member.MemberState.DEAD:
+        # A restart or refutation heard of during the probe is not suspected.
+        if (
+            known is None
+            or known.incarnation != target.incarnation
+            or known.state is member.MemberState.DEAD
+        ):
             return
         if known.state is member.MemberState.LEAVING:
             # A leaving member stays leaving; the timer removes it.
--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -22,7 +22,7 @@
 
     def get(self) -> None:
         """Answer 200 when the node takes requests, else 503."""
-        reason = self._reason()
+        reason = self._find_reason()
         if reason:
             self.set_status(503)
         explanation = self._node.membership.freshness.explanation
@@ -34,7 +34,7 @@
             }
         )
 
-    def _reason(self) -> str:
+    def _find_reason(self) -> str:
         if self._node.drain.is_stopping:
             return "stopping"
         if not self._node.follower.is_loaded:
