--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -22,14 +22,21 @@
 
     def get(self) -> None:
         """Answer 200 when the node takes requests, else 503."""
-        reason = self._reason()
+        reason = self._find_reason()
         if reason:
             self.set_status(503)
-        self.finish({"ready": not reason, "reason": reason})
-
-    def _reason(self) -> str:
+        explanation = self._node.membership.freshness.explanation
+        self.finish(
+            {
+                "ready": not reason,
+                "reason": reason,
+                "explanation": explanation,
+            }
+        )
+
+    def _find_reason(self) -> str:
         if self._node.drain.is_stopping:
             return "stopping"
         if not self._node.follower.is_loaded:
             return "config_not_loaded"
-        return ""
+        return self._node.membership.freshness.reason
