Answer bad input with JSON and log, count and release each request

A refused body closed the connection without an answer when its length was not declared, a body cut in the middle kept its budget and its place in the count of requests for good, and the admin port, /healthz and headers of 100 KB got answers without JSON. A stream whose second attempt found no engine told its caller "not_run" after tokens had been delivered.

Requests are now refused in prepare or within the body, the answer is sent at once and the rest of the body is dropped for at most 5 s, so that the answer is not lost to a connection reset. What a request holds is given back when its handler task ends, which tornado guarantees in every case, unlike on_finish. The key is checked before the body is read. A body that stalls gets 408 at the request's time limit. The server takes headers up to 1 MiB, and the node answers 431 above its own limit.

--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -8,6 +8,7 @@
 from fireflyspur.engines import prompt_runner
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import router
 
@@ -24,3 +25,4 @@
     router: router.Router
     runner: prompt_runner.PromptRunner
     drain: drain_controller.DrainController
+    metrics: metrics.Metrics
--- a/src/fireflyspur/node/handlers/admin.py
+++ b/src/fireflyspur/node/handlers/admin.py
@@ -4,16 +4,17 @@
 from typing import Any
 
 import msgspec
-from tornado import web
 
 from fireflyspur.node import context
+from fireflyspur.node.handlers import base
 
 
-class AdminHandler(web.RequestHandler):
+class AdminHandler(base.JsonErrorHandler):
     """Base of the handlers on the admin port."""
 
     def initialize(self, node: context.NodeContext) -> None:
         """Set the handler up for one request."""
+        super().initialize()
         self._node = node
 
     def send(self, value: Any) -> None:
@@ -48,6 +49,7 @@
                 "log_reachable": follower.is_log_reachable,
                 "stopping": self._node.drain.is_stopping,
                 "requests_in_progress": self._node.drain.in_progress,
+                "body_bytes_held": self._node.bodies.used_bytes,
                 "engines": engines,
             }
         )
--- a/src/fireflyspur/node/handlers/base.py
+++ b/src/fireflyspur/node/handlers/base.py
@@ -16,10 +16,16 @@
 from fireflyspur.errors import exceptions
 from fireflyspur.errors import verdict
 from fireflyspur.node import context
+from fireflyspur.node.handlers import request_summary
 from fireflyspur.observability import logs
 
 _DECODE_IN_THREAD_BYTES = 256 * 1024
 _RETRY_AFTER_S = 1.0
+# How long the rest of a refused body is read and dropped. A connection that
+# is closed with unread data is reset, and the caller may lose the answer.
+_DISCARD_S = 5.0
+# Status in the log of a request whose caller has gone, as nginx writes it.
+_CLIENT_GONE_STATUS = 499
 
 _log = logs.log_for("http")
 
@@ -38,6 +44,20 @@
     http_status = 405
 
 
+class HeadersTooLargeError(exceptions.FireflyspurError):
+    """The request's headers are larger than the node takes."""
+
+    code = "headers_too_large"
+    http_status = 431
+
+
+class BodyTimeoutError(exceptions.FireflyspurError):
+    """The body did not arrive within the request's time limit."""
+
+    code = "body_timeout"
+    http_status = 408
+
+
 def error_body(error: Exception, request_id: str) -> dict[str, Any]:
     """Return the JSON form of an error.
 
@@ -59,19 +79,72 @@
     }
 
 
+class JsonErrorHandler(web.RequestHandler):
+    """Reports errors as JSON."""
+
+    def initialize(self) -> None:
+        """Set the handler up for one request."""
+        self._request_id = f"req-{uuid.uuid4()}"
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer with the JSON form of an error."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        self.finish(self.set_error(error or Exception(), status_code))
+
+    def set_error(self, error: Exception, status_code: int = 500) -> bytes:
+        """Set status and headers for an error.
+
+        :returns: the body of the answer
+        """
+        match error:
+            case exceptions.FireflyspurError():
+                status_code = error.http_status
+                if error.retry_after_s is not None:
+                    seconds = max(1, math.ceil(error.retry_after_s))
+                    self.set_header("Retry-After", str(seconds))
+            case web.HTTPError(status_code=404):
+                error = NotFoundError(
+                    f"no resource has the path {self.request.path:.200}"
+                )
+            case web.HTTPError(status_code=405):
+                error = MethodNotAllowedError(
+                    f"the resource has no method {self.request.method:.20}"
+                )
+                self.set_header("Allow", ", ".join(self._methods()))
+            case web.HTTPError():
+                error = exceptions.InvalidInputError(str(error))
+        self.set_status(status_code)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("X-Request-Id", self._request_id)
+        return msgspec.json.encode(error_body(error, self._request_id))
+
+    def _methods(self) -> list[str]:
+        return [
+            name
+            for name in self.SUPPORTED_METHODS
+            if getattr(type(self), name.lower())
+            is not getattr(web.RequestHandler, name.lower())
+        ]
+
+
 @web.stream_request_body
-class CallerHandler(web.RequestHandler):
+class CallerHandler(JsonErrorHandler):
     """Reads the body by a byte budget and reports errors as JSON."""
 
     def initialize(self, node: context.NodeContext) -> None:
         """Set the handler up for one request."""
+        super().initialize()
         self._node = node
-        self._request_id = f"req-{uuid.uuid4()}"
         self._received_at = time.monotonic()
         self._chunks: list[bytes] = []
+        self._received_bytes = 0
         self._held_bytes = 0
+        self._is_refused = False
         self._disconnected = asyncio.Event()
         self._stack = contextlib.ExitStack()
+        self._body_timer: asyncio.TimerHandle | None = None
+        self._account: authenticator.Account | None = None
+        self._summary = request_summary.RequestSummary()
 
     @property
     def request_id(self) -> str:
@@ -79,37 +152,67 @@
         return self._request_id
 
     def prepare(self) -> None:
-        """Admit the request and announce the body's size to the budget."""
+        """Admit the request, or refuse it before its body is read."""
         self.set_header("X-Request-Id", self._request_id)
+        # Tornado calls on_finish only after an answer. This task ends in
+        # every case, also when the connection breaks within the body.
+        task = asyncio.current_task()
+        if task is not None:
+            task.add_done_callback(lambda _: self._end())
+        try:
+            self.admit()
+        except exceptions.FireflyspurError as error:
+            self._refuse(error)
+
+    def admit(self) -> None:
+        """Check the headers and announce the body's size to the budget.
+
+        :raises FireflyspurError: if the request is refused
+        """
+        self._check_headers()
         self._stack.enter_context(self._node.drain.request())
+        self._node.metrics.set_in_progress(self._node.drain.in_progress)
         if not self._node.follower.is_loaded:
             raise admission_exceptions.NotAdmittingError(
                 "the node has no configuration yet",
                 retry_after_s=_RETRY_AFTER_S,
             )
-        declared = self.request.headers.get("Content-Length", "0")
-        if declared.isdigit():
+        account = self.account()
+        if not self._has_body():
+            return
+        declared = self.request.headers.get("Content-Length", "")
+        if declared.isascii() and declared.isdigit():
             self._acquire_body(int(declared))
+        self._body_timer = asyncio.get_running_loop().call_later(
+            self.timeout_s(account),
+            self._refuse,
+            BodyTimeoutError("the body did not arrive within the time limit"),
+        )
 
     def data_received(self, chunk: bytes) -> None:
         """Take one piece of the body."""
-        size = sum(len(c) for c in self._chunks) + len(chunk)
+        if self._is_refused:
+            return
+        size = self._received_bytes + len(chunk)
         if size > self._held_bytes:
-            self._acquire_body(size - self._held_bytes)
+            try:
+                self._acquire_body(size - self._held_bytes)
+            except exceptions.FireflyspurError as error:
+                self._refuse(error)
+                return
+        self._received_bytes = size
         self._chunks.append(chunk)
 
     def on_connection_close(self) -> None:
         """Note that the caller has gone."""
+        super().on_connection_close()
         self._disconnected.set()
-
-    def on_finish(self) -> None:
-        """Give back what the request held."""
-        self._node.bodies.release(self._held_bytes)
-        self._held_bytes = 0
-        self._stack.close()
+        self._summary.is_cancelled = not self._finished
 
     def take_body(self) -> bytes:
         """Return the body and forget its pieces."""
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         body = b"".join(self._chunks)
         self._chunks.clear()
         return body
@@ -137,8 +240,11 @@
 
         :raises UnauthorizedError: if the key is missing or unknown
         """
-        header = self.request.headers.get("Authorization", "")
-        return self._node.authenticator.authenticate(header)
+        if self._account is None:
+            header = self.request.headers.get("Authorization", "")
+            self._account = self._node.authenticator.authenticate(header)
+            self._summary.account = self._account.name
+        return self._account
 
     def timeout_s(self, account: authenticator.Account) -> float:
         """Return the request's time limit in seconds.
@@ -159,28 +265,19 @@
             )
         return min(value, account.spec.max_timeout_s)
 
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answer with the JSON form of an error."""
-        error = kwargs.get("exc_info", (None, None, None))[1]
-        match error:
-            case exceptions.FireflyspurError():
-                self.set_status(error.http_status)
-                if error.retry_after_s is not None:
-                    seconds = max(1, math.ceil(error.retry_after_s))
-                    self.set_header("Retry-After", str(seconds))
-            case web.HTTPError(status_code=405):
-                error = MethodNotAllowedError("the method is not allowed")
-            case web.HTTPError():
-                error = exceptions.InvalidInputError(str(error))
-        if status_code == 405:
-            self.set_status(405)
-        self.set_header("Content-Type", "application/json")
-        self.set_header("X-Request-Id", self._request_id)
-        self.finish(
-            msgspec.json.encode(
-                error_body(error or Exception(), self._request_id)
-            )
-        )
+    def set_error(self, error: Exception, status_code: int = 500) -> bytes:
+        """Set status and headers for an error, and note it for the log.
+
+        :returns: the body of the answer
+        """
+        self.note_error(error)
+        return super().set_error(error, status_code)
+
+    def note_error(self, error: Exception) -> None:
+        """Note an error for the request's log line."""
+        body = error_body(error, self._request_id)["error"]
+        self._summary.code = body["code"]
+        self._summary.verdict = body["verdict"]
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log what is not an ordinary refusal."""
@@ -195,18 +292,112 @@
                 )
 
     def _acquire_body(self, more_bytes: int) -> None:
-        try:
-            self._node.bodies.acquire(self._held_bytes, more_bytes)
-        except exceptions.FireflyspurError:
-            # The rest of the body is not read, so the connection must end.
-            self.set_header("Connection", "close")
-            raise
+        self._node.bodies.acquire(self._held_bytes, more_bytes)
         self._held_bytes += more_bytes
 
+    def _release_body(self) -> None:
+        self._chunks.clear()
+        self._node.bodies.release(self._held_bytes)
+        self._held_bytes = 0
+
+    def _has_body(self) -> bool:
+        headers = self.request.headers
+        return (
+            headers.get("Content-Length", "0") != "0"
+            or "Transfer-Encoding" in headers
+        )
+
+    def _check_headers(self) -> None:
+        limit = self._node.settings.limits.max_header_bytes
+        size = len(self.request.uri or "") + sum(
+            len(name) + len(value) + len(": \r\n")
+            for name, value in self.request.headers.get_all()
+        )
+        if size > limit:
+            raise HeadersTooLargeError(
+                f"the headers are larger than {limit} bytes"
+            )
+
+    def _refuse(self, error: exceptions.FireflyspurError) -> None:
+        """Answer at once and drop what still comes of the body."""
+        if self._is_refused or self._finished:
+            return
+        self._is_refused = True
+        self._release_body()
+        body = self.set_error(error)
+        if not self._has_body():
+            self.finish(body)
+            return
+        self.set_header("Connection", "close")
+        self.set_header("Content-Length", str(len(body)))
+        self.write(body)
+        self.flush()
+        # Tornado calls the method once the body has ended.
+        setattr(self, str(self.request.method).lower(), self._finish_refused)
+        asyncio.get_running_loop().call_later(_DISCARD_S, self._finish_refused)
+
+    def _finish_refused(self) -> None:
+        if not self._finished:
+            self.finish()
+
+    def _end(self) -> None:
+        """Give back what the request held and report how it ended."""
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+        self._release_body()
+        self._stack.close()
+        self._report()
+
+    def _report(self) -> None:
+        summary, metrics = self._summary, self._node.metrics
+        duration_s = time.monotonic() - self._received_at
+        status = self.get_status()
+        match summary:
+            case request_summary.RequestSummary(is_cancelled=True):
+                outcome, status = "cancelled", _CLIENT_GONE_STATUS
+            case request_summary.RequestSummary(code=""):
+                outcome = "ok"
+            case request_summary.RequestSummary(
+                verdict=verdict.Verdict.NOT_RUN
+            ):
+                outcome = "refused"
+                metrics.count_refused(summary.code)
+            case _:
+                outcome = "failed"
+        metrics.count_request(outcome, duration_s)
+        metrics.count_retries(summary.retries)
+        metrics.set_in_progress(self._node.drain.in_progress)
+        _log.bind(
+            request_id=self._request_id,
+            account=summary.account,
+            model=summary.model,
+            status=status,
+            code=summary.code,
+            verdict=summary.verdict,
+            duration_ms=round(duration_s * 1000),
+            prompt_tokens=summary.prompt_tokens,
+            completion_tokens=summary.completion_tokens,
+        ).info(
+            "{} {:.100} {}", self.request.method, self.request.path, outcome
+        )
+
 
 class UnknownPathHandler(CallerHandler):
     """Answers paths that no other handler has."""
 
+    def admit(self) -> None:
+        """Refuse the request."""
+        self._check_headers()
+        raise NotFoundError(
+            f"no resource has the path {self.request.path:.200}"
+        )
+
+
+class UnknownAdminPathHandler(JsonErrorHandler):
+    """Answers paths that the admin port does not have."""
+
     def prepare(self) -> None:
         """Refuse the request."""
-        raise NotFoundError(f"no resource has the path {self.request.path}")
+        raise NotFoundError(
+            f"no resource has the path {self.request.path:.200}"
+        )
--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import time
 from typing import Any
 
 import msgspec
@@ -19,6 +20,8 @@
 from fireflyspur.node.handlers import openai_api
 from fireflyspur.routing import exceptions as routing_exceptions
 
+_LOGGED_MODEL_CHARACTERS = 80
+
 
 class _PromptHandler(base.CallerHandler):
     """Runs a prompt and sends the answer whole or as a stream."""
@@ -62,6 +65,7 @@
         body: openai_api.Body,
         timeout_s: float,
     ) -> prompt_request.PromptRequest:
+        self._summary.model = body.model[:_LOGGED_MODEL_CHARACTERS]
         self._check_model(account, body)
         text = openai_api.prompt_of(body)
         per_token = self._node.settings.limits.prompt_bytes_per_token
@@ -103,10 +107,33 @@
         self, body: openai_api.Body, prompt: prompt_request.PromptRequest
     ) -> None:
         async with contextlib.aclosing(self._node.runner.run(prompt)) as lines:
+            observed = self._observe(prompt, lines)
             if body.stream:
-                await self._send_stream(body, lines)
+                await self._send_stream(body, observed)
             else:
-                await self._send_whole(body, lines)
+                await self._send_whole(body, observed)
+
+    async def _observe(
+        self,
+        prompt: prompt_request.PromptRequest,
+        lines: AsyncIterator[engine_client.StreamLine],
+    ) -> AsyncIterator[engine_client.StreamLine]:
+        """Pass lines on and note what log and metrics report."""
+        summary = self._summary
+        summary.prompt_tokens = prompt.prompt_tokens
+        summary.verdict = str(verdict.Verdict.MAY_HAVE_RUN)
+        async for line in lines:
+            summary.retries = max(summary.retries, line.attempt - 1)
+            if line.type == "token":
+                if not summary.completion_tokens:
+                    self._node.metrics.observe_first_token(
+                        prompt.prompt_tokens,
+                        time.monotonic() - self._received_at,
+                    )
+                summary.completion_tokens += 1
+            else:
+                summary.verdict = str(verdict.Verdict.RAN)
+            yield line
 
     async def _send_whole(
         self,
@@ -149,8 +176,18 @@
 
     async def _fail(self, error: exceptions.FireflyspurError) -> None:
         """Report an error, inside the stream once it has begun."""
+        if self._summary.completion_tokens and (
+            error.verdict is verdict.Verdict.NOT_RUN
+        ):
+            # A later attempt was refused, but a former one has run.
+            error = engine_exceptions.AttemptsExhaustedError(
+                str(error),
+                verdict=verdict.Verdict.MAY_HAVE_RUN,
+                retry_after_s=error.retry_after_s,
+            )
         if not self._headers_written:
             raise error
+        self.note_error(error)
         body = base.error_body(error, self.request_id)
         with contextlib.suppress(iostream.StreamClosedError):
             # The openai client raises an error for a data event that has
--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -1,11 +1,10 @@
 """Handlers for the balancer."""
 
-from tornado import web
-
 from fireflyspur.node import context
+from fireflyspur.node.handlers import base
 
 
-class HealthHandler(web.RequestHandler):
+class HealthHandler(base.JsonErrorHandler):
     """``GET /healthz``: the process runs."""
 
     def get(self) -> None:
@@ -13,11 +12,12 @@
         self.finish({"status": "ok"})
 
 
-class ReadyHandler(web.RequestHandler):
+class ReadyHandler(base.JsonErrorHandler):
     """``GET /readyz``: the node takes requests."""
 
     def initialize(self, node: context.NodeContext) -> None:
         """Set the handler up for one request."""
+        super().initialize()
         self._node = node
 
     def get(self) -> None:
--- a/src/fireflyspur/node/http_server.py
+++ b/src/fireflyspur/node/http_server.py
@@ -11,7 +11,9 @@
 from fireflyspur.node.handlers import health
 from fireflyspur.node.handlers import models
 
-# Handlers check the size of a body themselves, to answer with JSON.
+# Handlers check the size of headers and bodies themselves, to answer with
+# JSON. Headers beyond this limit close the connection without an answer.
+_SERVER_MAX_HEADER_BYTES = 2**20
 _SERVER_MAX_BODY_BYTES = 2**40
 
 
@@ -44,6 +46,7 @@
             ("/admin/view", admin.ViewHandler, arguments),
             ("/admin/audit", admin.AuditHandler, arguments),
         ],
+        default_handler_class=base.UnknownAdminPathHandler,
         log_function=lambda handler: None,
     )
 
@@ -52,7 +55,7 @@
     application: web.Application,
     address: str,
     port: int,
-    max_header_bytes: int = 65536,
+    max_header_bytes: int = _SERVER_MAX_HEADER_BYTES,
 ) -> tuple[httpserver.HTTPServer, int]:
     """Serve an application.
 
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -20,6 +20,7 @@
 from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
 from fireflyspur.observability import logs
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
@@ -55,13 +56,11 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
-        limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
             http_server.caller_application(node),
             address,
             self._config.node.http_port,
-            limits.max_header_bytes,
         )
         admin, admin_port = http_server.listen(
             http_server.admin_application(node),
@@ -108,6 +107,8 @@
             f"{config.node.name}:{incarnation}",
         )
         self._stack.push_async_callback(runner.close)
+        reported = metrics.Metrics(config.metrics)
+        self._stack.callback(reported.close)
         return context.NodeContext(
             settings=config,
             follower=catalog_follower.CatalogFollower(
@@ -122,6 +123,7 @@
             router=routing,
             runner=runner,
             drain=drain_controller.DrainController(config.node.drain_s),
+            metrics=reported,
         )
 
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
--- /dev/null
+++ b/tests/node/handlers/test_base.py
@@ -0,0 +1,139 @@
+"""Guards against input that harms the node or gets no clear answer."""
+
+import json
+
+from tests.support import polling
+from tests.support import records
+from tests.support import single_node
+
+GOOD = {"model": "quill", "prompt": "How much?", "max_tokens": 2}
+HEAD = (
+    "POST /v1/completions HTTP/1.1\r\nHost: node\r\n"
+    f"Authorization: Bearer {records.KEY}\r\n"
+)
+
+
+class TestBadInput(single_node.SingleNodeTest):
+    def tearDown(self):
+        # No request may leave anything held or harm the next one.
+        self.wait_idle()
+        self.assertEqual(200, self.request(GOOD)[0])
+        super().tearDown()
+
+    def check(self, status, code, **arguments):
+        found, headers, body = self.request(**arguments)
+        self.assertEqual((status, code), (found, body["error"]["code"]))
+        self.assertEqual("not_run", body["error"]["verdict"])
+        self.assertTrue(body["error"]["message"])
+        self.assertEqual(headers["X-Request-Id"], body["error"]["request_id"])
+        return headers, body["error"]["message"]
+
+    def test_missing_and_wrong_key(self):
+        self.check(401, "invalid_api_key", body=GOOD, Authorization="")
+        self.check(401, "invalid_api_key", body=GOOD, Authorization="Basic x")
+        self.check(401, "invalid_api_key", body=GOOD, Authorization="Bearer x")
+
+    def test_unknown_model(self):
+        self.check(404, "model_not_found", body={**GOOD, "model": "none"})
+
+    def test_unknown_path_and_method(self):
+        self.check(404, "not_found", path="/v2/none", body=GOOD)
+        headers, _ = self.check(405, "method_not_allowed", method="PUT")
+        self.assertEqual("POST", headers["Allow"])
+        self.check(405, "method_not_allowed", method="BREW")
+        self.check(405, "method_not_allowed", path="/v1/models", body=GOOD)
+        self.check(405, "method_not_allowed", path="/healthz", body=b"")
+
+    def test_bodies_that_are_not_valid(self):
+        deep = b'{"model": "quill", "prompt": ' + b"[" * 90_000
+        for body in (
+            b"",
+            b"{",
+            b"[]",
+            b"\xff\xfe",
+            deep,
+            b'{"prompt": "\\ud800", "model": "quill"}',
+            {"model": "quill"},
+            {**GOOD, "model": 7},
+            {**GOOD, "prompt": {"text": "x"}},
+            {**GOOD, "prompt": ""},
+            {**GOOD, "prompt": ["a", "b"]},
+            {**GOOD, "max_tokens": "many"},
+            {**GOOD, "max_tokens": 10**30},
+            {**GOOD, "stream": "yes"},
+        ):
+            self.check(400, "invalid_request", body=body)
+
+    def test_limits_that_are_not_positive(self):
+        for value in (0, -1):
+            self.check(
+                400, "invalid_request", body={**GOOD, "max_tokens": value}
+            )
+        for value in ("0", "-1", "nan", "inf", "soon"):
+            _, message = self.check(
+                400, "invalid_request", body=GOOD, Request_Timeout=value
+            )
+            self.assertIn("Request-Timeout", message)
+
+    def test_body_over_the_limit_with_a_declared_length(self):
+        self.check(413, "body_too_large", body=b"x" * 4_000_000)
+
+    def test_body_over_the_limit_without_a_declared_length(self):
+        chunks = [b"x" * 100_000] * 40
+        self.check(413, "body_too_large", body=iter(chunks))
+
+    def test_headers_over_the_limit(self):
+        self.check(431, "headers_too_large", body=GOOD, X_Long="x" * 100_000)
+
+    def test_headers_over_the_server_limit_end_the_connection(self):
+        with self.connect() as connection:
+            try:
+                connection.sendall(b"GET / HTTP/1.1\r\nX: " + b"x" * 3_000_000)
+                self.assertEqual(b"", connection.recv(100))
+            except ConnectionError:
+                pass
+
+    def test_connection_that_breaks_within_the_body(self):
+        for framing in (
+            "Content-Length: 100000\r\n\r\n{",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\n{{{{\r\n",
+        ):
+            with self.connect() as connection:
+                connection.sendall((HEAD + framing).encode())
+                polling.wait_until(
+                    lambda: self.view()["body_bytes_held"] > 0,
+                    "the node reads the body",
+                )
+            self.wait_idle()
+
+    def test_body_that_stalls_ends_at_the_time_limit(self):
+        with self.connect() as connection:
+            connection.sendall(
+                f"{HEAD}Request-Timeout: 0.2\r\n"
+                "Content-Length: 1000\r\n\r\n{".encode()
+            )
+            answer = connection.makefile("rb").read().decode()
+        head, _, body = answer.partition("\r\n\r\n")
+        self.assertIn(" 408 ", head)
+        self.assertEqual("body_timeout", json.loads(body)["error"]["code"])
+
+
+class TestBodyBudget(single_node.SingleNodeTest):
+    settings = {
+        "limits": {"max_body_bytes": 8_000, "buffered_body_bytes": 10_000}
+    }
+
+    def test_a_full_budget_answers_503_with_retry_after(self):
+        with self.connect() as connection:
+            connection.sendall(
+                f"{HEAD}Content-Length: 8000\r\n\r\n{{".encode()
+            )
+            polling.wait_until(
+                lambda: self.view()["body_bytes_held"] == 8_000,
+                "the node reads the body",
+            )
+            status, headers, body = self.request(b"x" * 4_000)
+        self.assertEqual(503, status)
+        self.assertEqual("node_busy", body["error"]["code"])
+        self.assertEqual("1", headers["Retry-After"])
+        self.wait_idle()
