Add the operators' commands audit, view, settings and record diff

A typing error in a record was published without a word, since nodes keep keys that they do not know.

The audit trail holds the fields that a record changed. "audit" reads it from a node, or from the log alone, where it applies the records as every node does. A record that the log holds but every node refuses is reported as invalid and no longer as "not found".

--- a/src/fireflyspur/audit/audit_trail.py
+++ b/src/fireflyspur/audit/audit_trail.py
@@ -7,9 +7,13 @@
 
 from fireflyspur.clients import log_client
 from fireflyspur.records import catalog as catalogs
+from fireflyspur.records import record
+from fireflyspur.records import record_diff
 
 # Enough for four days of changes at 2,300 a day.
 _MAX_EVENTS = 10_000
+# Bounds the memory of an event; the log holds the whole record.
+_MAX_CHANGES = 20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,6 +27,7 @@
     :param reason: why
     :param author: who asked for it; empty for the node itself
     :param offset: offset of the record behind it, or None
+    :param changes: the fields that differ from the former version
     """
 
     time: float
@@ -32,6 +37,7 @@
     reason: str
     author: str = ""
     offset: int | None = None
+    changes: tuple[str, ...] = ()
 
 
 class AuditTrail:
@@ -69,9 +75,13 @@
             item.value if isinstance(item.value, dict) else {}
         )
         subject = f"{value.get('kind', '?')}/{value.get('name', '?')}"
+        changes: tuple[str, ...] = ()
         match result:
-            case catalogs.Accepted():
-                action, reason = "accepted", "latest record in force"
+            case catalogs.Accepted(entry, previous):
+                action, reason = "accepted", _describe_acceptance(entry)
+                old = previous.value if previous else None
+                fields = record_diff.diff(old, entry.value)
+                changes = tuple(map(str, fields[:_MAX_CHANGES]))
             case catalogs.Superseded(None):
                 action, reason = "beaten", "based on a version not in force"
             case catalogs.Superseded(by):
@@ -90,5 +100,18 @@
                 reason,
                 str(value.get("author", "")),
                 item.offset,
+                changes,
             )
         )
+
+
+def _describe_acceptance(entry: record.Entry) -> str:
+    errors = record.find_spec_errors(entry.value)
+    if errors:
+        return (
+            "latest record in force; its content is newer than this program,"
+            f" which uses the last one that it understood: {errors[0]}"
+        )
+    if entry.value["kind"] not in record.SPEC_TYPES:
+        return "latest record in force; this program does not use its kind"
+    return "latest record in force"
--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -47,3 +47,10 @@
 
     code = "engine_connection_lost"
     http_status = 502
+
+
+class NodeUnreachableError(exceptions.FireflyspurError):
+    """A node's admin port did not answer as expected."""
+
+    code = "node_unreachable"
+    http_status = 503
--- a/src/fireflyspur/config/json_schema.py
+++ b/src/fireflyspur/config/json_schema.py
@@ -19,8 +19,18 @@
 
 
 @functools.cache
-def _validator(name: str, definition: str) -> jsonschema.Draft202012Validator:
+def _validator(
+    name: str, definition: str, strict: bool
+) -> jsonschema.Draft202012Validator:
     schema = load_schema(name)
+    if strict:
+        schema = {
+            **schema,
+            "$defs": {
+                key: {**value, "additionalProperties": False}
+                for key, value in schema["$defs"].items()
+            },
+        }
     if definition:
         schema = {**schema["$defs"][definition], "$defs": schema["$defs"]}
     return jsonschema.Draft202012Validator(
@@ -28,16 +38,20 @@
     )
 
 
-def find_errors(name: str, value: Any, definition: str = "") -> list[str]:
+def find_errors(
+    name: str, value: Any, definition: str = "", *, strict: bool = False
+) -> list[str]:
     """Check a value against a schema.
 
     :param name: name of the schema
     :param value: the decoded value
     :param definition: a definition of the schema, or empty for the root
+    :param strict: refuse keys that no definition has
     :returns: one line for each error, with the key and what was expected
     """
-    errors = _validator(name, definition).iter_errors(value)
-    return [_describe(e) for e in sorted(errors, key=lambda e: str(e.path))]
+    errors = _validator(name, definition, strict).iter_errors(value)
+    lines = [_describe(e) for e in sorted(errors, key=lambda e: str(e.path))]
+    return list(dict.fromkeys(lines))
 
 
 def _describe(error: jsonschema.ValidationError) -> str:
@@ -52,6 +66,22 @@
         case "enum":
             names = ", ".join(str(v) for v in error.validator_value)
             expected = f"expected one of {names}"
+        case "additionalProperties":
+            known = error.schema["properties"]
+            unknown = ", ".join(
+                repr(name) for name in error.instance if name not in known
+            )
+            return (
+                f"{key}: unknown key {unknown:.200}, expected one of"
+                f" {', '.join(known)}"
+            )
+        case "required":
+            missing = ", ".join(
+                name
+                for name in error.validator_value
+                if name not in error.instance
+            )
+            return f"{key}: expected the keys {missing}, found none"
         case _:
             return f"{key}: {error.message}"
     return f"{key}: {expected}, found {error.instance!r:.80}"
--- a/src/fireflyspur/config/yaml_file.py
+++ b/src/fireflyspur/config/yaml_file.py
@@ -17,7 +17,10 @@
             key = self.construct_object(key_node, deep=True)
             if isinstance(key, (str, int, float, bool)) and key in seen:
                 raise yaml.constructor.ConstructorError(
-                    None, None, f"duplicate key {key!r}", key_node.start_mark
+                    None,
+                    None,
+                    f"duplicate key {key!r}, expected each key once",
+                    key_node.start_mark,
                 )
             if isinstance(key, (str, int, float, bool)):
                 seen.add(key)
@@ -36,7 +39,7 @@
         # The base is SafeLoader, which builds plain values only.
         loaded = yaml.load_all(text, Loader=_UniqueKeyLoader)  # noqa: S506
         return [document for document in loaded if document is not None]
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise exceptions.InvalidFileError(f"{path}: {error}") from error
     except yaml.YAMLError as error:
         raise exceptions.InvalidFileError(
--- a/src/fireflyspur/console/application.py
+++ b/src/fireflyspur/console/application.py
@@ -7,15 +7,21 @@
 
 from fireflyspur.clients import exceptions as client_exceptions
 from fireflyspur.console import command
+from fireflyspur.console.commands import audit
 from fireflyspur.console.commands import node
 from fireflyspur.console.commands import record
+from fireflyspur.console.commands import settings
 from fireflyspur.console.commands import standin
+from fireflyspur.console.commands import view
 from fireflyspur.errors import exceptions
 from fireflyspur.records import exceptions as record_exceptions
 
 _COMMANDS: tuple[command.Command, ...] = (
     node.NodeCommand(),
     record.RecordCommand(),
+    audit.AuditCommand(),
+    view.ViewCommand(),
+    settings.SettingsCommand(),
     standin.StandinCommand(),
 )
 
@@ -65,7 +71,10 @@
             return command.ExitCode.INVALID_INPUT
         case record_exceptions.RecordBeatenError():
             return command.ExitCode.BEATEN
-        case client_exceptions.LogUnavailableError():
+        case (
+            client_exceptions.LogUnavailableError()
+            | client_exceptions.NodeUnreachableError()
+        ):
             return command.ExitCode.UNREACHABLE
         case _:
             return command.ExitCode.FAILED
--- a/src/fireflyspur/console/command.py
+++ b/src/fireflyspur/console/command.py
@@ -6,6 +6,9 @@
 import json
 from typing import Any
 
+DEFAULT_ADMIN_URL = "http://127.0.0.1:8001"
+DEFAULT_LOG_URL = "http://127.0.0.1:8100"
+
 
 class ExitCode(enum.IntEnum):
     """Exit codes of the program."""
--- a/src/fireflyspur/records/catalog.py
+++ b/src/fireflyspur/records/catalog.py
@@ -14,9 +14,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Accepted:
-    """The record is in force from its offset on."""
+    """The record is in force from its offset on.
+
+    :param previous: the entry that was in force before, or None
+    """
 
     entry: record.Entry
+    previous: record.Entry | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -138,7 +142,7 @@
                 return Superseded(current)
         entry = self._make_entry(offset, time, value)
         self._entries[key] = entry
-        return Accepted(entry)
+        return Accepted(entry, current)
 
     def merge_entries(
         self, covers: int, entries: list[dict[str, Any]]
--- a/src/fireflyspur/records/record_publisher.py
+++ b/src/fireflyspur/records/record_publisher.py
@@ -46,7 +46,10 @@
         :raises LogUnavailableError: if the log refused the record
         :raises PublicationUnknownError: if the record may be in the log
         """
-        errors = record.find_errors(value)
+        errors = record.find_envelope_errors(value)
+        # Of a newer schema version, nodes judge the envelope alone.
+        if not errors and value["schema_version"] <= record.SCHEMA_VERSION:
+            errors = record.find_spec_errors(value)
         if errors:
             raise exceptions.InvalidRecordError("; ".join(errors))
         uid = str(uuid.uuid4())
@@ -63,6 +66,8 @@
                 return entry
             case catalogs.Superseded(by):
                 raise exceptions.RecordBeatenError(_describe_winner(by))
+            case catalogs.Rejected(reasons):
+                raise exceptions.InvalidRecordError("; ".join(reasons))
             case _:
                 raise exceptions.PublicationUnknownError(
                     "the record was not found in the log"
