Build the program as one file and generate the reference pages

"make binary" writes dist/fireflyspur, a zipapp by shiv of this checkout's sources and the installed libraries that they need. The modules are not compiled at the first start, since shiv does that with child processes.

docs/reference.md lists every key of settings and records with type, default, bounds and description, docs/metrics.md every metric. "make generate" writes them, "make lint" and a test fail when they are not up to date.

The tools import the sources of the checkout in which make runs, also when the virtual environment is shared with another checkout.

One builds the file, runs log, VM list, engine and node from it without the checkout on the path, sends a request, and finds that none of the four processes has a child.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	--use-union-operator --disable-timestamp --use-schema-description \
 	--use-field-description --strict-nullable --formatters builtin
 
-.PHONY: all install generate format lint test lock
+.PHONY: all install generate format lint test lock binary demo demo-fleet
 
 all: test
 
@@ -26,6 +26,7 @@
 	$(CODEGEN) --input src/fireflyspur/schema/records.yaml --output $(GENERATED)/records.py
 	$(BIN)/python -m grpc_tools.protoc -Ifireflyspur/generated=src/fireflyspur/schema \
 		--python_out=src --grpc_python_out=src fireflyspur/generated/peer.proto
+	PYTHONPATH=src $(BIN)/python -m tools.reference
 
 format: install
 	$(BIN)/ruff check -q --fix src tests tools
@@ -35,9 +36,19 @@
 	$(BIN)/ruff check -q src tests tools
 	$(BIN)/ruff format -q --check src tests tools
 	$(BIN)/flake8 src tests tools
+	PYTHONPATH=src $(BIN)/python -m tools.reference --check
 
 test: lint
 	$(BIN)/python -m pytest tests
 
+binary: install
+	PYTHONPATH=src $(BIN)/python -m tools.binary
+
+demo: install
+	PYTHONPATH=src $(BIN)/python -m tools.demo $(if $(KEEP),--keep)
+
+demo-fleet: install
+	PYTHONPATH=src $(BIN)/python -m tools.demo --keep
+
 lock: install
 	$(BIN)/python -m pip freeze --exclude-editable > requirements.lock
--- a/tests/support/single_node.py
+++ b/tests/support/single_node.py
@@ -23,11 +23,14 @@
     def setUpClass(cls):
         super().setUpClass()
         with contextlib.ExitStack() as stack:
-            cls.fleet = stack.enter_context(fleets.Fleet())
+            cls.fleet = stack.enter_context(cls.new_fleet())
             cls.start()
-            stack.callback(cls.fleet.close)
             cls.addClassCleanup(stack.pop_all().close)
 
+    @classmethod
+    def new_fleet(cls):
+        return fleets.Fleet()
+
     @classmethod
     def start(cls):
         fleet = cls.fleet
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -41,11 +41,7 @@
             [*(program or [sys.executable, "-m", "fireflyspur"]), *arguments],
             stdout=subprocess.PIPE,
             stderr=self._log,
-            env={
-                **os.environ,
-                "PYTHONPATH": str(_SOURCE_FOLDER),
-                "PYTHONUNBUFFERED": "1",
-            },
+            env=_environment(is_built=program is not None),
         )
         self._ports: dict[str, int] | None = None
 
@@ -96,6 +92,16 @@
         return code
 
 
+def _environment(is_built: bool) -> dict[str, str]:
+    values = {**os.environ, "PYTHONUNBUFFERED": "1"}
+    if is_built:
+        # A built program must not find the sources of this checkout.
+        values.pop("PYTHONPATH", None)
+    else:
+        values["PYTHONPATH"] = str(_SOURCE_FOLDER)
+    return values
+
+
 class Fleet:
     """Log, VM list, engines, services and nodes as processes.
 
