--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -11,6 +11,7 @@
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
 from fireflyspur.node import membership_parts
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import router
 
@@ -30,3 +31,4 @@
     runner: prompt_runner.PromptRunner
     drain: drain_controller.DrainController
     membership: membership_parts.MembershipParts
+    metrics: metrics.Metrics
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -22,6 +22,7 @@
 from fireflyspur.node import http_server
 from fireflyspur.node import membership_parts
 from fireflyspur.observability import logs
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
@@ -61,13 +62,11 @@
         self._start_task(node.follower.run())
         self._start_task(self._load_poller.run())
         peer_port = await node.membership.start(self._stack)
-        limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
             http_server.caller_application(node),
             address,
             self._config.node.http_port,
-            limits.max_header_bytes,
         )
         admin, admin_port = http_server.listen(
             http_server.admin_application(node),
@@ -130,6 +129,8 @@
                 config.membership.staleness_bound_s / 2,
             ),
         )
+        reported = metrics.Metrics(config.metrics)
+        self._stack.callback(reported.close)
         return context.NodeContext(
             settings=config,
             follower=follower,
@@ -149,6 +150,7 @@
             membership=membership_parts.MembershipParts(
                 config, incarnation, follower, log, http, view, trail
             ),
+            metrics=reported,
         )
 
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
