Carry a prompt over engines that fail

A broken connection restarted the prompt on another engine, cancellations and retries had no bound but a fixed count, and a request that crashes engines could take one engine after the other.

An attempt now resumes on its engine and then moves with the delivered tokens as prefix. Lines of other attempts, repeated and swapped lines fall away. Retries draw on a token bucket; refusals do not, and are bounded. Releases are repeated until acknowledged, and a sweeper frees what dead nodes left.

Crashes are counted by fingerprint on the stream "faults". A suspect runs under an exclusive right that the log grants by offset, one for each fingerprint and one for each engine, so that neither two nodes nor two suspects of one batch can meet on an engine. Two crashes lead to quarantine.

Prompts larger than one engine reserve a group in ascending order of name and release all when one is missing.

A stream that failed inside the node ended without an error event; it now always carries one.

--- a/src/fireflyspur/clients/engine_client.py
+++ b/src/fireflyspur/clients/engine_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
 import socket
 from typing import Any
@@ -39,6 +40,8 @@
     :param start_index: index of the first token wanted; the prompt is
         continued after the tokens in ``prefix``
     :param owner: name and incarnation of the node
+    :param reservation: memory on the engine that the stream takes over
+    :param group: id, address and port of the reservations on other engines
     """
 
     request_id: str
@@ -53,6 +56,39 @@
     start_index: int = 0
     prefix: str = ""
     reservation: str = ""
+    group: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class Holding:
+    """Memory that an engine holds for an owner.
+
+    :param kind: ``stream``, ``reservation``, ``export`` or ``import``
+    :param owner: name and incarnation of a node
+    :param deadline: wall-clock time in seconds
+    :param attempt: attempt of a stream
+    """
+
+    kind: str
+    id: str
+    owner: str
+    deadline: float
+    attempt: int = 0
+    tokens: int = 0
+
+    @property
+    def path(self) -> str:
+        """Path under which the engine releases the holding."""
+        if self.kind == "stream":
+            return f"/streams/{self.id}?attempt={self.attempt}"
+        return f"/{_HOLDING_PATHS[self.kind]}/{self.id}"
+
+
+_HOLDING_PATHS = {
+    "reservation": "reservations",
+    "export": "kv/exports",
+    "import": "kv/imports",
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,11 +125,18 @@
         self._headers = {"Client-Name": client_name}
 
     async def start_stream(
-        self, engine: EngineAddress, start: StreamStart, timeout_s: float
+        self,
+        engine: EngineAddress,
+        start: StreamStart,
+        timeout_s: float,
+        on_load: Callable[[dict[str, Any]], None] | None = None,
+        interrupt: "asyncio.Future[None] | None" = None,
     ) -> AsyncIterator[StreamLine]:
         """Start a stream and yield its lines.
 
         :param timeout_s: seconds until the stream is given up
+        :param on_load: called with the load report of the answer's headers
+        :param interrupt: ends the stream once it is done
         :raises EngineUnavailableError: if nothing was sent
         :raises EngineRefusedError: if the engine refused the stream
         :raises EngineConnectionLostError: if the connection broke
@@ -106,7 +149,7 @@
             connect_timeout=min(_CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
-        async for line in self._read_lines(request):
+        async for line in self._read_lines(request, on_load, interrupt):
             yield line
 
     async def resume_stream(
@@ -116,6 +159,8 @@
         attempt: int,
         start_index: int,
         timeout_s: float,
+        on_load: Callable[[dict[str, Any]], None] | None = None,
+        interrupt: "asyncio.Future[None] | None" = None,
     ) -> AsyncIterator[StreamLine]:
         """Go on reading a stream after its connection broke.
 
@@ -131,21 +176,40 @@
             connect_timeout=min(_CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
-        async for line in self._read_lines(request):
+        async for line in self._read_lines(request, on_load, interrupt):
             yield line
 
-    async def cancel_stream(
-        self, engine: EngineAddress, request_id: str, attempt: int
-    ) -> None:
-        """Cancel a stream; returns when the engine has acknowledged.
+    async def release(self, engine: EngineAddress, holding: Holding) -> None:
+        """Release a holding; returns when the engine has acknowledged.
 
         :raises EngineUnavailableError: if there was no acknowledgement
         """
-        await self.fetch(
-            engine,
-            f"/streams/{request_id}?attempt={attempt}",
-            method="DELETE",
-        )
+        await self.fetch(engine, holding.path, method="DELETE")
+
+    async def reserve(self, engine: EngineAddress, holding: Holding) -> None:
+        """Reserve memory.
+
+        :raises EngineUnavailableError: if there was no answer; the memory
+            may be reserved all the same
+        :raises EngineRefusedError: if the memory is not free
+        """
+        body = {
+            "reservation_id": holding.id,
+            "owner": holding.owner,
+            "deadline": holding.deadline,
+            "tokens": holding.tokens,
+        }
+        await self.fetch(engine, "/reservations", method="POST", body=body)
+
+    async def holdings(self, engine: EngineAddress) -> list[Holding]:
+        """Return all that the engine holds."""
+        answer = await self.fetch(engine, "/holdings")
+        return msgspec.convert(answer["holdings"], list[Holding])
+
+    async def incarnation(self, engine: EngineAddress) -> str:
+        """Return a name that changes with each start of the engine."""
+        answer = await self.fetch(engine, "/state")
+        return str(answer["incarnation"])
 
     async def fetch(
         self,
@@ -179,14 +243,31 @@
         return msgspec.json.decode(response.body)
 
     async def _read_lines(
-        self, request: httpclient.HTTPRequest
+        self,
+        request: httpclient.HTTPRequest,
+        on_load: Callable[[dict[str, Any]], None] | None,
+        interrupt: "asyncio.Future[None] | None",
     ) -> AsyncIterator[StreamLine]:
         chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
-        request.streaming_callback = chunks.put_nowait
+        is_read = True
+
+        def take(chunk: bytes) -> None:
+            # The connection outlives a stream that nobody reads any more.
+            if is_read:
+                chunks.put_nowait(chunk)
+
+        def end(_: object) -> None:
+            chunks.put_nowait(None)
+
+        request.streaming_callback = take
+        if on_load:
+            request.header_callback = _LoadHeader(on_load)
         fetch = asyncio.ensure_future(
             self._http.fetch(request, raise_error=False)
         )
-        fetch.add_done_callback(lambda _: chunks.put_nowait(None))
+        fetch.add_done_callback(end)
+        if interrupt:
+            interrupt.add_done_callback(end)
         received, pending = False, b""
         try:
             while (chunk := await chunks.get()) is not None:
@@ -194,11 +275,41 @@
                 *lines, pending = (pending + chunk).split(b"\n")
                 for raw in lines:
                     yield _decode_line(raw)
+            if not fetch.done():
+                raise exceptions.EngineConnectionLostError(
+                    "the node ended the stream"
+                )
             _check_end(fetch, received, pending)
         finally:
+            is_read = False
+            if interrupt:
+                interrupt.remove_done_callback(end)
             fetch.cancel()
 
 
+class _LoadHeader:
+    """Finds the load report among the lines of a header block.
+
+    :param on_load: called with the report
+    """
+
+    _PREFIX = "engine-load:"
+
+    def __init__(self, on_load: Callable[[dict[str, Any]], None]) -> None:
+        self._on_load = on_load
+
+    def __call__(self, line: str) -> None:
+        """Take one line."""
+        if not line.lower().startswith(self._PREFIX):
+            return
+        try:
+            report = msgspec.json.decode(line[len(self._PREFIX) :])
+        except msgspec.MsgspecError:
+            return
+        if isinstance(report, dict):
+            self._on_load(report)
+
+
 def _decode_line(raw: bytes) -> StreamLine:
     try:
         return msgspec.json.decode(raw, type=StreamLine)
@@ -218,7 +329,9 @@
         response = fetch.result()
         if response.code == 200:
             return
-        if 400 <= response.code < 599:
+        # An engine that failed inside may have begun; only its refusals
+        # promise that it did not.
+        if 400 <= response.code < 500 or response.code == 503:
             raise exceptions.EngineRefusedError(
                 _error_code(response.body or pending)
             )
--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -47,3 +47,22 @@
 
     code = "engine_connection_lost"
     http_status = 502
+
+
+class EngineFailedError(exceptions.FireflyspurError):
+    """The engine gave up a stream that it had taken.
+
+    :param reason: the engine's code
+    """
+
+    code = "engine_failed"
+    http_status = 502
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"the engine gave the stream up: {reason}")
+        self._reason = reason
+
+    @property
+    def reason(self) -> str:
+        """The engine's code."""
+        return self._reason
--- /dev/null
+++ b/src/fireflyspur/engines/crash_counts.py
@@ -0,0 +1,179 @@
+"""Crashes and trials as a pure function of the ``faults`` stream."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from fireflyspur.engines import engine_crash
+
+# One crash may have been caused by any request of the batch; two different
+# batches rarely share more than the request that caused both.
+CRASHES_TO_QUARANTINE = 2
+_MAX_ENDED = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """The right to run a suspect on an engine, with no other suspect there.
+
+    :param deadline: wall-clock time at which the trial ends by itself
+    """
+
+    uid: str
+    fingerprint: str
+    engine: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Death:
+    """One crash of an engine that ran a fingerprint.
+
+    :param time: time of the record
+    :param rank: place in the log, None for a crash known from news alone
+    """
+
+    time: float
+    rank: tuple[int, int] | None
+
+
+class CrashCounts:
+    """Which fingerprints are suspects and which are quarantined.
+
+    A crash is counted once for each incarnation of an engine, on whichever
+    nodes and under whichever request ids it was seen.
+
+    :param quarantine_s: returns the duration of a quarantine
+    """
+
+    def __init__(self, quarantine_s: Callable[[], float]) -> None:
+        self._quarantine_s = quarantine_s
+        self._deaths: dict[str, dict[tuple[str, str], Death]] = {}
+        self._trials: dict[str, Trial] = {}
+        self._ended: dict[str, None] = {}
+
+    def apply(self, offset: int, time: float, value: dict[str, Any]) -> None:
+        """Apply the record at an offset."""
+        crash = engine_crash.EngineCrash.from_record(value)
+        if crash:
+            for index, fingerprint in enumerate(crash.fingerprints):
+                self._add(
+                    fingerprint,
+                    (crash.engine, crash.incarnation),
+                    Death(time, (offset, index)),
+                )
+            return
+        match value:
+            case {
+                "kind": "trial",
+                "uid": str(uid),
+                "fingerprint": str(fingerprint),
+                "engine": str(engine),
+                "deadline": float() | int() as deadline,
+            }:
+                trial = Trial(uid, fingerprint, engine, deadline)
+                if uid not in self._ended and self.is_free(
+                    fingerprint, engine, time
+                ):
+                    self._trials.setdefault(uid, trial)
+            case {"kind": "trial_end", "trial": str(uid)}:
+                # The append of the trial itself may arrive later.
+                self._ended[uid] = None
+                self._trials.pop(uid, None)
+                if len(self._ended) > _MAX_ENDED:
+                    del self._ended[next(iter(self._ended))]
+
+    def add_news(self, crash: engine_crash.EngineCrash, time: float) -> None:
+        """Count a crash that the log does not hold yet."""
+        key = crash.engine, crash.incarnation
+        for fingerprint in crash.fingerprints:
+            self._add(fingerprint, key, Death(time, None))
+
+    def is_free(self, fingerprint: str, engine: str, time: float) -> bool:
+        """Whether neither the fingerprint nor the engine has a trial."""
+        return not any(
+            trial.fingerprint == fingerprint or trial.engine == engine
+            for trial in self.trials(time)
+        )
+
+    def trials(self, time: float) -> list[Trial]:
+        """Return the trials that have not ended."""
+        return [t for t in self._trials.values() if t.deadline > time]
+
+    def has_trial(self, uid: str) -> bool:
+        """Whether a trial was accepted and has not been ended."""
+        return uid in self._trials
+
+    def count(self, fingerprint: str, time: float) -> int:
+        """Return the crashes of a fingerprint that have not expired."""
+        return len(self._live(fingerprint, time))
+
+    def quarantined_until(self, fingerprint: str, time: float) -> float | None:
+        """Return the end of a fingerprint's quarantine, or None."""
+        times = [death.time for death in self._live(fingerprint, time)]
+        if len(times) < CRASHES_TO_QUARANTINE:
+            return None
+        return times[-1] + self._quarantine_s()
+
+    def rank(self, fingerprint: str, time: float) -> int:
+        """Return the place of a suspect among all suspects of the log."""
+        own = self._first_rank(fingerprint, time)
+        return sum(
+            self._first_rank(other, time) < own for other in self._deaths
+        )
+
+    def quarantined(self, time: float) -> dict[str, float]:
+        """Return the quarantined fingerprints with the end of each."""
+        ends = {f: self.quarantined_until(f, time) for f in self._deaths}
+        return {f: end for f, end in ends.items() if end is not None}
+
+    def suspects(self, time: float) -> list[str]:
+        """Return the fingerprints with a crash that are not quarantined."""
+        return [
+            f
+            for f in self._deaths
+            if 0 < self.count(f, time) < CRASHES_TO_QUARANTINE
+        ]
+
+    def remove_expired(self, time: float) -> list[str]:
+        """Forget what has expired.
+
+        :returns: the fingerprints that are no longer counted
+        """
+        expired = [f for f in self._deaths if not self._live(f, time)]
+        for fingerprint in expired:
+            del self._deaths[fingerprint]
+        live = {trial.uid: trial for trial in self.trials(time)}
+        self._trials = live
+        return expired
+
+    def _add(
+        self, fingerprint: str, key: tuple[str, str], death: Death
+    ) -> None:
+        known = self._deaths.setdefault(fingerprint, {})
+        if key not in known or known[key].rank is None:
+            known[key] = death
+
+    def _live(self, fingerprint: str, time: float) -> list[Death]:
+        """Return the deaths that count, oldest first.
+
+        The last one keeps those before it alive for the whole quarantine.
+        """
+        deaths = sorted(
+            self._deaths.get(fingerprint, {}).values(), key=lambda d: d.time
+        )
+        period_s = self._quarantine_s()
+        if not deaths or deaths[-1].time + period_s <= time:
+            return []
+        live = [deaths[-1]]
+        for death in reversed(deaths[:-1]):
+            if death.time + period_s <= live[0].time:
+                break
+            live.insert(0, death)
+        return live
+
+    def _first_rank(
+        self, fingerprint: str, time: float
+    ) -> tuple[float, float]:
+        ranks = [d.rank for d in self._live(fingerprint, time) if d.rank]
+        return min(ranks, default=(float("inf"), 0))
--- /dev/null
+++ b/src/fireflyspur/engines/crash_reporter.py
@@ -0,0 +1,149 @@
+"""Detection of crashed engines and report of the requests they ran."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import uuid
+
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions
+from fireflyspur.engines import attempt as attempts
+from fireflyspur.engines import engine_crash
+
+# A short interruption of the network alone does not make a crash.
+_PROBES = 3
+_PROBE_INTERVAL_S = 0.1
+_MAX_REPORTS = 1000
+
+
+class Run:
+    """An attempt in progress.
+
+    :param incarnation: which start of the engine took it, as far as known
+    :param is_trial: whether it runs under the exclusive right of a suspect
+    """
+
+    def __init__(
+        self,
+        fingerprint: str,
+        engine: engine_client.EngineAddress,
+        incarnation: str,
+        is_trial: bool,
+    ) -> None:
+        self.fingerprint = fingerprint
+        self.engine = engine
+        self.incarnation = incarnation
+        self.is_trial = is_trial
+        self.attempt: attempts.Attempt | None = None
+
+
+class CrashReporter:
+    """Knows what runs on each engine and reports it when the engine dies.
+
+    :param client: client of the engines
+    :param report: records a crash
+    """
+
+    def __init__(
+        self,
+        client: engine_client.EngineClient,
+        report: Callable[[engine_crash.EngineCrash], Awaitable[None]],
+    ) -> None:
+        self._client = client
+        self._report = report
+        self._runs: list[Run] = []
+        self._incarnations: dict[str, str] = {}
+        self._probes: dict[tuple[str, str], asyncio.Task[bool]] = {}
+        self._reported: dict[tuple[str, str], set[str]] = {}
+        self._reporting = asyncio.Lock()
+
+    @property
+    def runs(self) -> list[Run]:
+        """The attempts in progress."""
+        return list(self._runs)
+
+    @contextlib.contextmanager
+    def running(
+        self,
+        fingerprint: str,
+        engine: engine_client.EngineAddress,
+        is_trial: bool,
+    ) -> Iterator[Run]:
+        """Count a request as running on an engine."""
+        known = self._incarnations.get(engine.name, "")
+        run = Run(fingerprint, engine, known, is_trial)
+        self._runs.append(run)
+        try:
+            yield run
+        finally:
+            self._runs.remove(run)
+
+    def note_incarnation(self, run: Run, incarnation: str) -> None:
+        """Note which start of the engine took a request."""
+        run.incarnation = incarnation
+        self._incarnations[run.engine.name] = incarnation
+
+    async def check(self, run: Run) -> bool:
+        """Find out whether the engine of a broken stream has died.
+
+        :returns: whether it died; its requests are then reported
+        """
+        key = run.engine.name, run.incarnation
+        if key not in self._probes:
+            if len(self._probes) > _MAX_REPORTS:
+                self._forget_oldest()
+            self._probes[key] = asyncio.create_task(
+                self._probe(run.engine, *key)
+            )
+        task = self._probes[key]
+        has_died = await asyncio.shield(task)
+        if not has_died:
+            # The next broken stream asks again.
+            if self._probes.get(key) is task:
+                del self._probes[key]
+            return False
+        await self._report_all(run.engine.name, run.incarnation)
+        return True
+
+    async def _probe(
+        self, engine: engine_client.EngineAddress, name: str, incarnation: str
+    ) -> bool:
+        for number in range(_PROBES):
+            if number:
+                await asyncio.sleep(_PROBE_INTERVAL_S)
+            try:
+                seen = await self._client.incarnation(engine)
+            except exceptions.EngineUnavailableError:
+                continue
+            except (exceptions.EngineRefusedError, KeyError, TypeError):
+                return False
+            self._incarnations[name] = seen
+            return bool(incarnation) and seen != incarnation
+        return True
+
+    async def _report_all(self, engine: str, incarnation: str) -> None:
+        reported = self._reported.setdefault((engine, incarnation), set())
+        # All wait until the crash is recorded, also those that another
+        # broken stream has reported.
+        async with self._reporting:
+            fingerprints = {
+                run.fingerprint
+                for run in self._runs
+                if (run.engine.name, run.incarnation) == (engine, incarnation)
+                and not (run.attempt and run.attempt.was_refused)
+            }
+            missing = sorted(fingerprints - reported)
+            if not missing:
+                return
+            reported.update(missing)
+            crash = engine_crash.EngineCrash(
+                f"crash-{uuid.uuid4()}", engine, incarnation, tuple(missing)
+            )
+            await self._report(crash)
+
+    def _forget_oldest(self) -> None:
+        oldest = next(iter(self._probes))
+        del self._probes[oldest]
+        self._reported.pop(oldest, None)
--- a/src/fireflyspur/engines/exceptions.py
+++ b/src/fireflyspur/engines/exceptions.py
@@ -14,4 +14,25 @@
     """All attempts allowed by the retry budget failed."""
 
     code = "attempts_exhausted"
-    http_status = 502
+    http_status = 503
+
+
+class EnginesBusyError(exceptions.FireflyspurError):
+    """The engines refused the prompt without doing work."""
+
+    code = "engines_busy"
+    http_status = 503
+
+
+class PromptTooLargeError(exceptions.FireflyspurError):
+    """The prompt needs more memory than its engines have together."""
+
+    code = "prompt_too_large"
+    http_status = 413
+
+
+class RequestQuarantinedError(exceptions.FireflyspurError):
+    """The request crashed two engines and is refused for a time."""
+
+    code = "request_quarantined"
+    http_status = 422
--- /dev/null
+++ b/src/fireflyspur/engines/group_reserver.py
@@ -0,0 +1,177 @@
+"""Reservation of memory on several engines, all or nothing."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import random
+import time
+from typing import Any
+import uuid
+
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions as client_exceptions
+from fireflyspur.engines import exceptions
+from fireflyspur.engines import releaser as releasers
+
+_MIN_DELAY_S = 0.02
+_MAX_DELAY_S = 0.4
+# After this time of waiting a group tries at the shortest interval, so that
+# later groups do not overtake it again and again.
+_AGED_S = 10.0
+# Engines count their memory in blocks and round up.
+_ROUNDING_TOKENS = 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """An engine that may be part of a group."""
+
+    address: engine_client.EngineAddress
+    memory_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """Memory reserved on several engines.
+
+    :param lead: the engine that runs the stream
+    :param reservation: id of the reservation on the lead
+    :param others: id, address and port of the other reservations
+    """
+
+    lead: engine_client.EngineAddress
+    reservation: str
+    others: list[dict[str, Any]]
+
+
+class GroupReserver:
+    """Reserves engines in ascending order of name, without waiting.
+
+    A group that misses one engine releases all and tries again after a random
+    delay, so groups that compete cannot wait for each other.
+
+    :param client: client of the engines
+    :param releaser: releases what was reserved
+    :param owner: name and incarnation of this node
+    """
+
+    def __init__(
+        self,
+        client: engine_client.EngineClient,
+        releaser: releasers.Releaser,
+        owner: str,
+    ) -> None:
+        self._client = client
+        self._releaser = releaser
+        self._owner = owner
+
+    @contextlib.asynccontextmanager
+    async def reserve(
+        self,
+        tokens: int,
+        members: Callable[[], list[Member]],
+        deadline: float,
+    ) -> AsyncIterator[Group]:
+        """Hold memory on a group of engines.
+
+        :param tokens: memory needed in all
+        :param members: returns the engines to choose from
+        :param deadline: monotonic time at which the request fails
+        :raises EnginesBusyError: if the engines that take work now are too
+            small together, or the memory was not free in time
+        """
+        started = time.monotonic()
+        wall_deadline = time.time() + deadline - started
+        held: list[tuple[engine_client.EngineAddress, engine_client.Holding]]
+        while True:
+            shares = _shares(tokens, members())
+            held = []
+            try:
+                if await self._reserve_all(shares, wall_deadline, held):
+                    yield _group(held)
+                    return
+            finally:
+                # The lead's reservation became part of its stream, and its
+                # release does nothing.
+                releases = [self._releaser.release(*item) for item in held]
+            if releases:
+                await asyncio.wait(releases, timeout=_MAX_DELAY_S)
+            delay_s = _delay_s(time.monotonic() - started)
+            if time.monotonic() + delay_s >= deadline:
+                raise exceptions.EnginesBusyError(
+                    f"no engines had {tokens} tokens of memory free in time",
+                    retry_after_s=_AGED_S,
+                )
+            await asyncio.sleep(delay_s)
+
+    async def _reserve_all(
+        self,
+        shares: list[tuple[Member, int]],
+        deadline: float,
+        held: list[tuple[engine_client.EngineAddress, engine_client.Holding]],
+    ) -> bool:
+        for member, share in shares:
+            holding = engine_client.Holding(
+                "reservation",
+                f"reservation-{uuid.uuid4()}",
+                self._owner,
+                deadline,
+                tokens=share,
+            )
+            # An answer that is lost may stand for memory that is reserved,
+            # so the holding counts as held before the call.
+            held.append((member.address, holding))
+            try:
+                await self._client.reserve(member.address, holding)
+            except client_exceptions.EngineRefusedError:
+                held.pop()
+                return False
+            except client_exceptions.EngineUnavailableError:
+                return False
+        return True
+
+
+def _shares(tokens: int, members: list[Member]) -> list[tuple[Member, int]]:
+    """Choose engines and split the tokens over them, in order of name."""
+    chosen: list[Member] = []
+    available = 0
+    # A random choice among engines of the same size keeps groups that start
+    # together apart.
+    order = random.sample(members, len(members))
+    for member in sorted(order, key=lambda m: -m.memory_tokens):
+        if available >= tokens + _ROUNDING_TOKENS * len(chosen):
+            break
+        chosen.append(member)
+        available += member.memory_tokens
+    wanted = tokens + _ROUNDING_TOKENS * len(chosen)
+    if available < wanted:
+        raise exceptions.EnginesBusyError(
+            f"the prompt needs {tokens} tokens of memory, and the engines"
+            f" that take work now have {available}",
+            retry_after_s=_AGED_S,
+        )
+    return [
+        (m, min(m.memory_tokens, -(-wanted * m.memory_tokens // available)))
+        for m in sorted(chosen, key=lambda m: m.address.name)
+    ]
+
+
+def _group(
+    held: list[tuple[engine_client.EngineAddress, engine_client.Holding]],
+) -> Group:
+    (lead, own), *others = held
+    return Group(
+        lead,
+        own.id,
+        [
+            {"id": h.id, "address": e.address, "port": e.port}
+            for e, h in others
+        ],
+    )
+
+
+def _delay_s(waited_s: float) -> float:
+    youth = max(0.0, 1 - waited_s / _AGED_S)
+    return random.uniform(_MIN_DELAY_S, _MIN_DELAY_S + _MAX_DELAY_S * youth)
--- /dev/null
+++ b/src/fireflyspur/engines/holding_sweeper.py
@@ -0,0 +1,117 @@
+"""Release of what dead nodes and failed requests left on engines."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+
+from fireflyspur.audit import audit_trail
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions
+from fireflyspur.membership import rendezvous
+from fireflyspur.observability import logs
+
+_INTERVAL_S = 1.0
+# The owner releases what it gives up itself; its clock may differ a little.
+_GRACE_S = 0.5
+
+_log = logs.log_for("engines")
+
+
+class HoldingSweeper:
+    """Visits the engines that this node is responsible for.
+
+    :param client: client of the engines
+    :param engines: returns the addresses of all engines
+    :param name: name of this node
+    :param live_names: returns the names of the live nodes
+    :param is_dead: says whether an incarnation of a node is dead
+    :param trail: told of what was released, and why
+    """
+
+    def __init__(
+        self,
+        client: engine_client.EngineClient,
+        engines: Callable[[], list[engine_client.EngineAddress]],
+        name: str,
+        live_names: Callable[[], list[str]],
+        is_dead: Callable[[str, int], bool],
+        trail: audit_trail.AuditTrail,
+    ) -> None:
+        self._client = client
+        self._engines = engines
+        self._name = name
+        self._live_names = live_names
+        self._is_dead = is_dead
+        self._trail = trail
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            # A random part keeps the nodes' visits apart.
+            await asyncio.sleep(_INTERVAL_S * random.uniform(0.75, 1.25))
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Visit each engine that is this node's own once."""
+        live = self._live_names()
+        await asyncio.gather(
+            *(
+                self._visit(engine)
+                for engine in self._engines()
+                if rendezvous.owner(engine.name, live) == self._name
+            )
+        )
+
+    async def _visit(self, engine: engine_client.EngineAddress) -> None:
+        try:
+            holdings = await self._client.holdings(engine)
+            for holding in holdings:
+                if reason := self._find_reason(holding):
+                    await self._release(engine, holding, reason)
+        except _NO_ANSWER as error:
+            _log.debug("Sweep of {} failed: {}", engine.name, error)
+        except (KeyError, TypeError, ValueError) as error:
+            _log.warning(
+                "Holdings of {} are not valid: {}", engine.name, error
+            )
+
+    def _find_reason(self, holding: engine_client.Holding) -> str:
+        if holding.deadline + _GRACE_S <= time.time():
+            return "its deadline has passed"
+        name, _, incarnation = holding.owner.rpartition(":")
+        if incarnation.isdigit() and self._is_dead(name, int(incarnation)):
+            return f"its owner {holding.owner} is dead"
+        return ""
+
+    async def _release(
+        self,
+        engine: engine_client.EngineAddress,
+        holding: engine_client.Holding,
+        reason: str,
+    ) -> None:
+        try:
+            await self._client.release(engine, holding)
+        except _NO_ANSWER as error:
+            # What is still held is seen again at the next visit.
+            _log.debug("Release on {} failed: {}", engine.name, error)
+            return
+        self._trail.add(
+            "engines",
+            "holding_released",
+            f"engine/{engine.name}/{holding.kind}/{holding.id}",
+            reason,
+        )
+        _log.info(
+            "Released {} {} on {}: {}",
+            holding.kind,
+            holding.id,
+            engine.name,
+            reason,
+        )
+
+
+_NO_ANSWER = (
+    exceptions.EngineUnavailableError,
+    exceptions.EngineRefusedError,
+)
--- /dev/null
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -0,0 +1,360 @@
+"""The way of one prompt over the engines, attempt by attempt."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import time
+from typing import Any
+
+from fireflyspur.audit import audit_trail
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions as client_exceptions
+from fireflyspur.engines import attempt as attempts
+from fireflyspur.engines import crash_reporter
+from fireflyspur.engines import exceptions
+from fireflyspur.engines import group_reserver
+from fireflyspur.engines import prompt_request
+from fireflyspur.engines import quarantine as quarantines
+from fireflyspur.engines import releaser as releasers
+from fireflyspur.engines import retry_budget
+from fireflyspur.engines import token_delivery
+from fireflyspur.errors import exceptions as base_exceptions
+from fireflyspur.errors import verdict as verdicts
+from fireflyspur.observability import logs
+from fireflyspur.routing import engine_view
+from fireflyspur.routing import exceptions as routing_exceptions
+from fireflyspur.routing import router as routers
+
+# The error itself must reach the caller within the time limit.
+_ANSWER_MARGIN_S = 0.02
+# An attempt with less time cannot even be set up.
+_MIN_ATTEMPT_S = 0.05
+# An acknowledged cancellation turns "may have run" into "not run"; the answer
+# waits no longer than this for it.
+_SETTLE_S = 0.25
+_INTERRUPT_S = 0.5
+_MAX_REFUSALS = 8
+_MAX_ATTEMPTS = 16
+_RETRY_AFTER_S = 1.0
+
+_log = logs.log_for("engines")
+
+
+@dataclasses.dataclass(frozen=True)
+class RunParts:
+    """What the prompts of a node share."""
+
+    client: engine_client.EngineClient
+    router: routers.Router
+    owner: str
+    budget: retry_budget.RetryBudget
+    quarantine: quarantines.Quarantine
+    reserver: group_reserver.GroupReserver
+    releaser: releasers.Releaser
+    trail: audit_trail.AuditTrail
+
+
+@dataclasses.dataclass(frozen=True)
+class _Place:
+    placement: engine_view.Placement
+    group: group_reserver.Group | None = None
+    is_trial: bool = False
+
+
+class PromptRun:
+    """Runs one prompt.
+
+    :param parts: what the prompts share
+    :param request: the prompt
+    """
+
+    def __init__(
+        self, parts: RunParts, request: prompt_request.PromptRequest
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._fingerprint = quarantines.fingerprint_of(request)
+        self._delivery = token_delivery.TokenDelivery(request.request_id)
+        self._deadline = request.deadline - _ANSWER_MARGIN_S
+        self._attempts: list[attempts.Attempt] = []
+        self._failed: list[str] = []
+        self._refusals = 0
+
+    async def lines(self) -> AsyncIterator[engine_client.StreamLine]:
+        """Yield the tokens in order, each once, then the closing line.
+
+        :raises FireflyspurError: with the verdict over all attempts
+        """
+        self._parts.budget.note_first_attempt()
+        await self._parts.quarantine.wait_read()
+        try:
+            while True:
+                self._check_time()
+                async with contextlib.aclosing(self._try_once()) as lines:
+                    async for line in lines:
+                        yield line
+                        if line.type == "done":
+                            return
+        except base_exceptions.FireflyspurError as error:
+            raise await self._with_verdict(error) from error
+
+    async def _try_once(self) -> AsyncIterator[engine_client.StreamLine]:
+        """Yield the lines of one attempt; returns when it is to be retried."""
+        async with contextlib.AsyncExitStack() as stack:
+            place = await self._place(stack)
+            engine = self._parts.router.view.address(place.placement.engine)
+            run = stack.enter_context(
+                self._parts.quarantine.reporter.running(
+                    self._fingerprint, engine, place.is_trial
+                )
+            )
+            attempt = self._begin(engine, place, run)
+            try:
+                async with contextlib.aclosing(attempt.lines()) as lines:
+                    async for line in lines:
+                        yield line
+                return
+            except _FAILURES as error:
+                failure = error
+            finally:
+                self._release(attempt)
+            await self._judge(attempt, run, failure)
+
+    async def _place(self, stack: contextlib.AsyncExitStack) -> _Place:
+        parts = self._parts
+        self._check_quarantine()
+        need = self._request.prompt_tokens + self._request.max_tokens
+        if self._needs_group(need):
+            group = await stack.enter_async_context(
+                parts.reserver.reserve(need, self._members, self._deadline)
+            )
+            placement = engine_view.Placement(
+                group.lead.name, self._request.prompt_tokens, need
+            )
+            parts.router.view.add(placement)
+            place = _Place(placement, group)
+        elif parts.quarantine.is_suspect(self._fingerprint):
+            trial = await stack.enter_async_context(
+                parts.quarantine.trials.acquire(
+                    self._fingerprint,
+                    self._trial_candidates,
+                    self._deadline,
+                    self._check_quarantine,
+                )
+            )
+            others = set(self._candidates()) - {trial.engine}
+            placement = parts.router.choose(self._route(), others)
+            place = _Place(placement, None, trial.is_recorded)
+        else:
+            avoid = {*self._failed, *parts.quarantine.trials.engines()}
+            placement = parts.router.choose(self._route(), avoid)
+            place = _Place(placement)
+        stack.callback(parts.router.view.remove, placement)
+        return place
+
+    def _begin(
+        self,
+        engine: engine_client.EngineAddress,
+        place: _Place,
+        run: crash_reporter.Run,
+    ) -> attempts.Attempt:
+        request, group = self._request, place.group
+        start = engine_client.StreamStart(
+            request_id=request.request_id,
+            attempt=len(self._attempts) + 1,
+            owner=self._parts.owner,
+            deadline=time.time() + self._deadline - time.monotonic(),
+            model=request.model,
+            adapter=request.adapter,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            start_index=self._delivery.count,
+            prefix=self._delivery.text,
+            reservation=group.reservation if group else "",
+            group=group.others if group else [],
+        )
+
+        def note_load(report: dict[str, Any]) -> None:
+            if "incarnation" in report:
+                self._parts.quarantine.reporter.note_incarnation(
+                    run, str(report["incarnation"])
+                )
+
+        attempt = attempts.Attempt(
+            self._parts.client,
+            engine,
+            start,
+            self._delivery,
+            self._deadline,
+            note_load,
+        )
+        run.attempt = attempt
+        self._attempts.append(attempt)
+        return attempt
+
+    def _release(self, attempt: attempts.Attempt) -> None:
+        if attempt.is_finished or attempt.was_refused:
+            return
+        start = attempt.start
+        attempt.release = self._parts.releaser.release(
+            attempt.engine,
+            engine_client.Holding(
+                "stream",
+                start.request_id,
+                start.owner,
+                start.deadline,
+                start.attempt,
+            ),
+        )
+
+    async def _judge(
+        self,
+        attempt: attempts.Attempt,
+        run: crash_reporter.Run,
+        error: base_exceptions.FireflyspurError,
+    ) -> None:
+        """Decide whether a failed attempt is followed by another."""
+        engine = attempt.engine
+        self._check_time()
+        _log.info("Attempt on {} failed: {}", engine.name, error)
+        self._parts.trail.add(
+            "engines",
+            "attempt_failed",
+            f"request/{self._request.request_id}/{attempt.start.attempt}",
+            f"{engine.name}: {error}",
+        )
+        if attempt.was_refused:
+            self._note_refusal(engine, error)
+            return
+        if attempt.was_interrupted:
+            # The trial that follows is bounded by itself. The engine may have
+            # died before it took the cancellation.
+            if attempt.release:
+                await asyncio.wait([attempt.release], timeout=_INTERRUPT_S)
+            await self._parts.quarantine.reporter.check(run)
+            return
+        self._failed.append(engine.name)
+        has_crashed = False
+        if isinstance(error, client_exceptions.EngineConnectionLostError):
+            has_crashed = await self._parts.quarantine.reporter.check(run)
+        if has_crashed:
+            self._parts.router.view.mark_unreachable(engine.name)
+            self._check_quarantine()
+        # Trials are bounded by the log: one at a time for each engine.
+        if len(self._attempts) >= _MAX_ATTEMPTS or not (
+            has_crashed or self._parts.budget.try_spend()
+        ):
+            raise exceptions.AttemptsExhaustedError(
+                f"{len(self._failed)} attempts failed, the last one on"
+                f" {engine.name}: {error}",
+                retry_after_s=_RETRY_AFTER_S,
+            ) from error
+
+    def _note_refusal(
+        self,
+        engine: engine_client.EngineAddress,
+        error: base_exceptions.FireflyspurError,
+    ) -> None:
+        view = self._parts.router.view
+        self._failed.append(engine.name)
+        match error:
+            case client_exceptions.EngineRefusedError(reason="leaving"):
+                view.mark_leaving(engine.address, engine.port)
+            case client_exceptions.EngineRefusedError():
+                pass
+            case _:
+                view.mark_unreachable(engine.name)
+        self._refusals += 1
+        untried = set(self._candidates()) - set(self._failed)
+        if self._refusals >= _MAX_REFUSALS or not untried:
+            raise exceptions.EnginesBusyError(
+                f"{self._refusals} engines refused the prompt, the last one"
+                f" {engine.name}: {error}",
+                retry_after_s=_RETRY_AFTER_S,
+            ) from error
+
+    def _check_time(self) -> None:
+        if self._deadline - time.monotonic() < _MIN_ATTEMPT_S:
+            raise exceptions.DeadlineExceededError("the time limit passed")
+
+    def _check_quarantine(self) -> None:
+        self._parts.quarantine.check(self._fingerprint, self._verdict())
+
+    def _verdict(self) -> verdicts.Verdict:
+        if any(attempt.may_have_run for attempt in self._attempts):
+            return verdicts.Verdict.MAY_HAVE_RUN
+        return verdicts.Verdict.NOT_RUN
+
+    async def _with_verdict(
+        self, error: base_exceptions.FireflyspurError
+    ) -> base_exceptions.FireflyspurError:
+        """Return the error with the verdict over all attempts."""
+        pending = [a.release for a in self._attempts if a.release]
+        wait_s = min(_SETTLE_S, self._deadline - time.monotonic())
+        if pending and not self._delivery.count and wait_s > 0:
+            await asyncio.wait(pending, timeout=wait_s)
+        return type(error)(
+            str(error),
+            verdict=self._verdict(),
+            retry_after_s=error.retry_after_s,
+        )
+
+    def _candidates(self) -> list[str]:
+        return self._parts.router.view.candidates(
+            self._request.model, self._request.adapter
+        )
+
+    def _trial_candidates(self) -> list[str]:
+        names = self._candidates()
+        if not names:
+            raise routing_exceptions.NoEngineError(
+                f"no engine with model {self._request.model} takes work now",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        return [n for n in names if n not in self._failed] or names
+
+    def _members(self) -> list[group_reserver.Member]:
+        view = self._parts.router.view
+        specs = view.specs()
+        return [
+            group_reserver.Member(view.address(n), specs[n].memory_tokens)
+            for n in self._candidates()
+            if n not in self._failed
+        ]
+
+    def _needs_group(self, tokens: int) -> bool:
+        """Whether no single engine is large enough.
+
+        :raises PromptTooLargeError: if all engines together are too small
+        """
+        sizes = [
+            spec.memory_tokens
+            for spec in self._parts.router.view.specs().values()
+            if self._request.model in spec.models
+        ]
+        if sizes and tokens > sum(sizes):
+            raise exceptions.PromptTooLargeError(
+                f"the prompt needs {tokens} tokens of memory, and the engines"
+                f" of model {self._request.model} have {sum(sizes)}"
+            )
+        return bool(sizes) and tokens > max(sizes)
+
+    def _route(self) -> routers.RouteRequest:
+        request = self._request
+        return routers.RouteRequest(
+            request.model,
+            request.adapter,
+            request.prompt,
+            request.prompt_tokens,
+            request.max_tokens,
+        )
+
+
+_FAILURES = (
+    client_exceptions.EngineUnavailableError,
+    client_exceptions.EngineRefusedError,
+    client_exceptions.EngineFailedError,
+    client_exceptions.EngineConnectionLostError,
+)
--- /dev/null
+++ b/src/fireflyspur/engines/retry_budget.py
@@ -0,0 +1,45 @@
+"""Bound on retries, so that they cannot amplify an overload."""
+
+from collections.abc import Callable
+
+# A node that has just started may retry this often.
+_RESERVE = 5.0
+_MAX_SAVED = 100.0
+
+
+class RetryBudget:
+    """Token bucket that first attempts fill and retries empty.
+
+    :param ratio: returns the retries allowed for each first attempt
+    :param reserve: retries allowed before any first attempt
+    """
+
+    def __init__(
+        self, ratio: Callable[[], float], reserve: float = _RESERVE
+    ) -> None:
+        self._ratio = ratio
+        self._available = reserve
+        self._spent = 0
+        self._denied = 0
+
+    def note_first_attempt(self) -> None:
+        """Count a first attempt."""
+        self._available = min(_MAX_SAVED, self._available + self._ratio())
+
+    def try_spend(self) -> bool:
+        """Take one retry; False when the budget is empty."""
+        # The sum of many ratios falls short of a whole by rounding.
+        if self._available < 1 - 1e-9:
+            self._denied += 1
+            return False
+        self._available -= 1
+        self._spent += 1
+        return True
+
+    def view(self) -> dict[str, float]:
+        """Return the state for operators."""
+        return {
+            "available": round(self._available, 3),
+            "spent": self._spent,
+            "denied": self._denied,
+        }
--- /dev/null
+++ b/src/fireflyspur/engines/token_delivery.py
@@ -0,0 +1,88 @@
+"""Order of the tokens that a caller gets."""
+
+import dataclasses
+
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions
+
+# Lines that arrived ahead of a missing one and are kept for it.
+_MAX_AHEAD = 16
+
+
+class TokenDelivery:
+    """Passes each token of a request on once and in order.
+
+    :param request_id: identity of the request
+    """
+
+    def __init__(self, request_id: str) -> None:
+        self._request_id = request_id
+        self._attempt = 0
+        self._texts: list[str] = []
+        self._ahead: dict[int, engine_client.StreamLine] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of tokens passed on."""
+        return len(self._texts)
+
+    @property
+    def text(self) -> str:
+        """The tokens passed on."""
+        return "".join(self._texts)
+
+    def begin(self, attempt: int) -> None:
+        """Take lines of this attempt only, from now on."""
+        self._attempt = attempt
+        self._ahead.clear()
+
+    def accept(
+        self, line: engine_client.StreamLine
+    ) -> list[engine_client.StreamLine]:
+        """Return the lines that can be passed on after this one.
+
+        :raises EngineFailedError: if the line is an error of the attempt
+        :raises EngineConnectionLostError: if tokens are missing
+        """
+        if (line.request_id, line.attempt) != (
+            self._request_id,
+            self._attempt,
+        ):
+            return []
+        match line.type:
+            case "error":
+                raise exceptions.EngineFailedError(line.code)
+            case "token":
+                return self._accept_token(line)
+            case "done" if self._ahead:
+                raise exceptions.EngineConnectionLostError(
+                    f"the stream ended without token {self.count}"
+                )
+            case "done":
+                return [dataclasses.replace(line, usage=self._usage(line))]
+        return []
+
+    def _accept_token(
+        self, line: engine_client.StreamLine
+    ) -> list[engine_client.StreamLine]:
+        if line.index < self.count:
+            return []
+        self._ahead[line.index] = line
+        ready = []
+        while following := self._ahead.pop(self.count, None):
+            self._texts.append(following.text)
+            ready.append(following)
+        if len(self._ahead) > _MAX_AHEAD:
+            raise exceptions.EngineConnectionLostError(
+                f"token {self.count} is missing"
+            )
+        return ready
+
+    def _usage(self, line: engine_client.StreamLine) -> dict[str, int]:
+        # An engine that took over counts the former tokens as prompt.
+        total = line.usage.get("total_tokens", self.count)
+        return {
+            "prompt_tokens": max(0, total - self.count),
+            "completion_tokens": self.count,
+            "total_tokens": max(total, self.count),
+        }
--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -5,7 +5,9 @@
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
+from fireflyspur.engines import holding_sweeper
 from fireflyspur.engines import prompt_runner
+from fireflyspur.engines import quarantine
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
 from fireflyspur.records import catalog_follower
@@ -23,4 +25,6 @@
     bodies: body_budget.BodyBudget
     router: router.Router
     runner: prompt_runner.PromptRunner
+    quarantine: quarantine.Quarantine
+    sweeper: holding_sweeper.HoldingSweeper
     drain: drain_controller.DrainController
--- a/src/fireflyspur/node/handlers/admin.py
+++ b/src/fireflyspur/node/handlers/admin.py
@@ -49,6 +49,7 @@
                 "stopping": self._node.drain.is_stopping,
                 "requests_in_progress": self._node.drain.in_progress,
                 "engines": engines,
+                "prompts": self._node.runner.view(),
             }
         )
 
--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -48,10 +48,14 @@
                     verdict=verdict.Verdict.MAY_HAVE_RUN,
                 )
             )
-        except exceptions.FireflyspurError as error:
-            await self._fail(error)
         except iostream.StreamClosedError:
             pass
+        except exceptions.FireflyspurError as error:
+            await self._fail(error)
+        except Exception as error:
+            # A stream that only ended would look like a whole answer.
+            self.log_exception(type(error), error, error.__traceback__)
+            await self._fail(error)
         finally:
             gone.cancel()
             await _cancel(answer)
@@ -129,7 +133,9 @@
         body: openai_api.Body,
         lines: AsyncIterator[engine_client.StreamLine],
     ) -> None:
+        is_done = False
         async for line in lines:
+            is_done = line.type == "done"
             await self._send_event(
                 openai_api.chunk(body, self.request_id, line)
             )
@@ -137,6 +143,11 @@
                 await self._send_event(
                     openai_api.usage_chunk(body, self.request_id, line.usage)
                 )
+        if not is_done:
+            raise engine_exceptions.AttemptsExhaustedError(
+                "the engine's stream has no closing line",
+                verdict=verdict.Verdict.MAY_HAVE_RUN,
+            )
         self.write(b"data: [DONE]\n\n")
         await self.finish()
 
@@ -147,7 +158,7 @@
         self.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
         await self.flush()
 
-    async def _fail(self, error: exceptions.FireflyspurError) -> None:
+    async def _fail(self, error: Exception) -> None:
         """Report an error, inside the stream once it has begun."""
         if not self._headers_written:
             raise error
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -14,7 +14,7 @@
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import http_client
 from fireflyspur.clients import log_client
-from fireflyspur.engines import prompt_runner
+from fireflyspur.engines import engine_parts
 from fireflyspur.generated import settings
 from fireflyspur.node import context
 from fireflyspur.node import drain_controller
@@ -55,6 +55,8 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
+        self._start_task(node.quarantine.run())
+        self._start_task(node.sweeper.run())
         limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
@@ -102,12 +104,23 @@
         trail = audit_trail.AuditTrail()
         routing = router.Router(catalog, engine_view.EngineView(catalog))
         incarnation = int(time.time() * 1000)
-        runner = prompt_runner.PromptRunner(
-            engine_client.EngineClient(http, config.node.name),
-            routing,
-            f"{config.node.name}:{incarnation}",
+        name = config.node.name
+        engines = engine_parts.EngineParts(
+            client=engine_client.EngineClient(http, name),
+            log=log,
+            catalog=catalog,
+            router=routing,
+            trail=trail,
+            owner=f"{name}:{incarnation}",
+            poll_wait_s=config.log.poll_wait_s,
+            publish=lambda news: None,
+            live_names=lambda: [name],
+            is_dead=lambda other, started: (
+                other == name and started < incarnation
+            ),
         )
-        self._stack.push_async_callback(runner.close)
+        self._stack.push_async_callback(engines.quarantine.close)
+        self._stack.push_async_callback(engines.runner.close)
         return context.NodeContext(
             settings=config,
             follower=catalog_follower.CatalogFollower(
@@ -120,7 +133,9 @@
                 config.limits.buffered_body_bytes,
             ),
             router=routing,
-            runner=runner,
+            runner=engines.runner,
+            quarantine=engines.quarantine,
+            sweeper=engines.sweeper,
             drain=drain_controller.DrainController(config.node.drain_s),
         )
 
