Test moves, trials and verdicts of prompts on engines

The tests of crashes passed without the exclusive trials and without the wait before a trial, so they did not show that these are needed.

--- /dev/null
+++ b/tests/engines/test_holding_sweeper.py
@@ -0,0 +1,43 @@
+"""Release of what dead nodes and failed requests left."""
+
+import asyncio
+import time
+
+import testtools
+
+from fireflyspur.clients import engine_client
+from fireflyspur.membership import rendezvous
+from tests.support import fake_engines
+
+
+def holding(name, owner, seconds=600.0):
+    deadline = time.time() + seconds
+    return engine_client.Holding("reservation", name, owner, deadline)
+
+
+class TestHoldingSweeper(testtools.TestCase):
+    def test_only_what_is_expired_or_of_the_dead_is_released(self):
+        """Guards against a sweep that frees memory in use."""
+        client = fake_engines.FakeClient([])
+        client.held = {
+            f"e{n}": [
+                holding("expired", "node-1:7", -5),
+                holding("dead", "node-3:5"),
+                holding("restarted", "node-3:6"),
+                holding("own", "node-1:7"),
+            ]
+            for n in range(1, 9)
+        }
+        client.release_failures = 3
+        sweeper = fake_engines.make_parts(client, 8).sweeper
+        asyncio.run(sweeper.sweep())
+        names = ["node-1", "node-2"]
+        own = {
+            (engine, name)
+            for engine in client.held
+            if rendezvous.owner(engine, names) == "node-1"
+            for name in ("expired", "dead")
+        }
+        self.assertEqual(own, set(client.releases))
+        asyncio.run(sweeper.sweep())
+        self.assertEqual(2 * len(own), len(client.releases))
--- /dev/null
+++ b/tests/engines/test_prompt_runner.py
@@ -0,0 +1,116 @@
+"""Attempts, retries and verdicts of the prompt runner."""
+
+import asyncio
+import time
+
+import testtools
+
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions
+from fireflyspur.engines import releaser
+from fireflyspur.engines import retry_budget
+from tests.support import fake_engines
+
+FAILED = exceptions.EngineFailedError("internal")
+BUSY = exceptions.EngineRefusedError("no_memory")
+
+
+def run(client, requests, engines=4):
+    parts = fake_engines.make_parts(client, engines)
+    return asyncio.run(fake_engines.run_all(parts, requests))
+
+
+class TestPromptRunner(testtools.TestCase):
+    def test_the_budget_bounds_the_attempts(self):
+        """Guards against retries that multiply the load of an overload."""
+        client = fake_engines.FakeClient([FAILED])
+        requests = [fake_engines.make_request(n) for n in range(40)]
+        errors = run(client, requests)
+        self.assertEqual(
+            {"attempts_exhausted"}, {error.code for error in errors}
+        )
+        # 40 first attempts, a reserve of 5 and a tenth of 40.
+        self.assertEqual(49, len(client.starts))
+        self.assertIsNotNone(errors[0].retry_after_s)
+
+    def test_refusals_are_bounded_and_cost_no_budget(self):
+        """Guards against a refusal that spends what a failure needs."""
+        client = fake_engines.FakeClient([BUSY])
+        requests = [fake_engines.make_request(n) for n in range(10)]
+        errors = run(client, requests)
+        self.assertEqual(40, len(client.starts))
+        self.assertEqual(
+            {("engines_busy", "not_run")},
+            {(error.code, str(error.verdict)) for error in errors},
+        )
+        self.assertEqual([], client.releases)
+
+    def test_a_move_goes_on_after_the_delivered_tokens(self):
+        """Guards against an answer that begins again."""
+        client = fake_engines.FakeClient([0, 1, FAILED], [2, 3, 4])
+        self.assertEqual([None], run(client, [fake_engines.make_request()]))
+        (first, _), (second, start) = client.starts
+        self.assertNotEqual(first, second)
+        self.assertEqual((2, 2), (start.attempt, start.start_index))
+        self.assertEqual("t0t1", start.prefix)
+        self.assertEqual([(first, "req-0")], client.releases)
+
+    def test_an_acknowledged_cancellation_before_a_token_is_not_run(self):
+        """Guards against a verdict that is more or less than is known."""
+        for script, verdict in (
+            ([FAILED], "not_run"),
+            ([0, FAILED], "may_have_run"),
+        ):
+            client = fake_engines.FakeClient(script)
+            [error] = run(client, [fake_engines.make_request()], engines=1)
+            self.assertEqual(verdict, str(error.verdict))
+
+    def test_a_cancellation_without_an_answer_may_have_run(self):
+        """Guards against a promise that an engine can break."""
+        client = fake_engines.FakeClient([FAILED])
+        client.release_failures = 10**6
+        request = fake_engines.make_request(timeout_s=3.0)
+        [error] = run(client, [request], engines=1)
+        self.assertEqual("may_have_run", str(error.verdict))
+
+    def test_no_attempt_starts_after_the_deadline(self):
+        """Guards against work that nobody waits for."""
+        client = fake_engines.FakeClient([0])
+        request = fake_engines.make_request(timeout_s=-1.0)
+        [error] = run(client, [request])
+        self.assertEqual("deadline_exceeded", error.code)
+        self.assertEqual("not_run", str(error.verdict))
+        self.assertEqual([], client.starts)
+
+
+class TestReleaser(testtools.TestCase):
+    def release(self, failures, deadline):
+        client = fake_engines.FakeClient([])
+        client.release_failures = failures
+
+        async def go():
+            engine = engine_client.EngineAddress("e1", "127.0.0.1", 1)
+            holding = engine_client.Holding("stream", "r", "n:1", deadline)
+            return await releaser.Releaser(client).release(engine, holding)
+
+        return asyncio.run(go()), len(client.releases)
+
+    def test_a_release_is_repeated_until_acknowledged(self):
+        """Guards against memory that a lost request leaves held."""
+        self.assertEqual((True, 4), self.release(3, time.time() + 600))
+
+    def test_a_release_ends_with_the_deadline_of_the_holding(self):
+        """Guards against a task for each engine that never returns."""
+        self.assertEqual((False, 1), self.release(10**6, time.time() - 1))
+
+
+class TestRetryBudget(testtools.TestCase):
+    def test_the_ratio_is_read_at_each_attempt(self):
+        """Guards against a policy that takes force at a restart only."""
+        ratio = 0.0
+        budget = retry_budget.RetryBudget(lambda: ratio, reserve=0.0)
+        budget.note_first_attempt()
+        self.assertFalse(budget.try_spend())
+        ratio = 1.0
+        budget.note_first_attempt()
+        self.assertTrue(budget.try_spend())
--- a/tests/integration/test_quarantine.py
+++ b/tests/integration/test_quarantine.py
@@ -65,3 +65,47 @@
         self.assertEqual(
             {}, self.view()["prompts"]["quarantine"]["quarantined"]
         )
+
+    def test_suspects_of_one_batch_do_not_meet_again(self):
+        """Guards against innocent requests that are quarantined."""
+        quick = ("--time-factor", "4")
+        poisoned = (*quick, "--crash-on", "POISON")
+        self.start([quick, poisoned, poisoned], nodes=2)
+        self.publish_engines("engine-1")
+        innocent = [
+            self.ask_later(f"innocent {n}", 300, f"node-{n % 2 + 1}")
+            for n in range(6)
+        ]
+        guilty = self.ask_later("POISON", 2000)
+        self.wait_running(7)
+        self.publish_engines("engine-2", "engine-3")
+        self.faults("engine-1", crash_on="POISON")
+        for number, answer in enumerate(innocent):
+            self.assert_whole(f"innocent {number}", 300, answer.result())
+        error = guilty.result().error
+        self.assertEqual("request_quarantined", error["code"])
+        self.assertEqual(2, self.dead())
+        self.assert_nothing_held()
+
+    def test_an_attempt_elsewhere_makes_no_third_crash(self):
+        """Guards against a retry while another node still runs the same."""
+        quick = ("--time-factor", "2")
+        self.start([quick, ENGINE, ENGINE, ENGINE, quick], nodes=2)
+        self.publish_engines("engine-1")
+        answers = [self.ask_later("POISON", 2000)]
+        self.wait_running(1)
+        self.publish_engines("engine-1", role="standby")
+        self.publish_engines("engine-5")
+        answers.append(self.ask_later("POISON", 2000, "node-2"))
+        self.wait_running(2)
+        self.publish_engines("engine-2", "engine-3", "engine-4")
+        self.faults("engine-1", crash_on="POISON")
+        polling.wait_until(
+            lambda: "crash_recorded" in self.audit("node-2"),
+            "node-2 knows of the crash",
+        )
+        self.faults("engine-5", crash_on="POISON")
+        codes = {answer.result().error["code"] for answer in answers}
+        self.assertEqual({"request_quarantined"}, codes)
+        self.assertEqual(2, self.dead())
+        self.assert_nothing_held()
