Keep suspects from queueing after the loss of many engines

The loss of a rack made every prompt of it a suspect, and with one trial for each engine they queued until they were given up. Three deaths within 30 s have another cause than one request, so up to 16 suspects then share an engine.

A crash is reported also when the caller leaves during the probe.

--- a/src/fireflyspur/engines/crash_counts.py
+++ b/src/fireflyspur/engines/crash_counts.py
@@ -10,6 +10,12 @@
 # batches rarely share more than the request that caused both.
 CRASHES_TO_QUARANTINE = 2
 _MAX_ENDED = 10_000
+# A guilty request kills two engines. More deaths at a time have another cause,
+# such as the loss of a rack, and their many suspects must not queue for
+# one engine each.
+_MANY_DEATHS = 3
+_RECENT_S = 30.0
+_SHARED_TRIALS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,12 +96,23 @@
             self._add(fingerprint, key, Death(time, None))
 
     def is_free(self, fingerprint: str, engine: str, time: float) -> bool:
-        """Whether neither the fingerprint nor the engine has a trial."""
-        return not any(
-            trial.fingerprint == fingerprint or trial.engine == engine
-            for trial in self.trials(time)
+        """Whether a fingerprint may have a trial on an engine."""
+        trials = self.trials(time)
+        on_engine = sum(trial.engine == engine for trial in trials)
+        return on_engine < self.trials_per_engine(time) and not any(
+            trial.fingerprint == fingerprint for trial in trials
         )
 
+    def trials_per_engine(self, time: float) -> int:
+        """Return how many suspects may share an engine."""
+        recent = {
+            key
+            for deaths in self._deaths.values()
+            for key, death in deaths.items()
+            if death.rank and time - _RECENT_S < death.time
+        }
+        return 1 if len(recent) < _MANY_DEATHS else _SHARED_TRIALS
+
     def trials(self, time: float) -> list[Trial]:
         """Return the trials that have not ended."""
         return [t for t in self._trials.values() if t.deadline > time]
--- a/src/fireflyspur/engines/crash_reporter.py
+++ b/src/fireflyspur/engines/crash_reporter.py
@@ -16,6 +16,7 @@
 _PROBES = 3
 _PROBE_INTERVAL_S = 0.1
 _MAX_REPORTS = 1000
+_CLOSE_S = 2.0
 
 
 class Run:
@@ -57,7 +58,9 @@
         self._incarnations: dict[str, str] = {}
         self._probes: dict[tuple[str, str], asyncio.Task[bool]] = {}
         self._reported: dict[tuple[str, str], set[str]] = {}
-        self._reporting = asyncio.Lock()
+        self._locks: dict[tuple[str, str], asyncio.Lock] = {}
+        self._checked: list[Run] = []
+        self._tasks: set[asyncio.Task[bool]] = set()
 
     @property
     def runs(self) -> list[Run]:
@@ -88,8 +91,22 @@
     async def check(self, run: Run) -> bool:
         """Find out whether the engine of a broken stream has died.
 
+        A crash is reported also when the caller leaves meanwhile, so that a
+        request whose caller always leaves is found out.
+
         :returns: whether it died; its requests are then reported
         """
+        task = asyncio.create_task(self._check(run))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def close(self) -> None:
+        """Wait a moment for the checks in progress."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=_CLOSE_S)
+
+    async def _check(self, run: Run) -> bool:
         key = run.engine.name, run.incarnation
         if key not in self._probes:
             if len(self._probes) > _MAX_REPORTS:
@@ -98,14 +115,17 @@
                 self._probe(run.engine, *key)
             )
         task = self._probes[key]
-        has_died = await asyncio.shield(task)
-        if not has_died:
-            # The next broken stream asks again.
-            if self._probes.get(key) is task:
-                del self._probes[key]
-            return False
-        await self._report_all(run.engine.name, run.incarnation)
-        return True
+        self._checked.append(run)
+        try:
+            if await asyncio.shield(task):
+                await self._report_all(key)
+                return True
+        finally:
+            self._checked.remove(run)
+        # The next broken stream asks again.
+        if self._probes.get(key) is task:
+            del self._probes[key]
+        return False
 
     async def _probe(
         self, engine: engine_client.EngineAddress, name: str, incarnation: str
@@ -123,15 +143,15 @@
             return bool(incarnation) and seen != incarnation
         return True
 
-    async def _report_all(self, engine: str, incarnation: str) -> None:
-        reported = self._reported.setdefault((engine, incarnation), set())
+    async def _report_all(self, key: tuple[str, str]) -> None:
+        reported = self._reported.setdefault(key, set())
         # All wait until the crash is recorded, also those that another
         # broken stream has reported.
-        async with self._reporting:
+        async with self._locks.setdefault(key, asyncio.Lock()):
             fingerprints = {
                 run.fingerprint
-                for run in self._runs
-                if (run.engine.name, run.incarnation) == (engine, incarnation)
+                for run in [*self._runs, *self._checked]
+                if (run.engine.name, run.incarnation) == key
                 and not (run.attempt and run.attempt.was_refused)
             }
             missing = sorted(fingerprints - reported)
@@ -139,7 +159,7 @@
                 return
             reported.update(missing)
             crash = engine_crash.EngineCrash(
-                f"crash-{uuid.uuid4()}", engine, incarnation, tuple(missing)
+                f"crash-{uuid.uuid4()}", *key, tuple(missing)
             )
             await self._report(crash)
 
@@ -147,3 +167,4 @@
         oldest = next(iter(self._probes))
         del self._probes[oldest]
         self._reported.pop(oldest, None)
+        self._locks.pop(oldest, None)
--- a/src/fireflyspur/engines/faults_stream.py
+++ b/src/fireflyspur/engines/faults_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import time
 from typing import Any
 
@@ -15,11 +16,19 @@
 _RETRY_S = 0.2
 _READ_BACK_S = 2.0
 _FIRST_READ_S = 1.0
-_CLOSE_S = 1.0
+_GROUP_S = 0.01
+_REPEAT_S = 0.5
+_EXPIRY_S = 60.0
 
 _log = logs.log_for("engines")
 
 
+@dataclasses.dataclass(frozen=True)
+class _Pending:
+    value: dict[str, Any]
+    expires_at: float
+
+
 class FaultsStream:
     """Reads the stream in order and reads the node's own records back.
 
@@ -41,7 +50,8 @@
         self._is_reachable = True
         self._read = asyncio.Event()
         self._awaited: dict[str, asyncio.Future[None]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._pending: dict[str, _Pending] = {}
+        self._work = asyncio.Event()
 
     @property
     def is_reachable(self) -> bool:
@@ -68,54 +78,67 @@
     async def append(self, value: dict[str, Any]) -> bool:
         """Append a record and wait until it was read back.
 
-        Without an answer of the log, the append is repeated in the
-        background under the same ``uid`` until the record is read.
-
         :returns: whether the record was read back in time
         """
-        seen = self._awaited.setdefault(value["uid"], asyncio.Future())
-        task = asyncio.create_task(self._append_until_seen(value, seen))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        seen = self.append_later(value)
         if not self._is_reachable:
             return False
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(asyncio.shield(seen), _READ_BACK_S)
         return seen.done()
 
-    def append_later(self, value: dict[str, Any]) -> None:
-        """Append a record without waiting for it."""
+    def append_later(self, value: dict[str, Any]) -> "asyncio.Future[None]":
+        """Append a record without waiting for it.
+
+        Without an answer of the log, the append is repeated under the same
+        ``uid`` until the record was read or has expired.
+
+        :returns: done once the record was read back
+        """
         seen = self._awaited.setdefault(value["uid"], asyncio.Future())
-        task = asyncio.create_task(self._append_until_seen(value, seen))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        expires_at = value.get("deadline", time.time() + _EXPIRY_S)
+        self._pending[value["uid"]] = _Pending(value, expires_at)
+        self._work.set()
+        return seen
 
     async def close(self) -> None:
-        """Wait a moment for the appends in progress and give up the rest."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=_CLOSE_S)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _append_until_seen(
-        self, value: dict[str, Any], seen: "asyncio.Future[None]"
-    ) -> None:
-        expires_at = value.get("deadline", time.time() + 60)
-        while not seen.done() and time.time() < expires_at:
+        """Send what is pending once more."""
+        values = [pending.value for pending in self._pending.values()]
+        if values:
+            with contextlib.suppress(exceptions.LogUnavailableError):
+                await self._log.append(FAULTS_STREAM, values)
+
+    async def run_appends(self) -> None:
+        """Append what is pending until cancelled.
+
+        Records that come close together share one append, since the log's
+        rate of appends is limited.
+        """
+        while True:
+            await self._work.wait()
+            await asyncio.sleep(_GROUP_S)
+            self._work.clear()
+            sent = dict(self._pending)
+            if not sent:
+                continue
+            values = [pending.value for pending in sent.values()]
             try:
-                await self._log.append(FAULTS_STREAM, [value])
-                break
+                await self._log.append(FAULTS_STREAM, values)
+                for uid in sent:
+                    self._pending.pop(uid, None)
             except exceptions.LogUnavailableError:
-                # The record may be there all the same; the next read says.
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(
-                        asyncio.shield(seen), _READ_BACK_S / 4
-                    )
-        if not seen.done():
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(asyncio.shield(seen), _READ_BACK_S)
-        self._awaited.pop(value["uid"], None)
+                # The records may be there all the same; a read says so.
+                await asyncio.sleep(_REPEAT_S)
+                self._drop_expired()
+            if self._pending:
+                self._work.set()
+
+    def _drop_expired(self) -> None:
+        now = time.time()
+        for uid, pending in list(self._pending.items()):
+            if pending.expires_at <= now:
+                del self._pending[uid]
+                self._awaited.pop(uid, None)
 
     async def _read_page(self) -> None:
         wait_s = self._poll_wait_s if self._read.is_set() else 0.0
@@ -130,6 +153,7 @@
             self._read.set()
 
     def _note_seen(self, uid: str) -> None:
-        seen = self._awaited.get(uid)
+        self._pending.pop(uid, None)
+        seen = self._awaited.pop(uid, None)
         if seen and not seen.done():
             seen.set_result(None)
--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -146,6 +146,12 @@
             others = set(self._candidates()) - {trial.engine}
             placement = parts.router.choose(self._route(), others)
             place = _Place(placement, None, trial.is_recorded)
+            if placement.engine != trial.engine:
+                parts.router.view.remove(placement)
+                raise routing_exceptions.NoEngineError(
+                    f"engine {trial.engine} takes no more work",
+                    retry_after_s=_RETRY_AFTER_S,
+                )
         else:
             avoid = {*self._failed, *parts.quarantine.trials.engines()}
             placement = parts.router.choose(self._route(), avoid)
--- a/src/fireflyspur/engines/quarantine.py
+++ b/src/fireflyspur/engines/quarantine.py
@@ -84,10 +84,12 @@
         """Follow the stream of faults until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._stream.run())
+            group.create_task(self._stream.run_appends())
             group.create_task(self._watch_expiry())
 
     async def close(self) -> None:
-        """Give up the appends that are not confirmed."""
+        """Send the records that are pending once more."""
+        await self._reporter.close()
         await self._stream.close()
 
     async def wait_read(self) -> None:
--- a/src/fireflyspur/engines/suspect_trials.py
+++ b/src/fireflyspur/engines/suspect_trials.py
@@ -1,6 +1,7 @@
 """Exclusive rights to run the suspects of a crash."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
@@ -53,13 +54,13 @@
         self._owner = owner
         self._changed = asyncio.Event()
         self._settled_at: dict[str, float] = {}
-        self._local_engines: set[str] = set()
+        self._local_engines: collections.Counter[str] = collections.Counter()
         self._local_fingerprints: set[str] = set()
 
     def engines(self) -> set[str]:
         """Return the engines that run a suspect."""
         trials = self._counts.trials(time.time())
-        return {t.engine for t in trials} | self._local_engines
+        return {t.engine for t in trials} | set(+self._local_engines)
 
     def note_crash(self, fingerprint: str) -> None:
         """Wait before the next trial of a fingerprint."""
@@ -110,7 +111,7 @@
             check()
             yield place
         finally:
-            self._local_engines.discard(place.engine)
+            self._local_engines[place.engine] -= 1
             self._local_fingerprints.discard(fingerprint)
             self._end(uid)
             self.notify()
@@ -129,20 +130,20 @@
             name
             for name in candidates
             if self._counts.is_free(fingerprint, name, now)
-            and name not in self._local_engines
+            and self._local_engines[name] < self._counts.trials_per_engine(now)
         ]
         if not free or fingerprint in self._local_fingerprints:
             return None
         # The rank in the log spreads the suspects of all nodes.
         engine = free[self._counts.rank(fingerprint, now) % len(free)]
-        self._local_engines.add(engine)
+        self._local_engines[engine] += 1
         self._local_fingerprints.add(fingerprint)
         place = None
         try:
             place = await self._record(uid, fingerprint, engine, deadline)
         finally:
             if place is None:
-                self._local_engines.discard(engine)
+                self._local_engines[engine] -= 1
                 self._local_fingerprints.discard(fingerprint)
                 self._end(uid)
         return place
--- a/tests/engines/test_crash_counts.py
+++ b/tests/engines/test_crash_counts.py
@@ -62,6 +62,15 @@
         ]
         self.assertEqual(["t1", "t4"], held)
 
+    def test_suspects_share_engines_after_many_deaths(self):
+        """Guards against a lost rack whose prompts queue one by one."""
+        for number in range(3):
+            self.apply(crash(f"e{number}", f"f{number}"), 10.0 * number)
+        self.apply(trial("t1", "a", "e9"), 25.0)
+        self.apply(trial("t2", "b", "e9"), 25.0)
+        self.assertTrue(self.counts.has_trial("t2"))
+        self.assertEqual(1, self.counts.trials_per_engine(31.0))
+
     def test_a_trial_that_arrives_after_its_end_is_void(self):
         """Guards against an engine that a delayed append blocks."""
         self.apply({"kind": "trial_end", "uid": "x", "trial": "t1"})
--- a/tests/integration/test_prompt_moves.py
+++ b/tests/integration/test_prompt_moves.py
@@ -51,6 +51,20 @@
         self.assertIn("crash_recorded", self.audit())
         self.assert_nothing_held()
 
+    def test_the_loss_of_several_engines_cuts_no_answer(self):
+        """Guards against suspects that queue until they are given up."""
+        self.start([SLOW] * 6)
+        self.publish_engines(*self.engines)
+        answers = [
+            self.ask_later(f"n {n}", 150, timeout_s=120) for n in range(48)
+        ]
+        self.wait_running(48)
+        for engine in self.engines[:3]:
+            self.fleet.process(engine).kill()
+        for number, answer in enumerate(answers):
+            self.assert_whole(f"n {number}", 150, answer.result())
+        self.assert_nothing_held()
+
     def test_an_error_in_a_stream_is_no_whole_answer(self):
         """Guards against a part that looks like the whole answer."""
         self.start([SLOW])
--- a/tests/support/prompts.py
+++ b/tests/support/prompts.py
@@ -45,7 +45,7 @@
         self.fleet = self.enterContext(fleets.Fleet())
         self.engines, self.nodes = [], []
         self.published = 0
-        self.pool = self.enterContext(futures.ThreadPoolExecutor(32))
+        self.pool = self.enterContext(futures.ThreadPoolExecutor(64))
         self.fleet.start_standin("log", "log")
         self.fleet.start_standin("vm-list", "vm-list")
 
