--- /dev/null
+++ b/src/fireflyspur/engines/crash_reporter.py
@@ -0,0 +1,170 @@
+"""Detection of crashed engines and report of the requests they ran."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import uuid
+
+from fireflyspur.clients import engine_client
+from fireflyspur.clients import exceptions
+from fireflyspur.engines import attempt as attempts
+from fireflyspur.engines import engine_crash
+
+# A short interruption of the network alone does not make a crash.
+_PROBES = 3
+_PROBE_INTERVAL_S = 0.1
+_MAX_REPORTS = 1000
+_CLOSE_S = 2.0
+
+
+class Run:
+    """An attempt in progress.
+
+    :param incarnation: which start of the engine took it, as far as known
+    :param is_trial: whether it runs under the exclusive right of a suspect
+    """
+
+    def __init__(
+        self,
+        fingerprint: str,
+        engine: engine_client.EngineAddress,
+        incarnation: str,
+        is_trial: bool,
+    ) -> None:
+        self.fingerprint = fingerprint
+        self.engine = engine
+        self.incarnation = incarnation
+        self.is_trial = is_trial
+        self.attempt: attempts.Attempt | None = None
+
+
+class CrashReporter:
+    """Knows what runs on each engine and reports it when the engine dies.
+
+    :param client: client of the engines
+    :param report: records a crash
+    """
+
+    def __init__(
+        self,
+        client: engine_client.EngineClient,
+        report: Callable[[engine_crash.EngineCrash], Awaitable[None]],
+    ) -> None:
+        self._client = client
+        self._report = report
+        self._runs: list[Run] = []
+        self._incarnations: dict[str, str] = {}
+        self._probes: dict[tuple[str, str], asyncio.Task[bool]] = {}
+        self._reported: dict[tuple[str, str], set[str]] = {}
+        self._locks: dict[tuple[str, str], asyncio.Lock] = {}
+        self._checked: list[Run] = []
+        self._tasks: set[asyncio.Task[bool]] = set()
+
+    @property
+    def runs(self) -> list[Run]:
+        """The attempts in progress."""
+        return list(self._runs)
+
+    @contextlib.contextmanager
+    def running(
+        self,
+        fingerprint: str,
+        engine: engine_client.EngineAddress,
+        is_trial: bool,
+    ) -> Iterator[Run]:
+        """Count a request as running on an engine."""
+        known = self._incarnations.get(engine.name, "")
+        run = Run(fingerprint, engine, known, is_trial)
+        self._runs.append(run)
+        try:
+            yield run
+        finally:
+            self._runs.remove(run)
+
+    def note_incarnation(self, run: Run, incarnation: str) -> None:
+        """Note which start of the engine took a request."""
+        run.incarnation = incarnation
+        self._incarnations[run.engine.name] = incarnation
+
+    async def check(self, run: Run) -> bool:
+        """Find out whether the engine of a broken stream has died.
+
+        A crash is reported also when the caller leaves meanwhile, so that a
+        request whose caller always leaves is found out.
+
+        :returns: whether it died; its requests are then reported
+        """
+        task = asyncio.create_task(self._check(run))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(task)
+
+    async def close(self) -> None:
+        """Wait a moment for the checks in progress."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=_CLOSE_S)
+
+    async def _check(self, run: Run) -> bool:
+        key = run.engine.name, run.incarnation
+        if key not in self._probes:
+            if len(self._probes) > _MAX_REPORTS:
+                self._forget_oldest()
+            self._probes[key] = asyncio.create_task(
+                self._probe(run.engine, *key)
+            )
+        task = self._probes[key]
+        self._checked.append(run)
+        try:
+            if await asyncio.shield(task):
+                await self._report_all(key)
+                return True
+        finally:
+            self._checked.remove(run)
+        # The next broken stream asks again.
+        if self._probes.get(key) is task:
+            del self._probes[key]
+        return False
+
+    async def _probe(
+        self, engine: engine_client.EngineAddress, name: str, incarnation: str
+    ) -> bool:
+        for number in range(_PROBES):
+            if number:
+                await asyncio.sleep(_PROBE_INTERVAL_S)
+            try:
+                seen = await self._client.incarnation(engine)
+            except exceptions.EngineUnavailableError:
+                continue
+            except (exceptions.EngineRefusedError, KeyError, TypeError):
+                return False
+            self._incarnations[name] = seen
+            return bool(incarnation) and seen != incarnation
+        return True
+
+    async def _report_all(self, key: tuple[str, str]) -> None:
+        reported = self._reported.setdefault(key, set())
+        # All wait until the crash is recorded, also those that another
+        # broken stream has reported.
+        async with self._locks.setdefault(key, asyncio.Lock()):
+            fingerprints = {
+                run.fingerprint
+                for run in [*self._runs, *self._checked]
+                if (run.engine.name, run.incarnation) == key
+                and not (run.attempt and run.attempt.was_refused)
+            }
+            missing = sorted(fingerprints - reported)
+            if not missing:
+                return
+            reported.update(missing)
+            crash = engine_crash.EngineCrash(
+                f"crash-{uuid.uuid4()}", *key, tuple(missing)
+            )
+            await self._report(crash)
+
+    def _forget_oldest(self) -> None:
+        oldest = next(iter(self._probes))
+        del self._probes[oldest]
+        self._reported.pop(oldest, None)
+        self._locks.pop(oldest, None)
--- a/src/fireflyspur/membership/news.py
+++ b/src/fireflyspur/membership/news.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fireflyspur.engines import engine_crash
 from fireflyspur.generated import peer_pb2
 from fireflyspur.membership import member as members
 
@@ -26,17 +27,7 @@
     member: members.Member
 
 
-@dataclasses.dataclass(frozen=True)
-class EngineCrash:
-    """An engine died with these requests on it."""
-
-    uid: str
-    engine: str
-    incarnation: str
-    fingerprints: tuple[str, ...]
-
-
-News = EndpointLeaving | MemberNews | EngineCrash
+News = EndpointLeaving | MemberNews | engine_crash.EngineCrash
 
 
 def to_message(news: News, uid: str, lifetime_ms: int) -> peer_pb2.News:
@@ -51,7 +42,9 @@
             )
         case MemberNews(member):
             message.member.CopyFrom(member.to_message())
-        case EngineCrash(crash_uid, engine, incarnation, fingerprints):
+        case engine_crash.EngineCrash(
+            crash_uid, engine, incarnation, fingerprints
+        ):
             message.engine_crash.CopyFrom(
                 peer_pb2.EngineCrash(
                     uid=crash_uid,
@@ -76,7 +69,7 @@
             return None if member is None else MemberNews(member)
         case "engine_crash":
             body = message.engine_crash
-            return EngineCrash(
+            return engine_crash.EngineCrash(
                 body.uid,
                 body.engine,
                 body.incarnation,
