--- a/src/fireflyspur/records/catalog.py
+++ b/src/fireflyspur/records/catalog.py
@@ -92,6 +92,7 @@
             str, dict[int, list[dict[str, Any]]]
         ] = collections.OrderedDict()
         self._last_round: SnapshotRound | None = None
+        self._is_partial = False
 
     @property
     def offset(self) -> int:
@@ -103,6 +104,11 @@
         """Whether records expired unread and no snapshot restored them."""
         return self._gap_first is not None
 
+    @property
+    def is_partial(self) -> bool:
+        """Whether records were judged without the prefix before them."""
+        return self._is_partial
+
     @property
     def last_round(self) -> SnapshotRound | None:
         """The latest complete round of snapshots, or None."""
@@ -200,6 +206,7 @@
 
         :returns: the results of the deferred records
         """
+        self._is_partial |= self.has_gap
         return Restored([], self._judge_deferred(self._offset))
 
     def merge_entries(
@@ -254,13 +261,18 @@
             self._rounds.pop(name, None)
             if self._last_round is None or covers >= self._last_round.covers:
                 self._last_round = SnapshotRound(covers, time)
-        if self._gap_first is None:
+        is_partial = bool(value.get("partial"))
+        if self._gap_first is None and is_partial and not self._is_partial:
+            # This catalog knows better than the writer of the snapshot.
+            result = Restored([])
+        elif self._gap_first is None and not self._is_partial:
             result = self.merge_entries(covers, entries)
         elif is_complete:
             merged = [item for part in known.values() for item in part]
             result = self.merge_entries(covers, merged)
+            self._is_partial = is_partial
         else:
-            return Deferred()
+            result = Deferred()
         if self._gap_first is None:
             self._offset = max(self._offset, offset)
         return result
--- a/src/fireflyspur/records/snapshot_writer.py
+++ b/src/fireflyspur/records/snapshot_writer.py
@@ -123,6 +123,9 @@
         wait_s = retention_s * (
             1 / _ROUNDS_PER_RETENTION + min(rank, 10) * _STEP_IN_SHARE
         )
+        if self._follower.catalog.is_partial:
+            # A writer that knows the whole prefix goes first.
+            wait_s += retention_s / _ROUNDS_PER_RETENTION
         return time.time() - since >= wait_s
 
     async def _write_round(self) -> None:
@@ -138,6 +141,7 @@
                 "round": round_uid,
                 "part": number,
                 "parts": len(parts),
+                "partial": catalog.is_partial,
                 "covers": covers,
                 "entries": entries,
             }
--- a/tests/records/test_catalog.py
+++ b/tests/records/test_catalog.py
@@ -138,6 +138,22 @@
         self.assertIsInstance(judged[5], catalogs.Accepted)
         self.assertFalse(catalog.has_gap)
 
+    def test_snapshot_of_a_partial_reader_does_not_overrule_a_whole_one(self):
+        """Guards against a return to what a reader without prefix judged."""
+        whole, partial = catalogs.Catalog(), catalogs.Catalog()
+        whole.apply(1, 0, spec("m", "1"))
+        late = spec("m", "2", based_on=0)
+        whole.apply(2, 0, late)
+        partial.mark_gap(2)
+        partial.apply(2, 0, late)
+        partial.close_gap()
+        self.assertEqual("2", partial.get("model", "m").spec.version)
+        whole.apply(3, 0, {**snapshot(partial), "partial": True})
+        self.assertEqual("1", whole.get("model", "m").spec.version)
+        partial.apply(4, 0, snapshot(whole))
+        self.assertEqual(state(whole), state(partial))
+        self.assertFalse(partial.is_partial)
+
 
 class TestSplitEntries(testtools.TestCase):
     def test_parts_stay_within_64_kb(self):
