Meet several unmet nodes a period and heal partitions

A new member of a large fleet met one node of the VM list a period, and two sides that had removed each other met again only by that walk.

--- a/src/fireflyspur/membership/gossiper.py
+++ b/src/fireflyspur/membership/gossiper.py
@@ -16,6 +16,12 @@
 _SMALL_FLEET = 16
 _INDIRECT_PROBES = 2
 _JOIN_EXCHANGES = 5
+# Nodes that the lagging VM list still shows may be gone, so one that does not
+# answer is left alone for a while. Trying again reunites the sides of a
+# partition that have removed each other.
+_CANDIDATE_RETRY_S = 10.0
+# A process this young is still learning the members, and gets full replies.
+_YOUNG_MS = 60_000
 _RECENT_EXCHANGES = 10
 # Each message carries a few members besides the updates, so that tables that
 # have diverged after lost messages become equal again.
@@ -74,6 +80,7 @@
         self._full_period_s = period_s
         self._random = random_source or random.Random()
         self._round: list[str] = []
+        self._retry_at: dict[str, float] = {}
         self._suspected_at: dict[str, tuple[int, float]] = {}
         self._recent: list[bool] = []
         self._failing: set[str] = set()
@@ -117,20 +124,23 @@
             await asyncio.sleep(max(0.0, self.period_s - spent))
 
     async def run_period(self) -> None:
-        """Exchange gossip with the next member; join when there is none."""
+        """Exchange gossip with the next member, and with unmet nodes."""
         self.expire_suspicions()
-        if not self._table.others():
-            await self.join()
-            return
         target = self._next_target()
-        if target is not None:
-            await self._probe(target)
+        probes = [] if target is None else [self._probe(target)]
+        await asyncio.gather(self.join(), *probes)
 
     async def join(self) -> None:
-        """Exchange gossip with several members at once, at the start."""
-        contacts = self._table.contacts()
-        count = min(_JOIN_EXCHANGES, len(contacts))
-        chosen = self._random.sample(contacts, count)
+        """Exchange gossip with a few nodes that have not been met."""
+        now = time.monotonic()
+        due = [
+            c
+            for c in self._table.candidates()
+            if now >= self._retry_at.get(c.name, now)
+        ]
+        chosen = self._random.sample(due, min(_JOIN_EXCHANGES, len(due)))
+        for candidate in chosen:
+            self._retry_at[candidate.name] = now + _CANDIDATE_RETRY_S
         await asyncio.gather(*(self.exchange(c) for c in chosen))
 
     async def exchange(self, target: member.Member) -> bool:
@@ -155,11 +165,10 @@
 
     def handle_exchange(self, request: peer_pb2.Gossip) -> peer_pb2.Gossip:
         """Answer the gossip of another member."""
-        known = self._table.get(request.sender.name)
         self._merge(request)
-        is_new = known is None or known.incarnation == 0
+        age_ms = time.time() * 1000 - request.sender.incarnation
         reply = self._make_gossip(
-            update_queue.MAX_UPDATES if is_new else _EXTRA_MEMBERS,
+            update_queue.MAX_UPDATES if age_ms < _YOUNG_MS else _EXTRA_MEMBERS,
             request.sender.name,
         )
         self._count(reply)
@@ -230,17 +239,17 @@
             self._failing.discard(target.name)
         else:
             self._failing.add(target.name)
-        count = min(_RECENT_EXCHANGES, len(self._table.contacts()))
+        count = min(_RECENT_EXCHANGES, len(self._table.others()))
         self._recent = [*self._recent, answered][-max(1, count) :]
 
     def _next_target(self) -> member.Member | None:
-        contacts = {c.name: c for c in self._table.contacts()}
-        while contacts:
+        members = {m.name: m for m in self._table.others()}
+        while members:
             while self._round:
-                target = contacts.get(self._round.pop())
+                target = members.get(self._round.pop())
                 if target is not None:
                     return target
-            self._round = list(contacts)
+            self._round = list(members)
             self._random.shuffle(self._round)
         return None
 
--- a/src/fireflyspur/membership/member_table.py
+++ b/src/fireflyspur/membership/member_table.py
@@ -51,12 +51,8 @@
             if m.state is not member.MemberState.DEAD
         ]
 
-    def contacts(self) -> list[member.Member]:
-        """Return the members and candidates with which to exchange gossip."""
-        return [*self.others(), *self.candidates()]
-
     def candidates(self) -> list[member.Member]:
-        """Return the nodes of the VM list that have not been met."""
+        """Return the nodes of the VM list that are not met, or dead."""
         return [
             c
             for c in self._candidates.values()
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -141,6 +141,24 @@
 
         self.run_with_peers(3, check)
 
+    def test_sides_that_removed_each_other_meet_again(self):
+        """Guards against a partition that outlasts the cut."""
+
+        async def run():
+            async with contextlib.AsyncExitStack() as stack:
+                pair = [Peer("n0", "a"), Peer("n1", "b")]
+                for peer in pair:
+                    await peer.start(stack)
+                for peer, other in zip(pair, pair[::-1], strict=True):
+                    gone = dataclasses.replace(
+                        other.table.own, state=State.DEAD
+                    )
+                    peer.table.apply(gone)
+                    peer.table.set_candidates([other.table.own])
+                await run_until(pair, knows_all(pair))
+
+        asyncio.run(run())
+
     def test_indirect_probe_keeps_a_member_whose_link_is_cut(self):
         """Guards against a removal because one link of many is cut."""
 
