--- a/src/fireflyspur/records/catalog_follower.py
+++ b/src/fireflyspur/records/catalog_follower.py
@@ -156,6 +156,7 @@
         reason = "no snapshot restores the records that have expired"
         self._trail.add("records", "gap_closed", "config", reason)
         _log.error("{}; {} records judged without", reason, len(judged))
+        self._notify()
         return False
 
     def _apply(self, item: log_client.LogRecord) -> None:
