--- a/src/fireflyspur/engines/prompt_request.py
+++ b/src/fireflyspur/engines/prompt_request.py
@@ -23,3 +23,8 @@
     max_tokens: int
     priority: int
     deadline: float
+
+    @property
+    def all_tokens(self) -> int:
+        """The most tokens that the prompt may use."""
+        return self.prompt_tokens + self.max_tokens
--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from fireflyspur.admission import account_limiter
+from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
@@ -9,6 +11,7 @@
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
 from fireflyspur.node import membership_parts
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import router
 
@@ -22,7 +25,10 @@
     trail: audit_trail.AuditTrail
     authenticator: authenticator.Authenticator
     bodies: body_budget.BodyBudget
+    admission: admission_controller.AdmissionController
+    limiter: account_limiter.AccountLimiter
     router: router.Router
     runner: prompt_runner.PromptRunner
     drain: drain_controller.DrainController
     membership: membership_parts.MembershipParts
+    metrics: metrics.Metrics
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -7,6 +7,8 @@
 
 from tornado import httpserver
 
+from fireflyspur.admission import account_limiter
+from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
@@ -20,9 +22,11 @@
 from fireflyspur.node import http_server
 from fireflyspur.node import membership_parts
 from fireflyspur.observability import logs
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
+from fireflyspur.routing import load_poller
 from fireflyspur.routing import router
 
 _log = logs.log_for("node")
@@ -56,14 +60,13 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
+        self._start_task(self._load_poller.run())
         peer_port = await node.membership.start(self._stack)
-        limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
             http_server.caller_application(node),
             address,
             self._config.node.http_port,
-            limits.max_header_bytes,
         )
         admin, admin_port = http_server.listen(
             http_server.admin_application(node),
@@ -104,11 +107,13 @@
         )
         catalog = catalogs.Catalog()
         trail = audit_trail.AuditTrail()
-        view = engine_view.EngineView(catalog)
-        routing = router.Router(catalog, view)
+        view = engine_view.EngineView(catalog, config.node.name)
+        routing = router.Router(catalog, view, config.node.failure_domain)
+        engines = engine_client.EngineClient(http, config.node.name)
+        self._load_poller = load_poller.LoadPoller(engines, view)
         incarnation = membership_parts.start_incarnation()
         runner = prompt_runner.PromptRunner(
-            engine_client.EngineClient(http, config.node.name),
+            engines,
             routing,
             f"{config.node.name}:{incarnation}",
         )
@@ -124,6 +129,8 @@
                 config.membership.staleness_bound_s / 2,
             ),
         )
+        reported = metrics.Metrics(config.metrics)
+        self._stack.callback(reported.close)
         return context.NodeContext(
             settings=config,
             follower=follower,
@@ -133,12 +140,17 @@
                 config.limits.max_body_bytes,
                 config.limits.buffered_body_bytes,
             ),
+            admission=admission_controller.AdmissionController(
+                catalog, routing
+            ),
+            limiter=account_limiter.AccountLimiter(),
             router=routing,
             runner=runner,
             drain=drain_controller.DrainController(config.node.drain_s),
             membership=membership_parts.MembershipParts(
                 config, incarnation, follower, log, http, view, trail
             ),
+            metrics=reported,
         )
 
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
