Test that a restart during a probe is not suspected

The former test met the fault only in some runs. This one fails in each run without the check of the incarnation, and passes with it:

--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -199,6 +199,20 @@
 
         self.run_with_peers(5, check)
 
+    def test_restart_during_a_probe_is_not_suspected(self):
+        """Guards against the suspicion of a process that was not probed."""
+        peer = Peer("n0", "a")
+        former = member.Member("n1", "127.0.0.1", 1, "b", 1000)
+        again = dataclasses.replace(former, incarnation=50_000)
+        peer.table.apply(former)
+
+        async def restart_and_fail(target, gossip, timeout_s):
+            peer.table.apply(again)
+
+        peer.client.exchange = restart_and_fail
+        asyncio.run(peer.gossiper.run_period())
+        self.assertEqual(again, peer.table.get("n1"))
+
     def test_leaving_spreads_by_gossip_without_news(self):
         async def check(peers, stack):
             peers[1].table.set_own_state(State.LEAVING)
