--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 
 import testtools
@@ -108,14 +109,7 @@
         async def check(peers, stack):
             accused = peers[2].table.own
             peers[0].table.apply(
-                member.Member(
-                    accused.name,
-                    accused.address,
-                    accused.peer_port,
-                    accused.failure_domain,
-                    accused.incarnation,
-                    State.DEAD,
-                )
+                dataclasses.replace(accused, state=State.DEAD)
             )
             await run_until(
                 peers,
@@ -128,15 +122,56 @@
 
         self.run_with_peers(5, check)
 
+    def test_member_hears_of_a_suspicion_that_no_update_carries_now(self):
+        """Guards against a member that is dead for all and never told."""
+
+        async def check(peers, stack):
+            accused = peers[2].table.own
+            dead = dataclasses.replace(accused, state=State.DEAD)
+            for peer in peers[:2]:
+                peer.table.apply(dead)
+                while peer.table.take_updates():
+                    pass
+            self.assertTrue(
+                await peers[2].gossiper.exchange(peers[0].table.own)
+            )
+            self.assertEqual(
+                accused.incarnation + 1, peers[2].table.own.incarnation
+            )
+
+        self.run_with_peers(3, check)
+
+    def test_sides_that_removed_each_other_meet_again(self):
+        """Guards against a partition that outlasts the cut."""
+
+        async def run():
+            async with contextlib.AsyncExitStack() as stack:
+                pair = [Peer("n0", "a"), Peer("n1", "b")]
+                for peer in pair:
+                    await peer.start(stack)
+                for peer, other in zip(pair, pair[::-1], strict=True):
+                    gone = dataclasses.replace(
+                        other.table.own, state=State.DEAD
+                    )
+                    peer.table.apply(gone)
+                    peer.table.set_candidates([other.table.own])
+                await run_until(pair, knows_all(pair))
+
+        asyncio.run(run())
+
     def test_indirect_probe_keeps_a_member_whose_link_is_cut(self):
         """Guards against a removal because one link of many is cut."""
 
         async def check(peers, stack):
             target = peers[3].table.own.target
             peers[0].client.exchange = _cut(peers[0].client.exchange, target)
+            states = []
+            peers[0].table.add_listener(
+                lambda former, current: states.append(current.state)
+            )
             for _ in range(12):
                 await peers[0].gossiper.run_period()
-            self.assertIs(State.ALIVE, peers[0].state_of("n3"))
+            self.assertNotIn(State.SUSPECT, states)
             peers[0].client.probe = _no_probe
             await run_until(
                 peers[:1],
@@ -164,6 +199,20 @@
 
         self.run_with_peers(5, check)
 
+    def test_restart_during_a_probe_is_not_suspected(self):
+        """Guards against the suspicion of a process that was not probed."""
+        peer = Peer("n0", "a")
+        former = member.Member("n1", "127.0.0.1", 1, "b", 1000)
+        again = dataclasses.replace(former, incarnation=50_000)
+        peer.table.apply(former)
+
+        async def restart_and_fail(target, gossip, timeout_s):
+            peer.table.apply(again)
+
+        peer.client.exchange = restart_and_fail
+        asyncio.run(peer.gossiper.run_period())
+        self.assertEqual(again, peer.table.get("n1"))
+
     def test_leaving_spreads_by_gossip_without_news(self):
         async def check(peers, stack):
             peers[1].table.set_own_state(State.LEAVING)
