--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -211,15 +211,6 @@
 
     async def _fail(self, error: Exception) -> None:
         """Report an error, inside the stream once it has begun."""
-        if self._summary.completion_tokens and (
-            error.verdict is verdict.Verdict.NOT_RUN
-        ):
-            # A later attempt was refused, but a former one has run.
-            error = engine_exceptions.AttemptsExhaustedError(
-                str(error),
-                verdict=verdict.Verdict.MAY_HAVE_RUN,
-                retry_after_s=error.retry_after_s,
-            )
         if not self._headers_written:
             raise error
         self.note_error(error)
--- a/tests/node/handlers/test_streamed_errors.py
+++ b/tests/node/handlers/test_streamed_errors.py
@@ -11,6 +11,7 @@
 from fireflyspur.admission import body_budget
 from fireflyspur.clients import engine_client
 from fireflyspur.generated import records
+from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
 from fireflyspur.records import catalog as catalogs
@@ -39,7 +40,7 @@
     account = types.SimpleNamespace(
         name="counter", spec=records.AccountSpec(key_sha256=[])
     )
-    limits = types.SimpleNamespace(prompt_bytes_per_token=4.0)
+    limits = settings.LimitsSection()
     node = types.SimpleNamespace(
         settings=types.SimpleNamespace(limits=limits),
         follower=types.SimpleNamespace(is_loaded=True, catalog=catalog),
