--- /dev/null
+++ b/src/fireflyspur/claims/claim_partition.py
@@ -0,0 +1,169 @@
+"""Claims of one partition as a pure function of its stream's prefix."""
+
+import collections
+import dataclasses
+from typing import Any
+
+Identity = tuple[str, str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What became of a call.
+
+    :param status: HTTP status, 0 when the answer was lost
+    :param headers: pairs of name and value
+    :param body: base64 text, or None when it was too large to be kept
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: str | None = ""
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the answer of the service was received."""
+        return self.status != 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """A claim that was accepted and not released.
+
+    :param identity: account, service and key
+    :param deadline: wall-clock time until which its owner may send
+    :param takeover_allowed: whether the service fences and replays results
+    """
+
+    uid: str
+    offset: int
+    identity: Identity
+    body_hash: str
+    deadline: float
+    takeover_allowed: bool
+    outcome: Outcome | None = None
+
+
+class ClaimPartition:
+    """Decides by offset which claim on a key is live.
+
+    :param retention_s: age at which records leave the log, and this state
+    """
+
+    def __init__(self, retention_s: float) -> None:
+        self._retention_s = retention_s
+        self._live: dict[Identity, Claim] = {}
+        self._accepted: dict[str, Claim] = {}
+        self._void: set[str] = set()
+        self._ages: collections.deque[tuple[float, str, Identity | None]] = (
+            collections.deque()
+        )
+
+    def live(self, identity: Identity) -> Claim | None:
+        """Return the live claim on a key."""
+        return self._live.get(identity)
+
+    def is_decided(self, uid: str) -> bool:
+        """Whether the claim was accepted or is void."""
+        return uid in self._accepted or uid in self._void
+
+    def accepted(self, uid: str) -> Claim | None:
+        """Return a claim that was accepted and still is live."""
+        claim = self._accepted.get(uid)
+        return None if uid in self._void else claim
+
+    def apply(self, offset: int, time: float, value: dict[str, Any]) -> None:
+        """Apply the record at an offset.
+
+        :param offset: offset on the partition's stream
+        :param time: time of the append by the log's clock, in seconds
+        :param value: the decoded record
+        """
+        self._expire(time)
+        match value.get("type"):
+            case "claim":
+                self._apply_claim(offset, time, value)
+            case "release":
+                self._apply_release(time, value["uid"])
+            case "outcome":
+                self._apply_outcome(value)
+
+    def _apply_claim(
+        self, offset: int, time: float, value: dict[str, Any]
+    ) -> None:
+        uid = value["uid"]
+        # A claim appended again after a lost answer has the same uid; the
+        # first one was decided.
+        if self.is_decided(uid):
+            return
+        claim = Claim(
+            uid,
+            offset,
+            (value["account"], value["service"], value["key"]),
+            value["body_hash"],
+            value["deadline"],
+            value["takeover_allowed"],
+        )
+        self._ages.append((time, uid, claim.identity))
+        former = self._live.get(claim.identity)
+        # Earlier claims on a key that is past the horizon may have left the
+        # log, so a claim that arrives then is void.
+        if time > value["valid_until"]:
+            self._void.add(uid)
+        elif former is None and "takes_over" not in value:
+            self._accept(claim)
+        elif former and _may_take_over(former, claim, time, value):
+            self._void.add(former.uid)
+            self._accept(claim)
+        else:
+            self._void.add(uid)
+
+    def _accept(self, claim: Claim) -> None:
+        self._accepted[claim.uid] = claim
+        self._live[claim.identity] = claim
+
+    def _apply_release(self, time: float, uid: str) -> None:
+        claim = self.accepted(uid)
+        if claim is not None and claim.outcome is not None:
+            return
+        if uid not in self._void:
+            self._void.add(uid)
+            self._ages.append((time, uid, None))
+        if claim is not None:
+            del self._live[claim.identity]
+
+    def _apply_outcome(self, value: dict[str, Any]) -> None:
+        claim = self.accepted(value["uid"])
+        if claim is None or claim.outcome is not None:
+            return
+        outcome = Outcome(
+            value["status"],
+            tuple((name, text) for name, text in value["headers"]),
+            value["body"],
+        )
+        claim = dataclasses.replace(claim, outcome=outcome)
+        self._accept(claim)
+
+    def _expire(self, now: float) -> None:
+        """Forget what the log no longer holds."""
+        limit = now - self._retention_s
+        while self._ages and self._ages[0][0] < limit:
+            _, uid, identity = self._ages.popleft()
+            self._accepted.pop(uid, None)
+            self._void.discard(uid)
+            live = self._live.get(identity) if identity else None
+            if live is not None and live.uid == uid:
+                del self._live[identity]
+
+
+def _may_take_over(
+    former: Claim, claim: Claim, time: float, value: dict[str, Any]
+) -> bool:
+    return (
+        value.get("takes_over") == former.uid
+        and former.takeover_allowed
+        and claim.takeover_allowed
+        and time >= former.deadline
+        and former.body_hash == claim.body_hash
+        and not (former.outcome and former.outcome.is_known)
+    )
--- /dev/null
+++ b/src/fireflyspur/claims/idempotency_key.py
@@ -0,0 +1,57 @@
+"""Checks of idempotency keys."""
+
+import uuid
+
+from fireflyspur.claims import exceptions
+
+FUTURE_BOUND_S = 300.0
+# The log keeps records this much longer than the horizon: 5 min for keys
+# that lie in the future and 5 min for differences between clocks.
+RETENTION_MARGIN_S = 600.0
+
+
+def issued_at(key: str) -> float:
+    """Return the time of issue of a key, in seconds.
+
+    :param key: text of the key
+    :raises InvalidKeyError: if it is not a UUID of version 7
+    """
+    if not key:
+        raise exceptions.InvalidKeyError(
+            "a call that must not be repeated needs the header"
+            " Idempotency-Key with a UUID of version 7"
+        )
+    try:
+        value = uuid.UUID(key)
+    except ValueError as error:
+        raise exceptions.InvalidKeyError(
+            f"Idempotency-Key: {key!r:.60} is not a UUID"
+        ) from error
+    if value.version != 7:
+        raise exceptions.InvalidKeyError(
+            "Idempotency-Key: expected a UUID of version 7"
+        )
+    return (value.int >> 80) / 1000
+
+
+def check(key: str, horizon_s: float, now: float) -> tuple[str, float]:
+    """Check a key against the horizon.
+
+    :param key: text of the key
+    :param horizon_s: age from which a key is refused
+    :param now: wall-clock time in seconds
+    :returns: the canonical text, and the time until which it may be claimed
+    :raises InvalidKeyError: if it is not a UUID of version 7
+    :raises KeyTimeError: if it is too old or lies in the future
+    """
+    issued = issued_at(key)
+    if issued + horizon_s <= now:
+        raise exceptions.KeyTimeError(
+            f"Idempotency-Key: issued {now - issued:.0f} s ago, but keys"
+            f" are taken for {horizon_s:.0f} s"
+        )
+    if issued > now + FUTURE_BOUND_S:
+        raise exceptions.KeyTimeError(
+            f"Idempotency-Key: issued {issued - now:.0f} s in the future"
+        )
+    return str(uuid.UUID(key)), issued + horizon_s
--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -47,3 +47,24 @@
 
     code = "engine_connection_lost"
     http_status = 502
+
+
+class ServiceUnavailableError(exceptions.FireflyspurError):
+    """No endpoint of the service took the call."""
+
+    code = "service_unavailable"
+    http_status = 503
+
+
+class ServiceConnectionLostError(exceptions.FireflyspurError):
+    """The connection to the service broke before the whole answer came."""
+
+    code = "service_connection_lost"
+    http_status = 502
+
+
+class ServiceTimeoutError(exceptions.FireflyspurError):
+    """The service did not answer within the time limit of the call."""
+
+    code = "deadline_exceeded"
+    http_status = 504
--- /dev/null
+++ b/src/fireflyspur/clients/service_client.py
@@ -0,0 +1,251 @@
+"""Client of the plain services."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+import msgspec
+from tornado import httpclient
+from tornado import httputil
+from tornado import simple_httpclient
+
+from fireflyspur.clients import exceptions
+from fireflyspur.clients import retry_budget
+from fireflyspur.errors import verdict
+from fireflyspur.generated import records
+from fireflyspur.observability import logs
+
+_CONNECT_TIMEOUT_S = 1.0
+_RETRY_AFTER_S = 1.0
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+_log = logs.log_for("services")
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceCall:
+    """A call to a service.
+
+    :param target: path and query, as the caller sent them
+    :param deadline: wall-clock time in seconds
+    """
+
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: float
+
+    def with_headers(self, **values: str) -> "ServiceCall":
+        """Return the call with headers set, ``_`` standing for ``-``."""
+        names = {name.replace("_", "-"): v for name, v in values.items()}
+        lower = {name.lower() for name in names}
+        kept = [h for h in self.headers if h[0].lower() not in lower]
+        return dataclasses.replace(self, headers=(*kept, *names.items()))
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """The answer of a service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ServiceClient:
+    """Sends calls to the endpoints of a service.
+
+    :param http: the shared HTTP client
+    :param is_leaving: whether an endpoint gets no new work
+    :param mark_leaving: notes that an endpoint says that it is leaving
+    """
+
+    def __init__(
+        self,
+        http: httpclient.AsyncHTTPClient,
+        is_leaving: Callable[[str, int], bool],
+        mark_leaving: Callable[[str, int], None],
+    ) -> None:
+        self._http = http
+        self._is_leaving = is_leaving
+        self._mark_leaving = mark_leaving
+        self._budget = retry_budget.RetryBudget()
+        self._turn = 0
+
+    async def send_repeatable(
+        self,
+        call: ServiceCall,
+        spec: records.ServiceSpec,
+        retry_ratio: float,
+    ) -> ServiceAnswer:
+        """Send a call that may be sent again after a lost answer.
+
+        :param retry_ratio: retries allowed for each first attempt
+        :raises ServiceUnavailableError: if no byte reached an endpoint
+        :raises ServiceConnectionLostError: if the answer was lost
+        :raises ServiceTimeoutError: if the time limit passed
+        """
+        self._budget.add_attempt(retry_ratio)
+        lost: exceptions.ServiceConnectionLostError | None = None
+        for endpoint in self._endpoints(spec):
+            if lost is not None and not self._budget.take():
+                raise lost
+            try:
+                return await self._attempt(endpoint, call)
+            except exceptions.ServiceUnavailableError as error:
+                _log.info("Endpoint passed over: {}", error)
+            except exceptions.ServiceConnectionLostError as error:
+                _log.info("Answer lost: {}", error)
+                lost = error
+        raise lost or _unavailable(call.service)
+
+    async def send_once(
+        self, call: ServiceCall, spec: records.ServiceSpec
+    ) -> ServiceAnswer:
+        """Send a call that must not be sent again once a byte went out.
+
+        Another endpoint is tried only while nothing was sent, or when the
+        endpoint itself refused the call because it is leaving.
+
+        :raises ServiceUnavailableError: if the call was not run
+        :raises ServiceConnectionLostError: if it may have run
+        :raises ServiceTimeoutError: if it may have run
+        """
+        for endpoint in self._endpoints(spec):
+            try:
+                return await self._attempt(endpoint, call)
+            except exceptions.ServiceUnavailableError as error:
+                _log.info("Endpoint passed over: {}", error)
+        raise _unavailable(call.service)
+
+    def _endpoints(
+        self, spec: records.ServiceSpec
+    ) -> list[records.ServiceEndpoint]:
+        self._turn += 1
+        shift = self._turn % len(spec.endpoints)
+        rotated = spec.endpoints[shift:] + spec.endpoints[:shift]
+        return [e for e in rotated if not self._is_leaving(e.address, e.port)]
+
+    async def _attempt(
+        self, endpoint: records.ServiceEndpoint, call: ServiceCall
+    ) -> ServiceAnswer:
+        where = f"{endpoint.address}:{endpoint.port}"
+        left_s = call.deadline - time.time()
+        if left_s <= 0:
+            raise exceptions.ServiceUnavailableError(
+                "the time limit passed before the call was sent"
+            )
+        has_body = call.method not in ("GET", "HEAD")
+        request = httpclient.HTTPRequest(
+            f"http://{where}{call.target}",
+            method=call.method,
+            headers=_headers(call, left_s),
+            body=call.body if call.body or has_body else None,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+            decompress_response=False,
+            connect_timeout=min(_CONNECT_TIMEOUT_S, left_s),
+            request_timeout=left_s,
+        )
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except Exception as error:
+            raise _failure(where, error, call.deadline) from error
+        if response.code == 599:
+            raise _failure(where, response.error, call.deadline)
+        if response.code == 503 and _error_code(response.body) == "leaving":
+            self._mark_leaving(endpoint.address, endpoint.port)
+            raise exceptions.ServiceUnavailableError(f"{where} is leaving")
+        # The length is that of the body, except in the answer to HEAD.
+        dropped = set() if call.method == "HEAD" else {"content-length"}
+        headers = forwarded_headers(response.headers, dropped)
+        return ServiceAnswer(response.code, headers, response.body or b"")
+
+
+def forwarded_headers(
+    headers: httputil.HTTPHeaders, dropped: set[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that concern both ends of a call.
+
+    :param headers: the headers received
+    :param dropped: lower-case names of further headers to leave out
+    """
+    named = {
+        name.strip().lower()
+        for value in headers.get_list("Connection")
+        for name in value.split(",")
+    }
+    left_out = _HOP_BY_HOP | named | dropped
+    return tuple(
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in left_out
+    )
+
+
+def _headers(call: ServiceCall, left_s: float) -> httputil.HTTPHeaders:
+    headers = httputil.HTTPHeaders()
+    for name, value in call.headers:
+        headers.add(name, value)
+    headers["Request-Timeout"] = f"{left_s:.3f}"
+    return headers
+
+
+def _unavailable(service: str) -> exceptions.ServiceUnavailableError:
+    return exceptions.ServiceUnavailableError(
+        f"no endpoint of service {service} takes calls now",
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+def _failure(
+    where: str, error: BaseException | None, deadline: float
+) -> Exception:
+    if _is_before_sending(error):
+        return exceptions.ServiceUnavailableError(
+            f"{where} cannot be reached: {error}"
+        )
+    if time.time() >= deadline or isinstance(
+        error, simple_httpclient.HTTPTimeoutError
+    ):
+        return exceptions.ServiceTimeoutError(
+            "the service did not answer within the time limit",
+            verdict=verdict.Verdict.MAY_HAVE_RUN,
+        )
+    return exceptions.ServiceConnectionLostError(
+        f"the connection to {where} broke: {error}",
+        verdict=verdict.Verdict.MAY_HAVE_RUN,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+def _is_before_sending(error: BaseException | None) -> bool:
+    """Whether no byte can have reached the service.
+
+    Everything but a refused or unfinished connection counts as sent. The
+    client's only time limit after the connection is "during request".
+    """
+    if isinstance(error, simple_httpclient.HTTPTimeoutError):
+        return "during request" not in str(error)
+    return isinstance(error, ConnectionRefusedError)
+
+
+def _error_code(body: bytes | None) -> str:
+    try:
+        return str(msgspec.json.decode(body or b"")["code"])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return ""
--- a/src/fireflyspur/console/commands/standin.py
+++ b/src/fireflyspur/console/commands/standin.py
@@ -10,6 +10,7 @@
 from fireflyspur.standins import engine
 from fireflyspur.standins import log
 from fireflyspur.standins import server
+from fireflyspur.standins import service
 from fireflyspur.standins import vm_list
 
 
@@ -25,6 +26,7 @@
         self._add_log(kinds.add_parser("log", help="append-only log"))
         self._add_vm_list(kinds.add_parser("vm-list", help="list of VMs"))
         self._add_engine(kinds.add_parser("engine", help="model engine"))
+        self._add_service(kinds.add_parser("service", help="plain service"))
         for parser in kinds.choices.values():
             parser.add_argument("--address", default="127.0.0.1")
             parser.add_argument("--port", type=int, default=0)
@@ -52,6 +54,11 @@
         parser.add_argument("--time-factor", type=float, default=1.0)
         parser.set_defaults(build=_build_engine)
 
+    def _add_service(self, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument("--fencing", action="store_true")
+        parser.add_argument("--replays-results", action="store_true")
+        parser.set_defaults(build=_build_service)
+
 
 def _build_log(arguments: argparse.Namespace) -> web.Application:
     return log.application(arguments.retention_s, arguments.max_appends_per_s)
@@ -71,6 +78,10 @@
     )
 
 
+def _build_service(arguments: argparse.Namespace) -> web.Application:
+    return service.application(arguments.fencing, arguments.replays_results)
+
+
 async def _serve(arguments: argparse.Namespace) -> None:
     application = arguments.build(arguments)
     await server.serve(application, arguments.address, arguments.port)
--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -5,6 +5,8 @@
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
+from fireflyspur.claims import claim_ledger
+from fireflyspur.clients import service_client
 from fireflyspur.engines import prompt_runner
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
@@ -23,4 +25,6 @@
     bodies: body_budget.BodyBudget
     router: router.Router
     runner: prompt_runner.PromptRunner
+    services: service_client.ServiceClient
+    ledger: claim_ledger.ClaimLedger
     drain: drain_controller.DrainController
--- /dev/null
+++ b/src/fireflyspur/node/handlers/services.py
@@ -0,0 +1,141 @@
+"""Handler of calls to plain services."""
+
+import hashlib
+import time
+
+from tornado import httputil
+
+from fireflyspur.admission import authenticator
+from fireflyspur.claims import claim_ledger
+from fireflyspur.claims import claim_partition
+from fireflyspur.clients import service_client
+from fireflyspur.errors import exceptions
+from fireflyspur.generated import records
+from fireflyspur.node.handlers import base
+
+# The caller's key is meant for the node. The node writes the others itself.
+_NOT_FORWARDED = {
+    "authorization",
+    "client-account",
+    "content-length",
+    "expect",
+    "fencing-token",
+    "host",
+    "request-timeout",
+    "x-request-id",
+}
+_REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
+
+
+class ServiceNotFoundError(exceptions.FireflyspurError):
+    """No record describes the service."""
+
+    code = "service_not_found"
+    http_status = 404
+
+
+class ServicesHandler(base.CallerHandler):
+    """``/services/NAME/...``."""
+
+    def compute_etag(self) -> str | None:
+        """Leave entity tags to the service."""
+        return None
+
+    async def get(self, name: str) -> None:
+        """Forward a call that may be repeated."""
+        await self._forward(name)
+
+    head = get
+
+    async def post(self, name: str) -> None:
+        """Forward a call that may be repeated only if its service says so."""
+        await self._forward(name)
+
+    put = patch = delete = options = post
+
+    async def _forward(self, name: str) -> None:
+        account = self.account()
+        timeout_s = self.timeout_s(account)
+        passed_s = time.monotonic() - self._received_at
+        deadline = time.time() + timeout_s - passed_s
+        catalog = self._node.follower.catalog
+        spec = catalog.specs(records.ServiceSpec).get(name)
+        if spec is None:
+            raise ServiceNotFoundError(f"no service has the name {name:.80}")
+        call = self._call(name, account, deadline)
+        if call.method in _REPEATABLE_METHODS or spec.repeatable:
+            answer = await self._node.services.send_repeatable(
+                call, spec, catalog.policy().retry_ratio
+            )
+        else:
+            answer = await self._run_once(call, spec, account)
+        await self._send(answer)
+
+    def _call(
+        self, name: str, account: authenticator.Account, deadline: float
+    ) -> service_client.ServiceCall:
+        target = self.request.uri[len(f"/services/{name}") :]
+        call = service_client.ServiceCall(
+            service=name,
+            method=self.request.method,
+            target=target if target.startswith("/") else f"/{target}",
+            headers=service_client.forwarded_headers(
+                self.request.headers, _NOT_FORWARDED
+            ),
+            body=self.take_body(),
+            deadline=deadline,
+        )
+        return call.with_headers(
+            Client_Account=account.name, X_Request_Id=self.request_id
+        )
+
+    async def _run_once(
+        self,
+        call: service_client.ServiceCall,
+        spec: records.ServiceSpec,
+        account: authenticator.Account,
+    ) -> service_client.ServiceAnswer:
+        async def send(
+            claim: claim_partition.Claim,
+        ) -> service_client.ServiceAnswer:
+            _, _, key = claim.identity
+            fenced = call.with_headers(
+                Idempotency_Key=key, Fencing_Token=str(claim.offset)
+            )
+            return await self._node.services.send_once(fenced, spec)
+
+        result = await self._node.ledger.run(
+            claim_ledger.LedgerCall(
+                account=account.name,
+                service=call.service,
+                key=self.request.headers.get("Idempotency-Key", ""),
+                body_hash=_hash(call),
+                deadline=call.deadline,
+                takeover_allowed=spec.fencing and spec.replays_results,
+            ),
+            send,
+        )
+        if result.is_replayed:
+            self.set_header("Idempotent-Replayed", "true")
+        return result.answer
+
+    async def _send(self, answer: service_client.ServiceAnswer) -> None:
+        self.set_status(
+            answer.status, httputil.responses.get(answer.status, "Unknown")
+        )
+        self.clear_header("Content-Type")
+        for name, value in answer.headers:
+            if name.lower() in ("x-request-id", "server", "date"):
+                continue
+            self.add_header(name, value)
+        if answer.body:
+            self.write(answer.body)
+        await self.finish()
+
+
+def _hash(call: service_client.ServiceCall) -> str:
+    """Return a hash of what the service is asked to do."""
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.target.encode(), call.body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
--- a/src/fireflyspur/node/http_server.py
+++ b/src/fireflyspur/node/http_server.py
@@ -10,6 +10,7 @@
 from fireflyspur.node.handlers import completions
 from fireflyspur.node.handlers import health
 from fireflyspur.node.handlers import models
+from fireflyspur.node.handlers import services
 
 # Handlers check the size of a body themselves, to answer with JSON.
 _SERVER_MAX_BODY_BYTES = 2**40
@@ -27,6 +28,11 @@
                 arguments,
             ),
             ("/v1/models", models.ModelsHandler, arguments),
+            (
+                r"/services/([\w.-]+)(?:/.*)?",
+                services.ServicesHandler,
+                arguments,
+            ),
             ("/healthz", health.HealthHandler),
             ("/readyz", health.ReadyHandler, arguments),
         ],
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -11,9 +11,12 @@
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
+from fireflyspur.claims import claim_ledger
+from fireflyspur.claims import pause_points
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import http_client
 from fireflyspur.clients import log_client
+from fireflyspur.clients import service_client
 from fireflyspur.engines import prompt_runner
 from fireflyspur.generated import settings
 from fireflyspur.node import context
@@ -108,6 +111,15 @@
             f"{config.node.name}:{incarnation}",
         )
         self._stack.push_async_callback(runner.close)
+        ledger = claim_ledger.ClaimLedger(
+            log,
+            catalog,
+            config.node.name,
+            config.log.append_timeout_s,
+            config.log.poll_wait_s,
+            pause_points.PausePoints(config.testing.pause_at),
+        )
+        self._stack.push_async_callback(ledger.close)
         return context.NodeContext(
             settings=config,
             follower=catalog_follower.CatalogFollower(
@@ -121,6 +133,10 @@
             ),
             router=routing,
             runner=runner,
+            services=service_client.ServiceClient(
+                http, routing.view.is_leaving, routing.view.mark_leaving
+            ),
+            ledger=ledger,
             drain=drain_controller.DrainController(config.node.drain_s),
         )
 
--- a/src/fireflyspur/records/catalog.py
+++ b/src/fireflyspur/records/catalog.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from fireflyspur.generated import records
+from fireflyspur.records import claim_layout
 from fireflyspur.records import record
 
 SNAPSHOT_KIND = "snapshot"
@@ -128,6 +129,9 @@
             return Rejected(errors)
         key = (value["kind"], value["name"])
         current = self._entries.get(key)
+        errors = claim_layout.find_errors(current, time, value)
+        if errors:
+            return Rejected(errors)
         if current is not None and current.offset >= offset:
             return Superseded(current)
         based_on = value.get("based_on")
--- a/src/fireflyspur/standins/log.py
+++ b/src/fireflyspur/standins/log.py
@@ -18,12 +18,16 @@
     :param down: every call answers 503
     :param lose_answers: this many appends take effect and then answer 503
     :param delay_ms: delay before each call takes effect
+    :param late_appends: this many appends answer 503 and take effect later
+    :param late_append_ms: time after which a late append takes effect
     :param cut_clients: calls of these clients answer 503
     """
 
     down: bool = False
     lose_answers: int = 0
     delay_ms: int = 0
+    late_appends: int = 0
+    late_append_ms: int = 0
     cut_clients: tuple[str, ...] = ()
 
 
@@ -126,22 +130,22 @@
         self._appends += 1
         return True
 
-    def take_lost_answer(self) -> bool:
-        """Whether the answer to this append is to be lost."""
-        if not self.faults.lose_answers:
-            return False
-        self.faults = dataclasses.replace(
-            self.faults, lose_answers=self.faults.lose_answers - 1
-        )
-        return True
+    def take(self, fault: str) -> bool:
+        """Use up one of the faults that are counted."""
+        count = getattr(self.faults, fault)
+        if count:
+            self.faults = dataclasses.replace(
+                self.faults, **{fault: count - 1}
+            )
+        return bool(count)
 
 
 class _LogHandler(server.JsonHandler):
     def initialize(self, log: Log) -> None:
-        self._log = log
+        self._store = log
 
     async def prepare(self) -> None:
-        faults = self._log.faults
+        faults = self._store.faults
         client = self.request.headers.get("Client-Name", "")
         if faults.delay_ms:
             await asyncio.sleep(faults.delay_ms / 1000)
@@ -155,11 +159,16 @@
     async def post(self, name: str) -> None:
         """Append records."""
         values = self.read_json()["records"]
-        if not self._log.take_append():
+        if not self._store.take_append():
             self.refuse(429, "rate_exceeded", Retry_After="1")
             return
-        offsets = await self._log.stream(name).append(values)
-        if self._log.take_lost_answer():
+        if self._store.take("late_appends"):
+            self.refuse(503, "late")
+            await asyncio.sleep(self._store.faults.late_append_ms / 1000)
+            await self._store.stream(name).append(values)
+            return
+        offsets = await self._store.stream(name).append(values)
+        if self._store.take("lose_answers"):
             self.refuse(503, "answer_lost")
             return
         self.send({"offsets": offsets})
@@ -169,7 +178,7 @@
         start = int(self.get_query_argument("from", "1"))
         limit = int(self.get_query_argument("limit", "1000"))
         wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
-        stream = self._log.stream(name)
+        stream = self._store.stream(name)
         records = await stream.read(start, limit, wait_s)
         following = records[-1]["offset"] + 1 if records else start
         self.send(
@@ -187,7 +196,7 @@
 
     def get(self) -> None:
         """Answer with the log's limits."""
-        self.send(self._log.info)
+        self.send(self._store.info)
 
 
 class FaultsHandler(server.JsonHandler):
@@ -195,14 +204,14 @@
 
     def initialize(self, log: Log) -> None:
         """Set the handler up for one request."""
-        self._log = log
+        self._store = log
 
     def post(self) -> None:
         """Replace the faults; keys left out are off."""
         wanted = self.read_json()
         wanted["cut_clients"] = tuple(wanted.get("cut_clients", ()))
-        self._log.faults = LogFaults(**wanted)
-        self.send(dataclasses.asdict(self._log.faults))
+        self._store.faults = LogFaults(**wanted)
+        self.send(dataclasses.asdict(self._store.faults))
 
 
 def application(
--- /dev/null
+++ b/tests/claims/test_claim_layout.py
@@ -0,0 +1,38 @@
+"""No key may be decided in two partitions."""
+
+import testtools
+
+from fireflyspur.records import catalog as catalogs
+from fireflyspur.records import claim_layout
+from tests.support import records
+
+
+class TestFindErrors(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.catalog = catalogs.Catalog()
+        self.apply(1, 0.0, records.make("fleet", "default"))
+
+    def apply(self, offset, time, value):
+        return self.catalog.apply(offset, time, value)
+
+    def test_a_change_of_the_partitions_is_refused(self):
+        wanted = records.make("fleet", "default", claim_partitions=16)
+        result = self.apply(2, 1.0, wanted)
+        self.assertIsInstance(result, catalogs.Rejected)
+        self.assertEqual(8, self.catalog.fleet().claim_partitions)
+
+    def test_other_changes_are_accepted(self):
+        wanted = records.make("fleet", "default", quarantine_s=60.0)
+        self.assertIsInstance(self.apply(2, 1.0, wanted), catalogs.Accepted)
+
+    def test_after_a_deletion_all_keys_must_have_expired(self):
+        gone = {**records.make("fleet", "default"), "deleted": True}
+        self.apply(2, 10.0, gone)
+        wanted = records.make("fleet", "default", claim_partitions=16)
+        for wait_s, result_type in (
+            (claim_layout.CHANGE_GAP_S - 1, catalogs.Rejected),
+            (claim_layout.CHANGE_GAP_S, catalogs.Accepted),
+        ):
+            result = self.apply(3, 10.0 + wait_s, wanted)
+            self.assertIsInstance(result, result_type)
--- /dev/null
+++ b/tests/claims/test_claim_partition.py
@@ -0,0 +1,164 @@
+"""Claims are decided by offset, alike by every reader."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from fireflyspur.claims import claim_partition
+
+IDENTITY = ("counter", "till", "key")
+RETENTION_S = 10_000.0
+
+
+def claim(uid, **values):
+    return {
+        "type": "claim",
+        "uid": uid,
+        "account": "counter",
+        "service": "till",
+        "key": "key",
+        "body_hash": "h",
+        "deadline": 50.0,
+        "valid_until": 3600.0,
+        "takeover_allowed": False,
+        **values,
+    }
+
+
+def release(uid):
+    return {"type": "release", "uid": uid}
+
+
+def outcome(uid, status=200):
+    return {
+        "type": "outcome",
+        "uid": uid,
+        "status": status,
+        "headers": [],
+        "body": "",
+    }
+
+
+def partition(*values, time=1.0):
+    state = claim_partition.ClaimPartition(RETENTION_S)
+    for offset, value in enumerate(values, 1):
+        state.apply(offset, value.pop("at", time), value)
+    return state
+
+
+class TestClaimPartition(testtools.TestCase):
+    def test_the_lower_offset_wins_and_the_other_stays_void(self):
+        # Guards against a void claim that comes to life after a release.
+        state = partition(claim("a"), claim("b"), release("a"))
+        self.assertIsNone(state.accepted("b"))
+        self.assertIsNone(state.live(IDENTITY))
+
+    def test_a_release_that_arrives_first_voids_the_claim(self):
+        # Guards against a delayed append that claims a key for good.
+        state = partition(release("a"), claim("a"))
+        self.assertTrue(state.is_decided("a"))
+        self.assertIsNone(state.live(IDENTITY))
+
+    def test_a_claim_that_is_appended_twice_counts_once(self):
+        # Guards against a retried append that reopens a released claim.
+        state = partition(claim("a"), release("a"), claim("a"))
+        self.assertIsNone(state.live(IDENTITY))
+
+    def test_a_release_does_not_undo_an_outcome(self):
+        state = partition(claim("a"), outcome("a"), release("a"), claim("b"))
+        self.assertEqual(200, state.live(IDENTITY).outcome.status)
+
+    def test_the_outcome_of_a_void_claim_is_ignored(self):
+        state = partition(claim("a"), claim("b"), outcome("b"))
+        self.assertIsNone(state.live(IDENTITY).outcome)
+
+    def test_a_claim_past_the_horizon_is_void(self):
+        # Guards against a paused node whose claim arrives after the first
+        # claim on the key has left the log.
+        state = partition(claim("a", at=3601.0))
+        self.assertIsNone(state.accepted("a"))
+
+    def test_takeover_needs_a_service_that_allows_it_and_the_deadline(self):
+        for first, second, at, taken in (
+            (True, True, 51.0, True),
+            (True, True, 49.0, False),
+            (False, True, 51.0, False),
+            (True, False, 51.0, False),
+        ):
+            state = partition(
+                claim("a", takeover_allowed=first),
+                claim("b", takeover_allowed=second, takes_over="a", at=at),
+            )
+            self.assertEqual("b" if taken else "a", state.live(IDENTITY).uid)
+
+    def test_only_one_of_two_takeovers_wins(self):
+        later = {"takeover_allowed": True, "takes_over": "a", "at": 51.0}
+        state = partition(
+            claim("a", takeover_allowed=True),
+            claim("b", **later),
+            claim("c", **later),
+        )
+        self.assertEqual("b", state.live(IDENTITY).uid)
+
+    def test_a_known_outcome_is_not_taken_over(self):
+        later = {"takeover_allowed": True, "takes_over": "a", "at": 51.0}
+        first = claim("a", takeover_allowed=True)
+        for status, uid in ((200, "a"), (0, "b")):
+            state = partition(
+                dict(first), outcome("a", status), claim("b", **later)
+            )
+            self.assertEqual(uid, state.live(IDENTITY).uid)
+
+
+uids = strategies.sampled_from("abcd")
+keys = strategies.sampled_from(["k1", "k2"])
+histories = strategies.lists(
+    strategies.one_of(
+        strategies.builds(
+            claim, uids, key=keys, takeover_allowed=strategies.booleans()
+        ),
+        strategies.builds(
+            claim,
+            uids,
+            key=keys,
+            takeover_allowed=strategies.just(True),
+            takes_over=uids,
+        ),
+        strategies.builds(release, uids),
+        strategies.builds(outcome, uids, strategies.sampled_from([0, 200])),
+    ),
+    max_size=24,
+)
+
+
+class TestHistories(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    @hypothesis.given(histories, strategies.integers(1, 12))
+    def test_every_reader_of_a_prefix_agrees(self, history, step):
+        """At most one claim of a key is live, and void is for good."""
+        reader = claim_partition.ClaimPartition(RETENTION_S)
+        void, settled = set(), {}
+        for count, value in enumerate(history, 1):
+            reader.apply(count, float(count * step), value)
+            other = claim_partition.ClaimPartition(RETENTION_S)
+            for offset, former in enumerate(history[:count], 1):
+                other.apply(offset, float(offset * step), former)
+            live = {}
+            for uid in "abcd":
+                found = reader.accepted(uid)
+                self.assertEqual(found, other.accepted(uid))
+                if found is None and reader.is_decided(uid):
+                    void.add(uid)
+                if found is None:
+                    continue
+                self.assertNotIn(uid, void)
+                self.assertNotIn(found.identity, live)
+                live[found.identity] = found
+                if found.outcome and found.outcome.is_known:
+                    settled[found.identity] = uid
+            for key in ("k1", "k2"):
+                identity = ("counter", "till", key)
+                self.assertEqual(live.get(identity), reader.live(identity))
+                if identity in settled:
+                    # A key with a known outcome never runs again.
+                    self.assertEqual(settled[identity], live[identity].uid)
