--- a/tests/integration/test_services.py
+++ b/tests/integration/test_services.py
@@ -9,6 +9,7 @@
 
 import testtools
 
+from fireflyspur.claims import claim_ledger
 from tests.support import keys
 from tests.support import polling
 from tests.support import records
@@ -175,24 +176,21 @@
         self.assertEqual(1, len(self.effects()))
 
     def test_an_open_call_answers_in_progress(self):
-        self.faults("till-1", delay_ms=4000)
+        # The service holds the first call longer than any test runs.
+        self.faults("till-1", delay_ms=600_000)
         key = keys.uuid7()
-        first = Caller(lambda: self.call(key=key))
-        claims = self.fleet.url("log") + "/info"
-        before = fleets.call(claims)["appends"]
+        Caller(lambda: self.call(key=key, Request_Timeout="600"))
+        url = self.fleet.url("till-1") + "/effects"
         polling.wait_until(
-            lambda: fleets.call(claims)["appends"] >= max(1, before),
-            "the claim is in the log",
+            lambda: fleets.call(url)["received"], "the call is sent"
         )
         second = self.call(key=key)
-        first.join()
-        self.assertEqual(200, first.answer.status)
-        if second.status != 200:
-            self.assertEqual(
-                (409, "call_in_progress", "may_have_run"), second.error
-            )
-            self.assertIn("Retry-After", second.headers)
-        self.assertEqual(1, len(self.effects()))
+        self.assertEqual(
+            (409, "call_in_progress", "may_have_run"), second.error
+        )
+        self.assertIn("Retry-After", second.headers)
+        received = fleets.call(url)["received"]
+        self.assertEqual(1, received)
 
 
 class TestServiceFails(ServicesTestCase):
@@ -275,12 +273,22 @@
         self.assertEqual(2, len(self.effects()))
 
     def test_a_claim_that_arrives_after_its_release_is_void(self):
+        # Guards against a late append that claims the key for good.
         key = keys.uuid7()
         self.call(key=keys.uuid7())
-        self.faults("log", late_appends=1, late_append_ms=4000)
-        answer = self.call(key=key, Request_Timeout="0.1")
+        # The pauses before the next appends are 0.2, 0.4 and 0.8 s, so that
+        # the claim is given up before an append succeeds.
+        self.faults("log", late_appends=3, late_append_ms=3000)
+        answer = self.call(key=key)
         self.assertEqual((503, "log_unavailable", "not_run"), answer.error)
-        self.assertEqual(1, len(self.effects()))
+        stream = claim_ledger.stream_of(("counter", "till", key), 8)
+        url = f"{self.fleet.url('log')}/streams/{stream}/records"
+
+        def late_claim():
+            found = fleets.call(url)["records"]
+            return [r for r in found if r["value"].get("key") == key]
+
+        polling.wait_until(late_claim, "the late claim is in the log")
         self.assertEqual(200, self.settle(key).status)
         self.assertEqual(2, len(self.effects()))
 
@@ -379,3 +387,36 @@
             first.join()
             self.assertEqual(count + 1, len(self.effects()), step)
             node.kill()
+
+
+class TestFencingAlone(ServicesTestCase):
+    """Without replay, a taken over call could run a second time."""
+
+    options = ("--fencing",)
+    spec = {"fencing": True}
+
+    def test_the_claim_of_a_dead_node_is_not_taken_over(self):
+        node = self.start_node("node-1", "after_answer")
+        key = keys.uuid7()
+        deadline = time.time() + 3
+        Caller(lambda: self.call("node-1", key, Request_Timeout="3"))
+        polling.wait_until(
+            lambda: "Paused at" in self.fleet.log_text("node-1"),
+            "the node is paused",
+        )
+        node.kill()
+        polling.wait_until(
+            lambda: time.time() > deadline + 1, "the time limit has passed"
+        )
+        self.assertEqual(
+            (409, "call_in_progress", "may_have_run"),
+            self.call(key=key).error,
+        )
+        self.assertEqual(1, len(self.effects()))
+
+
+class TestReplayAlone(TestFencingAlone):
+    """Without fencing, a paused holder could run the call a second time."""
+
+    options = ("--replays-results",)
+    spec = {"replays_results": True}
