--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -75,3 +75,10 @@
 
     code = "deadline_exceeded"
     http_status = 504
+
+
+class NodeUnreachableError(exceptions.FireflyspurError):
+    """A node's admin port did not answer as expected."""
+
+    code = "node_unreachable"
+    http_status = 503
--- a/src/fireflyspur/clients/service_client.py
+++ b/src/fireflyspur/clients/service_client.py
@@ -71,18 +71,19 @@
 
     :param http: the shared HTTP client
     :param is_leaving: whether an endpoint gets no new work
-    :param mark_leaving: notes that an endpoint says that it is leaving
+    :param report_leaving: told the service, address and port of an endpoint
+        that says that it is leaving
     """
 
     def __init__(
         self,
         http: httpclient.AsyncHTTPClient,
         is_leaving: Callable[[str, int], bool],
-        mark_leaving: Callable[[str, int], None],
+        report_leaving: Callable[[str, str, int], None],
     ) -> None:
         self._http = http
         self._is_leaving = is_leaving
-        self._mark_leaving = mark_leaving
+        self._report_leaving = report_leaving
         self._budget = retry_budget.RetryBudget()
         self._turn = 0
 
@@ -168,7 +169,7 @@
         if response.code == 599:
             raise _failure(where, response.error, call.deadline)
         if response.code == 503 and _error_code(response.body) == "leaving":
-            self._mark_leaving(endpoint.address, endpoint.port)
+            self._report_leaving(call.service, endpoint.address, endpoint.port)
             raise exceptions.ServiceUnavailableError(f"{where} is leaving")
         # The length is that of the body, except in the answer to HEAD.
         dropped = set() if call.method == "HEAD" else {"content-length"}
--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -13,6 +13,7 @@
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
 from fireflyspur.node import membership_parts
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import router
 
@@ -34,3 +35,4 @@
     ledger: claim_ledger.ClaimLedger
     drain: drain_controller.DrainController
     membership: membership_parts.MembershipParts
+    metrics: metrics.Metrics
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -25,6 +25,7 @@
 from fireflyspur.node import http_server
 from fireflyspur.node import membership_parts
 from fireflyspur.observability import logs
+from fireflyspur.observability import metrics
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
@@ -64,13 +65,11 @@
         self._start_task(node.follower.run())
         self._start_task(self._load_poller.run())
         peer_port = await node.membership.start(self._stack)
-        limits = self._config.limits
         address = self._config.node.address
         http, http_port = http_server.listen(
             http_server.caller_application(node),
             address,
             self._config.node.http_port,
-            limits.max_header_bytes,
         )
         admin, admin_port = http_server.listen(
             http_server.admin_application(node),
@@ -95,6 +94,7 @@
         self._context.drain.begin()
         self._context.membership.announce_leaving()
         await self._context.drain.drain()
+        await self._context.ledger.close()
         await self._context.membership.announce_end()
         await self._stack.aclose()
         _log.info("Stopped")
@@ -122,17 +122,12 @@
             f"{config.node.name}:{incarnation}",
         )
         self._stack.push_async_callback(runner.close)
-        follower = catalog_follower.CatalogFollower(
-            log,
-            catalog,
-            trail,
-            # A read that waits longer would let the configuration grow older
-            # than the bound while the log is well.
-            min(
-                config.log.poll_wait_s,
-                config.membership.staleness_bound_s / 2,
-            ),
+        follower = self._build_follower(log, catalog, trail)
+        membership = membership_parts.MembershipParts(
+            config, incarnation, follower, log, http, view, trail
         )
+        reported = metrics.Metrics(config.metrics)
+        self._stack.callback(reported.close)
         return context.NodeContext(
             settings=config,
             follower=follower,
@@ -149,14 +144,27 @@
             router=routing,
             runner=runner,
             services=service_client.ServiceClient(
-                http, routing.view.is_leaving, routing.view.mark_leaving
+                http, view.is_leaving, membership.report_service_leaving
             ),
             ledger=self._build_ledger(log, catalog),
             drain=drain_controller.DrainController(config.node.drain_s),
-            membership=membership_parts.MembershipParts(
-                config, incarnation, follower, log, http, view, trail
-            ),
+            membership=membership,
+            metrics=reported,
+        )
+
+    def _build_follower(
+        self,
+        log: log_client.LogClient,
+        catalog: catalogs.Catalog,
+        trail: audit_trail.AuditTrail,
+    ) -> catalog_follower.CatalogFollower:
+        config = self._config
+        # A read that waits longer would let the configuration grow older
+        # than the bound while the log is well.
+        wait_s = min(
+            config.log.poll_wait_s, config.membership.staleness_bound_s / 2
         )
+        return catalog_follower.CatalogFollower(log, catalog, trail, wait_s)
 
     def _build_ledger(
         self, log: log_client.LogClient, catalog: catalogs.Catalog
--- a/tests/integration/test_services.py
+++ b/tests/integration/test_services.py
@@ -11,6 +11,7 @@
 
 from fireflyspur.claims import claim_ledger
 from tests.support import keys
+from tests.support import nodes
 from tests.support import polling
 from tests.support import records
 from tools import fleet as fleets
@@ -251,6 +252,27 @@
             self.assertEqual(200, self.call(method="GET").status)
 
 
+class TestLeavingEndpoint(ServicesTestCase):
+    def test_other_nodes_give_it_no_new_work(self):
+        # Guards against a node that keeps sending work to an endpoint that
+        # told only another node that it is leaving.
+        self.start_node("node-1")
+        for name in ("node-1", "node-2"):
+            port = self.fleet.process(name).ports["peer"]
+            nodes.list_vm(self.fleet, name, "node", port, "sapporo-a")
+        polling.wait_until(
+            lambda: nodes.state_of(self.fleet, "node-2", "node-1") == "alive",
+            "the nodes know each other",
+        )
+        self.faults("till-1", refuse="leaving")
+        self.assertEqual("not_run", self.call(key=keys.uuid7()).error[2])
+        self.faults("till-1")
+        polling.wait_until(
+            lambda: self.call("node-1", method="GET").status == 503,
+            "the news reaches the other node",
+        )
+
+
 class TestLogFails(ServicesTestCase):
     def test_a_log_that_is_down_or_slow_runs_nothing(self):
         for fault in ({"down": True}, {"delay_ms": 2500}):
