--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -6,6 +6,8 @@
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
+from fireflyspur.claims import claim_ledger
+from fireflyspur.clients import service_client
 from fireflyspur.engines import holding_sweeper
 from fireflyspur.engines import prompt_runner
 from fireflyspur.engines import quarantine
@@ -37,6 +39,8 @@
     quarantine: quarantine.Quarantine
     sweeper: holding_sweeper.HoldingSweeper
     orders: order_manager.OrderManager
+    services: service_client.ServiceClient
+    ledger: claim_ledger.ClaimLedger
     drain: drain_controller.DrainController
     membership: membership_parts.MembershipParts
     metrics: metrics.Metrics
--- a/src/fireflyspur/node/http_server.py
+++ b/src/fireflyspur/node/http_server.py
@@ -10,6 +10,7 @@
 from fireflyspur.node.handlers import completions
 from fireflyspur.node.handlers import health
 from fireflyspur.node.handlers import models
+from fireflyspur.node.handlers import services
 
 # Handlers check the size of headers and bodies themselves, to answer with
 # JSON. Headers beyond this limit close the connection without an answer.
@@ -29,6 +30,11 @@
                 arguments,
             ),
             ("/v1/models", models.ModelsHandler, arguments),
+            (
+                r"/services/([\w.-]+)(?:/.*)?",
+                services.ServicesHandler,
+                arguments,
+            ),
             ("/healthz", health.HealthHandler),
             ("/readyz", health.ReadyHandler, arguments),
         ],
--- a/src/fireflyspur/node/membership_parts.py
+++ b/src/fireflyspur/node/membership_parts.py
@@ -175,6 +175,20 @@
             "the node was told to stop",
         )
 
+    def report_service_leaving(
+        self, service: str, address: str, port: int
+    ) -> None:
+        """Note that an endpoint of a service refused work, and spread it."""
+        if self._view.is_leaving(address, port):
+            return
+        self._view.mark_leaving(address, port)
+        self._trail.add(
+            "services", "marked_leaving", service, "the endpoint says so"
+        )
+        self._bus.publish(
+            urgent.EndpointLeaving("service", service, address, port)
+        )
+
     def _subscribe(self) -> None:
         self._gossiper.add_report_listener(self._freshness.note)
         self._gossiper.add_report_listener(self._exchange.consider)
