--- a/tests/tools/test_reference.py
+++ b/tests/tools/test_reference.py
@@ -19,10 +19,12 @@
                         self.assertIn(f"{key}` | {value['type']}", page)
 
     def test_the_pages_are_up_to_date(self):
-        folder = reference._DOCS
-        for name, text in (
-            ("reference.md", reference.reference_page()),
-            ("metrics.md", reference.metrics_page()),
-        ):
-            written = (folder / name).read_text(encoding="utf-8")
+        for name, text in reference.pages().items():
+            path = reference.FOLDER / name
+            written = path.read_text(encoding="utf-8")
             self.assertEqual(text, written, f"run make generate: {name}")
+
+    def test_error_codes_of_other_packages_are_found(self):
+        page = reference.errors_page()
+        for code in ("invalid_api_key", "record_beaten", "not_found"):
+            self.assertIn(f"| `{code}` | ", page)
