Keep callers' text from forging log lines

A model name with a line break started a log line of its own in the human format; fields that are not printable are now quoted. A refused request whose caller leaves while the rest of its body is dropped was logged as cancelled and keeps its refusal now. A statsd host without an address ends the start with a message that names the key, not with a traceback.

--- a/src/fireflyspur/node/handlers/base.py
+++ b/src/fireflyspur/node/handlers/base.py
@@ -207,7 +207,7 @@
         """Note that the caller has gone."""
         super().on_connection_close()
         self._disconnected.set()
-        self._summary.is_cancelled = not self._finished
+        self._summary.is_cancelled = not (self._finished or self._is_refused)
 
     def take_body(self) -> bytes:
         """Return the body and forget its pieces."""
--- a/src/fireflyspur/observability/logs.py
+++ b/src/fireflyspur/observability/logs.py
@@ -47,13 +47,19 @@
 def _add_fields(record: Any) -> None:
     extra = record["extra"]
     pairs = [
-        f"{key}={value}"
+        f"{key}={_printable(value)}"
         for key, value in extra.items()
         if key not in ("part", "fields")
     ]
     extra["fields"] = " [" + " ".join(pairs) + "]" if pairs else ""
 
 
+def _printable(value: Any) -> str:
+    """Keep a caller's text from starting a line of its own."""
+    text = str(value)
+    return text if text.isprintable() else repr(text)
+
+
 def _json_sink(node: str) -> "Callable[[Any], None]":
     def write(message: Any) -> None:
         record = message.record
--- a/src/fireflyspur/observability/metrics.py
+++ b/src/fireflyspur/observability/metrics.py
@@ -5,6 +5,7 @@
 
 import statsd
 
+from fireflyspur.errors import exceptions
 from fireflyspur.generated import settings
 
 _LENGTH_BINS = (
@@ -79,14 +80,21 @@
     """Sends metrics, or nothing when the settings name no statsd host.
 
     :param section: the section ``metrics`` of the settings
+    :raises InvalidInputError: if the statsd host has no address
     """
 
     def __init__(self, section: settings.MetricsSection) -> None:
         self._client: statsd.StatsClient | None = None
         if section.statsd_host:
-            self._client = statsd.StatsClient(
-                section.statsd_host, section.statsd_port, section.prefix
-            )
+            try:
+                self._client = statsd.StatsClient(
+                    section.statsd_host, section.statsd_port, section.prefix
+                )
+            except OSError as error:
+                raise exceptions.InvalidInputError(
+                    "metrics.statsd_host: expected an address, found"
+                    f" {section.statsd_host!r:.80}: {error}"
+                ) from error
 
     def close(self) -> None:
         """Close the socket."""
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from fireflyspur.errors import exceptions
 from fireflyspur.generated import settings
 from fireflyspur.observability import metrics
 from tests.support import single_node
@@ -37,6 +38,12 @@
         reported.set_in_progress(1)
         reported.close()
 
+    def test_a_host_without_an_address_is_named(self):
+        section = settings.MetricsSection(statsd_host="256.0.0.1")
+        with self.assertRaises(exceptions.InvalidInputError) as caught:
+            metrics.Metrics(section)
+        self.assertIn("metrics.statsd_host", str(caught.exception))
+
 
 class TestNodeMetrics(single_node.SingleNodeTest):
     @classmethod
