Keep the connection after a refusal without a body

Tornado closes the connection when an answer is finished before the body has been read, also when there is no body, and does not announce it. A caller that reused the connection lost its next request: the test of the openai client's error types failed once in about 12 runs of the suite. Refusals now finish when tornado calls the method. An unknown method, which tornado refuses before the body, announces the close.

Two new tests fail without the change and pass with it.

--- a/src/fireflyspur/node/handlers/base.py
+++ b/src/fireflyspur/node/handlers/base.py
@@ -89,6 +89,9 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer with the JSON form of an error."""
         error = kwargs.get("exc_info", (None, None, None))[1]
+        if self.request.method not in self.SUPPORTED_METHODS:
+            # Tornado answers before it reads the body, and then closes.
+            self.set_header("Connection", "close")
         self.finish(self.set_error(error or Exception(), status_code))
 
     def set_error(self, error: Exception, status_code: int = 500) -> bytes:
@@ -325,15 +328,17 @@
         self._is_refused = True
         self._release_body()
         body = self.set_error(error)
+        # Tornado calls the method once the body has ended. An answer that is
+        # finished before that closes the connection under a caller that
+        # may already be sending its next request on it.
+        setattr(self, str(self.request.method).lower(), self._finish_refused)
         if not self._has_body():
-            self.finish(body)
+            self.write(body)
             return
         self.set_header("Connection", "close")
         self.set_header("Content-Length", str(len(body)))
         self.write(body)
         self.flush()
-        # Tornado calls the method once the body has ended.
-        setattr(self, str(self.request.method).lower(), self._finish_refused)
         asyncio.get_running_loop().call_later(_DISCARD_S, self._finish_refused)
 
     def _finish_refused(self) -> None:
--- a/tests/node/handlers/test_base.py
+++ b/tests/node/handlers/test_base.py
@@ -33,6 +33,25 @@
         self.check(401, "invalid_api_key", body=GOOD, Authorization="Basic x")
         self.check(401, "invalid_api_key", body=GOOD, Authorization="Bearer x")
 
+    def test_a_refusal_without_a_body_keeps_the_connection(self):
+        # A close without notice breaks the caller's next request.
+        request = b"GET /v1/models HTTP/1.1\r\nHost: node\r\n"
+        key = f"Authorization: Bearer {records.KEY}\r\n".encode()
+        with self.connect() as connection:
+            reader = connection.makefile("rb")
+            for header, status in ((b"", b" 401 "), (key, b" 200 ")):
+                connection.sendall(request + header + b"\r\n")
+                self.assertIn(status, reader.readline())
+                length = 0
+                while (line := reader.readline()) != b"\r\n":
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                reader.read(length)
+
+    def test_a_method_that_is_unknown_announces_the_close(self):
+        headers, _ = self.check(405, "method_not_allowed", method="BREW")
+        self.assertEqual("close", headers["Connection"])
+
     def test_unknown_model(self):
         self.check(404, "model_not_found", body={**GOOD, "model": "none"})
 
