Add stand-ins of the weight store and the balancer

Load orders need a store that limits fetches, and graceful stops need a balancer whose view lags.

The balancer's test found that /readyz answered 500 in every case: the handler's method _reason was hidden by the attribute of the same name that tornado's set_status writes. The method is renamed.

--- a/src/fireflyspur/console/commands/standin.py
+++ b/src/fireflyspur/console/commands/standin.py
@@ -2,14 +2,17 @@
 
 import argparse
 import asyncio
+import dataclasses
 
 from tornado import web
 
 from fireflyspur.console import command
 from fireflyspur.observability import logs
+from fireflyspur.standins import balancer
 from fireflyspur.standins import log
 from fireflyspur.standins import server
 from fireflyspur.standins import vm_list
+from fireflyspur.standins import weight_store
 from fireflyspur.standins.engine import http_api as engine_api  # noqa: H306
 from fireflyspur.standins.engine import options as engine_options
 
@@ -26,14 +29,20 @@
         self._add_log(kinds.add_parser("log", help="append-only log"))
         self._add_vm_list(kinds.add_parser("vm-list", help="list of VMs"))
         self._add_engine(kinds.add_parser("engine", help="model engine"))
+        self._add_weight_store(
+            kinds.add_parser("weight-store", help="rate-limited weight store")
+        )
+        self._add_balancer(kinds.add_parser("balancer", help="load balancer"))
         for parser in kinds.choices.values():
             parser.add_argument("--address", default="127.0.0.1")
             parser.add_argument("--port", type=int, default=0)
+            if parser.get_default("serve") is None:
+                parser.set_defaults(serve=_serve)
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Run the stand-in until it is told to stop."""
         logs.configure("WARNING")
-        asyncio.run(_serve(arguments))
+        asyncio.run(arguments.serve(arguments))
         return command.ExitCode.DONE
 
     def _add_log(self, parser: argparse.ArgumentParser) -> None:
@@ -49,6 +58,42 @@
         engine_options.add_options(parser)
         parser.set_defaults(build=_build_engine)
 
+    def _add_weight_store(self, parser: argparse.ArgumentParser) -> None:
+        for field in dataclasses.fields(weight_store.StoreSettings):
+            option = "--" + field.name.replace("_", "-")
+            default = field.default
+            parser.add_argument(option, type=type(default), default=default)
+        parser.set_defaults(build=_build_weight_store)
+
+    def _add_balancer(self, parser: argparse.ArgumentParser) -> None:
+        parser.add_argument(
+            "--backend",
+            action="append",
+            required=True,
+            metavar="ADDRESS:PORT",
+        )
+        parser.add_argument("--check-period-s", type=float, default=1.0)
+        parser.add_argument("--check-timeout-s", type=float, default=1.0)
+        parser.add_argument("--lag-s", type=float, default=3.0)
+        parser.set_defaults(serve=_serve_balancer)
+
+
+def _build_weight_store(arguments: argparse.Namespace) -> web.Application:
+    names = [f.name for f in dataclasses.fields(weight_store.StoreSettings)]
+    return weight_store.application(
+        weight_store.StoreSettings(**{n: getattr(arguments, n) for n in names})
+    )
+
+
+async def _serve_balancer(arguments: argparse.Namespace) -> None:
+    settings = balancer.BalancerSettings(
+        tuple(arguments.backend),
+        arguments.check_period_s,
+        arguments.check_timeout_s,
+        arguments.lag_s,
+    )
+    await balancer.serve(settings, arguments.address, arguments.port)
+
 
 def _build_log(arguments: argparse.Namespace) -> web.Application:
     return log.application(arguments.retention_s, arguments.max_appends_per_s)
--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -22,12 +22,12 @@
 
     def get(self) -> None:
         """Answer 200 when the node takes requests, else 503."""
-        reason = self._reason()
+        reason = self._find_reason()
         if reason:
             self.set_status(503)
         self.finish({"ready": not reason, "reason": reason})
 
-    def _reason(self) -> str:
+    def _find_reason(self) -> str:
         if self._node.drain.is_stopping:
             return "stopping"
         if not self._node.follower.is_loaded:
--- /dev/null
+++ b/src/fireflyspur/standins/balancer.py
@@ -0,0 +1,135 @@
+"""Stand-in of the platform's load balancer, at the level of TCP."""
+
+import asyncio
+import dataclasses
+import time
+
+from tornado import httpclient
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpclient
+from tornado import tcpserver
+
+from fireflyspur.standins import server
+
+_CHUNK_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True)
+class BalancerSettings:
+    """Backends and how they are checked.
+
+    :param backends: addresses as ``address:port``
+    :param check_period_s: seconds between two checks of ``/readyz``
+    :param check_timeout_s: seconds after which a check has failed
+    :param lag_s: seconds for which a backend that is no longer ready still
+        gets connections
+    """
+
+    backends: tuple[str, ...]
+    check_period_s: float = 1.0
+    check_timeout_s: float = 1.0
+    lag_s: float = 3.0
+
+
+class Backend:
+    """One backend with its readiness.
+
+    :param name: its address
+    """
+
+    def __init__(self, name: str) -> None:
+        address, _, port = name.rpartition(":")
+        self.address = address
+        self.port = int(port)
+        self._ready_at: float | None = None
+
+    def note_ready(self) -> None:
+        """Note a check that passed."""
+        self._ready_at = time.monotonic()
+
+    def is_used(self, lag_s: float) -> bool:
+        """Whether it gets connections, ready or not."""
+        age_limit = time.monotonic() - lag_s
+        return self._ready_at is not None and self._ready_at >= age_limit
+
+
+class Balancer(tcpserver.TCPServer):
+    """Round robin over the backends that look ready.
+
+    :param settings: the backends and their checks
+    """
+
+    def __init__(self, settings: BalancerSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._backends = [Backend(name) for name in settings.backends]
+        self._next = 0
+        self._client = tcpclient.TCPClient()
+
+    async def check(self) -> None:
+        """Check all backends in each period, for ever."""
+        while True:
+            await asyncio.gather(*map(self._check, self._backends))
+            await asyncio.sleep(self._settings.check_period_s)
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        """Connect a caller to a backend; closes it when there is none."""
+        backend = self._choose()
+        if backend is None:
+            stream.close()
+            return
+        try:
+            peer = await self._client.connect(backend.address, backend.port)
+        except OSError:
+            # A balancer whose view lags connects to backends that are gone.
+            stream.close()
+            return
+        await asyncio.gather(_copy(stream, peer), _copy(peer, stream))
+
+    def _choose(self) -> Backend | None:
+        # A backend's last passed check may be one period old while it is
+        # still ready.
+        lag_s = self._settings.lag_s + self._settings.check_period_s
+        used = [b for b in self._backends if b.is_used(lag_s)]
+        self._next += 1
+        return used[self._next % len(used)] if used else None
+
+    async def _check(self, backend: Backend) -> None:
+        try:
+            response = await httpclient.AsyncHTTPClient().fetch(
+                f"http://{backend.address}:{backend.port}/readyz",
+                request_timeout=self._settings.check_timeout_s,
+                raise_error=False,
+            )
+        except OSError:
+            return
+        if response.code == 200:
+            backend.note_ready()
+
+
+async def _copy(source: iostream.IOStream, target: iostream.IOStream) -> None:
+    """Copy until either side closes, then close both."""
+    try:
+        while True:
+            data = await source.read_bytes(_CHUNK_BYTES, partial=True)
+            await target.write(data)
+    except iostream.StreamClosedError:
+        target.close()
+        source.close()
+
+
+async def serve(settings: BalancerSettings, address: str, port: int) -> None:
+    """Balance until SIGTERM or SIGINT.
+
+    :param port: the port, 0 for a free one
+    """
+    balancer = Balancer(settings)
+    sockets = netutil.bind_sockets(port, address)
+    balancer.add_sockets(sockets)
+    checks = asyncio.ensure_future(balancer.check())
+    await server.wait_for_stop(sockets[0].getsockname()[1])
+    checks.cancel()
+    balancer.stop()
--- a/src/fireflyspur/standins/server.py
+++ b/src/fireflyspur/standins/server.py
@@ -45,11 +45,16 @@
     server, bound = http_server.listen(
         application, address, port, _MAX_HEADER_BYTES
     )
+    await wait_for_stop(bound)
+    server.stop()
+    await server.close_all_connections()
+
+
+async def wait_for_stop(port: int) -> None:
+    """Print one JSON line with the port and wait for SIGTERM or SIGINT."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    print(json.dumps({"port": bound}), flush=True)
+    print(json.dumps({"port": port}), flush=True)
     await stop.wait()
-    server.stop()
-    await server.close_all_connections()
