Add the load tool with runs, comparisons and plots

Routing policies could only be judged by hand. `fireflyspur load run` sends a mix of prompt lengths and bookings at Poisson times that swing within seconds, open loop, from one asyncio process, and reports HDR histograms, goodput and failures as text, JSON and PNG. `load compare` runs slices of two policies in turn with the same arrivals and gives the ratios with their spread.

The mix is checked by schema/load_mix.yaml; its data classes are generated. The report shows how late the generator ran, so that an overloaded generator is not taken for a slow fleet.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 generate: install
 	$(CODEGEN) --input src/fireflyspur/schema/settings.yaml --output $(GENERATED)/settings.py
 	$(CODEGEN) --input src/fireflyspur/schema/records.yaml --output $(GENERATED)/records.py
+	$(CODEGEN) --input src/fireflyspur/schema/load_mix.yaml --output $(GENERATED)/load_mix.py
 	$(BIN)/python -m grpc_tools.protoc -Ifireflyspur/generated=src/fireflyspur/schema \
 		--python_out=src --grpc_python_out=src fireflyspur/generated/peer.proto
 
--- a/src/fireflyspur/console/application.py
+++ b/src/fireflyspur/console/application.py
@@ -7,6 +7,7 @@
 
 from fireflyspur.clients import exceptions as client_exceptions
 from fireflyspur.console import command
+from fireflyspur.console.commands import load
 from fireflyspur.console.commands import node
 from fireflyspur.console.commands import record
 from fireflyspur.console.commands import standin
@@ -14,6 +15,7 @@
 from fireflyspur.records import exceptions as record_exceptions
 
 _COMMANDS: tuple[command.Command, ...] = (
+    load.LoadCommand(),
     node.NodeCommand(),
     record.RecordCommand(),
     standin.StandinCommand(),
--- /dev/null
+++ b/src/fireflyspur/load/client.py
@@ -0,0 +1,227 @@
+"""Sending of one request and reading of its answer."""
+
+import asyncio
+import dataclasses
+import os
+import time
+from typing import Any
+
+import msgspec
+from tornado import httpclient
+
+from fireflyspur.generated import load_mix
+from fireflyspur.load import plan
+from fireflyspur.load import prompts
+
+# Larger bodies are built off the event loop.
+_LARGE_PROMPT_TOKENS = 50_000
+# A node must answer within the timeout; what is later than this counts as a
+# request that expired without an answer.
+_GRACE_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """How a request ended.
+
+    :param code: ``ok``, the node's error code, ``incomplete`` for an answer
+        with too few tokens, ``no_answer`` or ``connection_lost``
+    :param verdict: the node's verdict, empty without one
+    :param ttft_s: real time to the first token, or None
+    :param gaps_s: real times between tokens
+    :param duration_s: real time from sending to the end
+    """
+
+    code: str
+    verdict: str
+    ttft_s: float | None
+    gaps_s: list[float]
+    duration_s: float
+
+    @property
+    def is_ok(self) -> bool:
+        """Whether the whole answer came."""
+        return self.code == "ok"
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _Error(msgspec.Struct):
+    code: str = "unknown"
+    verdict: str = ""
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+    error: _Error | None = None
+
+
+class _Answer:
+    """Reader of a streamed answer."""
+
+    def __init__(self) -> None:
+        self.token_times: list[float] = []
+        self.is_done = False
+        self.error: _Error | None = None
+        self.body = b""
+        self._decoder = msgspec.json.Decoder(_Event)
+
+    def read(self, chunk: bytes) -> None:
+        """Take a chunk; called as it arrives."""
+        now = time.perf_counter()
+        *events, self.body = (self.body + chunk).split(b"\n\n")
+        for event in events:
+            data = event.rpartition(b"data: ")[2]
+            if data == b"[DONE]":
+                self.is_done = True
+                continue
+            decoded = self._decoder.decode(data)
+            self.error = decoded.error or self.error
+            if any(c.finish_reason is None for c in decoded.choices):
+                self.token_times.append(now)
+
+
+class LoadClient:
+    """Sends the requests of a plan.
+
+    :param http: HTTP client
+    :param base_urls: entry points, used in turn
+    :param mix: the mix that the plan was drawn from
+    :param time_factor: how many times faster than real time the fleet runs
+    :param run_name: name that makes the prompts unique
+    """
+
+    def __init__(
+        self,
+        http: httpclient.AsyncHTTPClient,
+        base_urls: list[str],
+        mix: load_mix.LoadMix,
+        time_factor: float,
+        run_name: str,
+    ) -> None:
+        self._http = http
+        self._base_urls = base_urls
+        self._mix = mix
+        self._time_factor = time_factor
+        self._run_name = run_name
+
+    async def send(self, arrival: plan.Arrival) -> Outcome:
+        """Send one request and wait for its end."""
+        if not arrival.bin_name:
+            return await self._book(arrival)
+        body = {
+            "model": arrival.account.model,
+            "adapter": arrival.account.adapter,
+            "max_tokens": arrival.output_tokens,
+            "stream": True,
+        }
+        if arrival.prompt_tokens >= _LARGE_PROMPT_TOKENS:
+            encoded = await asyncio.to_thread(self._encode, body, arrival)
+        else:
+            encoded = self._encode(body, arrival)
+        answer = _Answer()
+        request = self._request(arrival, "/v1/completions", encoded)
+        request.streaming_callback = answer.read
+        started = time.perf_counter()
+        response = await self._fetch(request)
+        duration_s = time.perf_counter() - started
+        code, verdict = _judge(response, answer, arrival.output_tokens)
+        times = answer.token_times
+        pairs = zip(times, times[1:], strict=False)
+        return Outcome(
+            code,
+            verdict,
+            times[0] - started if times else None,
+            [later - earlier for earlier, later in pairs],
+            duration_s,
+        )
+
+    async def _book(self, arrival: plan.Arrival) -> Outcome:
+        encoded = msgspec.json.encode(
+            {"run": self._run_name, "number": arrival.number}
+        )
+        request = self._request(arrival, self._mix.bookings.path, encoded)
+        request.headers["Idempotency-Key"] = uuid7()
+        answer = _Answer()
+        started = time.perf_counter()
+        response = await self._fetch(request)
+        duration_s = time.perf_counter() - started
+        answer.body = response.body or b"" if response else b""
+        code, verdict = _judge(response, answer, None)
+        return Outcome(code, verdict, None, [], duration_s)
+
+    def _encode(self, body: dict[str, Any], arrival: plan.Arrival) -> bytes:
+        prompt = prompts.build(arrival, self._run_name)
+        return msgspec.json.encode({**body, "prompt": prompt})
+
+    def _request(
+        self, arrival: plan.Arrival, path: str, body: bytes
+    ) -> httpclient.HTTPRequest:
+        url = self._base_urls[arrival.number % len(self._base_urls)]
+        timeout_s = arrival.account.timeout_s / self._time_factor
+        return httpclient.HTTPRequest(
+            url + path,
+            method="POST",
+            body=body,
+            headers={
+                "Authorization": f"Bearer {arrival.account.key}",
+                "Content-Type": "application/json",
+                "Request-Timeout": f"{timeout_s:.3f}",
+            },
+            connect_timeout=timeout_s + _GRACE_S,
+            request_timeout=timeout_s + _GRACE_S,
+        )
+
+    async def _fetch(
+        self, request: httpclient.HTTPRequest
+    ) -> httpclient.HTTPResponse | None:
+        try:
+            return await self._http.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError):
+            return None
+
+
+def uuid7() -> str:
+    """Return a new UUID of version 7."""
+    milliseconds = time.time_ns() // 1_000_000
+    rest = int.from_bytes(os.urandom(10), "big")
+    value = milliseconds << 80 | rest
+    value = value & ~(0xF << 76) | 0x7 << 76
+    value = value & ~(0x3 << 62) | 0x2 << 62
+    text = f"{value:032x}"
+    parts = text[:8], text[8:12], text[12:16], text[16:20], text[20:]
+    return "-".join(parts)
+
+
+def _judge(
+    response: httpclient.HTTPResponse | None,
+    answer: _Answer,
+    wanted_tokens: int | None,
+) -> tuple[str, str]:
+    """Return the code and the verdict of an answer.
+
+    :param wanted_tokens: tokens of the whole answer, None for a booking
+    """
+    if response is None:
+        return "connection_lost", ""
+    if response.code == 599:
+        is_late = "Timeout" in str(response.error)
+        return ("no_answer" if is_late else "connection_lost"), ""
+    error = answer.error
+    if response.code >= 400:
+        error = _read_error(answer.body) or _Error(f"http_{response.code}")
+    if error:
+        return error.code, error.verdict
+    if wanted_tokens is None:
+        return "ok", ""
+    is_whole = answer.is_done and len(answer.token_times) == wanted_tokens
+    return ("ok" if is_whole else "incomplete"), ""
+
+
+def _read_error(body: bytes) -> _Error | None:
+    try:
+        return msgspec.json.decode(body, type=_Event).error
+    except msgspec.MsgspecError:
+        return None
