--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -16,6 +16,13 @@
     code = "records_expired"
 
 
+class VmListUnavailableError(exceptions.FireflyspurError):
+    """The VM list did not answer, or not in its form."""
+
+    code = "vm_list_unavailable"
+    http_status = 503
+
+
 class EngineUnavailableError(exceptions.FireflyspurError):
     """The engine could not be reached, so nothing was sent to it."""
 
@@ -47,3 +54,10 @@
 
     code = "engine_connection_lost"
     http_status = 502
+
+
+class NodeUnreachableError(exceptions.FireflyspurError):
+    """A node's admin port did not answer as expected."""
+
+    code = "node_unreachable"
+    http_status = 503
--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -1,11 +1,10 @@
 """Handlers for the balancer."""
 
-from tornado import web
-
 from fireflyspur.node import context
+from fireflyspur.node.handlers import base
 
 
-class HealthHandler(web.RequestHandler):
+class HealthHandler(base.JsonErrorHandler):
     """``GET /healthz``: the process runs."""
 
     def get(self) -> None:
@@ -13,11 +12,12 @@
         self.finish({"status": "ok"})
 
 
-class ReadyHandler(web.RequestHandler):
+class ReadyHandler(base.JsonErrorHandler):
     """``GET /readyz``: the node takes requests."""
 
     def initialize(self, node: context.NodeContext) -> None:
         """Set the handler up for one request."""
+        super().initialize()
         self._node = node
 
     def get(self) -> None:
@@ -25,11 +25,18 @@
         reason = self._find_reason()
         if reason:
             self.set_status(503)
-        self.finish({"ready": not reason, "reason": reason})
+        explanation = self._node.membership.freshness.explanation
+        self.finish(
+            {
+                "ready": not reason,
+                "reason": reason,
+                "explanation": explanation,
+            }
+        )
 
     def _find_reason(self) -> str:
         if self._node.drain.is_stopping:
             return "stopping"
         if not self._node.follower.is_loaded:
             return "config_not_loaded"
-        return ""
+        return self._node.membership.freshness.reason
