--- a/src/fireflyspur/standins/engine/engine.py
+++ b/src/fireflyspur/standins/engine/engine.py
@@ -343,9 +343,14 @@
         waiting = len(self._batch.waiting)
         live = list(self._live_streams())
         held = self.residency
+        by_priority: collections.Counter[str] = collections.Counter()
+        for stream in live:
+            if stream.waiting_tokens:
+                by_priority[str(stream.order[0])] += stream.waiting_tokens
         return {
             "time": time.time(),
-            "waiting_prefill_tokens": sum(s.waiting_tokens for s in live),
+            "waiting_prefill_tokens": sum(by_priority.values()),
+            "prefill_by_priority": dict(by_priority),
             "running_streams": len(self._batch.running),
             "waiting_streams": waiting,
             "free_kv_tokens": self.memory.free * self._block_tokens,
--- a/src/fireflyspur/standins/engine/http_api.py
+++ b/src/fireflyspur/standins/engine/http_api.py
@@ -58,7 +58,11 @@
         try:
             await self.flush()
             while True:
-                lines = stream.lines[sent:]
+                # A line to be swapped waits for its neighbour.
+                reorders = self._engine.faults.reorder_lines
+                is_held = reorders and not stream.is_ended
+                held = (len(stream.lines) - sent) % 2 if is_held else 0
+                lines = stream.lines[sent : len(stream.lines) - held]
                 sent += len(lines)
                 for line in self._with_faults(stream, lines):
                     if line.get("index", start) >= start:
@@ -70,7 +74,7 @@
                     return
                 if stream.is_ended and sent == len(stream.lines):
                     break
-                await stream.wait_beyond(sent)
+                await stream.wait_beyond(sent + held)
             await self.finish()
             stream.delivered_at = time.time()
         except iostream.StreamClosedError:
@@ -84,8 +88,8 @@
         self, stream: streams.Stream, lines: list[dict[str, Any]]
     ) -> Iterator[dict[str, Any]]:
         faults = self._engine.faults
-        if faults.reorder_lines and len(lines) > 1:
-            lines = [lines[1], lines[0], *lines[2:]]
+        if faults.reorder_lines:
+            lines = _swap_neighbours(lines)
         for line in lines:
             if line["type"] == "token" and faults.late_lines:
                 attempt = stream.key[1] - 1
@@ -261,6 +265,15 @@
         self.send(dataclasses.asdict(self._engine.faults))
 
 
+def _swap_neighbours(lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Swap each pair of token lines; the last line stays the last."""
+    tokens = [line for line in lines if line["type"] == "token"]
+    even = len(tokens) // 2 * 2
+    for first in range(0, even, 2):
+        tokens[first : first + 2] = tokens[first + 1], tokens[first]
+    return tokens + lines[len(tokens) :]
+
+
 async def _fetch_holding(path: str, member: dict[str, Any]) -> dict[str, Any]:
     """Read a holding of another engine."""
     url = f"http://{member['address']}:{member['port']}/engine/v1"
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -189,6 +189,27 @@
         self.assertEqual(["short", "long"], order)
 
 
+class TestLoad(EngineCase):
+    def test_reports_waiting_prefill_by_priority(self):
+        # Guards against a report in which urgent prompts seem to wait for
+        # less urgent ones.
+        url = self.engine("--prefill-tokens-per-s", "1", "--step-tokens", "1")
+        for priority in (2, 7):
+            body = self.body(
+                request_id=f"r{priority}",
+                prompt="word" * 9000,
+                priority=priority,
+            )
+            self.open(url, body).close()
+        load = fleets.call(url + "/engine/v1/load")
+        self.assertEqual({"2", "7"}, set(load["prefill_by_priority"]))
+        self.assertEqual(
+            load["waiting_prefill_tokens"],
+            sum(load["prefill_by_priority"].values()),
+        )
+        self.assertEqual(2, load["running_streams"] + load["waiting_streams"])
+
+
 class TestMemory(EngineCase):
     def test_live_blocks_evict_cached_ones(self):
         # Guards against a cache that fills the memory for good.
--- a/tests/standins/test_engine_faults.py
+++ b/tests/standins/test_engine_faults.py
@@ -28,6 +28,16 @@
             [line["text"] for line in clean[:-1] for _ in range(2)], texts
         )
 
+    def test_reordered_lines_are_all_there(self):
+        # Guards against a fault that loses lines instead.
+        url = self.engine()
+        self.set_faults(url, reorder_lines=True)
+        lines = self.lines(url, max_tokens=6)
+        indexes = [line["index"] for line in lines[:-1]]
+        self.assertNotEqual(sorted(indexes), indexes)
+        self.assertEqual(list(range(6)), sorted(indexes))
+        self.assertEqual("done", lines[-1]["type"])
+
     def test_a_lost_answer_to_a_cancellation_still_cancels(self):
         url = self.engine()
         self.set_faults(url, lose_cancel_answers=1)
