Publish the fleet record with an experiment's other records

Services refuse calls that may not be repeated until a fleet record decides the number of claim partitions, so that all bookings of an experiment with services were refused. The launcher publishes it with 8 partitions, the default of the schema.

--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -20,6 +20,7 @@
 
 _DOMAINS = ("sapporo-a", "sapporo-b", "asahikawa")
 _START_TIMEOUT_S = 60.0
+_CLAIM_PARTITIONS = 8
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -85,6 +86,8 @@
     records = [
         _record("model", "quill", version="1"),
         _record("policy", "default", routing=arguments.policy),
+        # Without it the number of claim partitions is not decided.
+        _record("fleet", "default", claim_partitions=_CLAIM_PARTITIONS),
     ]
     for account in mix.accounts:
         spec = {
