--- a/src/fireflyspur/console/application.py
+++ b/src/fireflyspur/console/application.py
@@ -8,6 +8,7 @@
 from fireflyspur.clients import exceptions as client_exceptions
 from fireflyspur.console import command
 from fireflyspur.console.commands import audit
+from fireflyspur.console.commands import load
 from fireflyspur.console.commands import node
 from fireflyspur.console.commands import record
 from fireflyspur.console.commands import settings
@@ -17,6 +18,7 @@
 from fireflyspur.records import exceptions as record_exceptions
 
 _COMMANDS: tuple[command.Command, ...] = (
+    load.LoadCommand(),
     node.NodeCommand(),
     record.RecordCommand(),
     audit.AuditCommand(),
