--- a/src/fireflyspur/engines/crash_reporter.py
+++ b/src/fireflyspur/engines/crash_reporter.py
@@ -10,7 +10,7 @@
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import exceptions
 from fireflyspur.engines import attempt as attempts
-from fireflyspur.engines import engine_crash
+from fireflyspur.membership import news as urgent
 
 # A short interruption of the network alone does not make a crash.
 _PROBES = 3
@@ -50,7 +50,7 @@
     def __init__(
         self,
         client: engine_client.EngineClient,
-        report: Callable[[engine_crash.EngineCrash], Awaitable[None]],
+        report: Callable[[urgent.EngineCrash], Awaitable[None]],
     ) -> None:
         self._client = client
         self._report = report
@@ -158,7 +158,7 @@
             if not missing:
                 return
             reported.update(missing)
-            crash = engine_crash.EngineCrash(
+            crash = urgent.EngineCrash(
                 f"crash-{uuid.uuid4()}", *key, tuple(missing)
             )
             await self._report(crash)
--- a/src/fireflyspur/engines/engine_parts.py
+++ b/src/fireflyspur/engines/engine_parts.py
@@ -5,7 +5,6 @@
 from fireflyspur.audit import audit_trail
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import log_client
-from fireflyspur.engines import engine_crash
 from fireflyspur.engines import group_reserver
 from fireflyspur.engines import holding_sweeper
 from fireflyspur.engines import prompt_run
@@ -13,6 +12,7 @@
 from fireflyspur.engines import quarantine as quarantines
 from fireflyspur.engines import releaser as releasers
 from fireflyspur.engines import retry_budget
+from fireflyspur.membership import news as urgent
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.routing import router as routers
 
@@ -41,7 +41,7 @@
         trail: audit_trail.AuditTrail,
         owner: str,
         poll_wait_s: float,
-        publish: Callable[[engine_crash.EngineCrash], None],
+        publish: Callable[[urgent.EngineCrash], None],
         live_names: Callable[[], list[str]],
         is_dead: Callable[[str, int], bool],
     ) -> None:
--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -24,6 +24,7 @@
 from fireflyspur.observability import logs
 from fireflyspur.routing import engine_view
 from fireflyspur.routing import exceptions as routing_exceptions
+from fireflyspur.routing import load_report
 from fireflyspur.routing import router as routers
 
 # The error itself must reach the caller within the time limit.
@@ -80,6 +81,8 @@
         self._attempts: list[attempts.Attempt] = []
         self._failed: list[str] = []
         self._refusals = 0
+        self._closing: engine_client.StreamLine | None = None
+        self._has_first_token = False
 
     async def lines(self) -> AsyncIterator[engine_client.StreamLine]:
         """Yield the tokens in order, each once, then the closing line.
@@ -113,6 +116,7 @@
             try:
                 async with contextlib.aclosing(attempt.lines()) as lines:
                     async for line in lines:
+                        self._note_line(place.placement, line)
                         yield line
                 return
             except _FAILURES as error:
@@ -147,7 +151,7 @@
             placement = parts.router.choose(self._route(), others)
             place = _Place(placement, None, trial.is_recorded)
             if placement.engine != trial.engine:
-                parts.router.view.remove(placement)
+                parts.router.finish(placement)
                 raise routing_exceptions.NoEngineError(
                     f"engine {trial.engine} takes no more work",
                     retry_after_s=_RETRY_AFTER_S,
@@ -156,9 +160,23 @@
             avoid = {*self._failed, *parts.quarantine.trials.engines()}
             placement = parts.router.choose(self._route(), avoid)
             place = _Place(placement)
-        stack.callback(parts.router.view.remove, placement)
+        self._has_first_token = False
+        stack.callback(self._finish, placement)
         return place
 
+    def _note_line(
+        self, placement: engine_view.Placement, line: engine_client.StreamLine
+    ) -> None:
+        """Tell the router what it learns from."""
+        if line.type == "done":
+            self._closing = line
+        elif not self._has_first_token:
+            self._has_first_token = True
+            self._parts.router.first_token(placement)
+
+    def _finish(self, placement: engine_view.Placement) -> None:
+        self._parts.router.finish(placement, self._closing)
+
     def _begin(
         self,
         engine: engine_client.EngineAddress,
@@ -175,7 +193,9 @@
             adapter=request.adapter,
             prompt=request.prompt,
             max_tokens=request.max_tokens,
-            priority=request.priority,
+            priority=self._parts.router.engine_priority(
+                request.priority, request.prompt_tokens
+            ),
             start_index=self._delivery.count,
             prefix=self._delivery.text,
             reservation=group.reservation if group else "",
@@ -183,6 +203,9 @@
         )
 
         def note_load(report: dict[str, Any]) -> None:
+            self._parts.router.view.update_load(
+                engine.name, load_report.parse(report)
+            )
             if "incarnation" in report:
                 self._parts.quarantine.reporter.note_incarnation(
                     run, str(report["incarnation"])
@@ -355,6 +378,7 @@
             request.prompt,
             request.prompt_tokens,
             request.max_tokens,
+            request.priority,
         )
 
 
--- a/src/fireflyspur/engines/quarantine.py
+++ b/src/fireflyspur/engines/quarantine.py
@@ -17,6 +17,7 @@
 from fireflyspur.engines import prompt_request
 from fireflyspur.engines import suspect_trials
 from fireflyspur.errors import verdict as verdicts
+from fireflyspur.membership import news as urgent
 from fireflyspur.observability import logs
 
 _EXPIRY_CHECK_S = 1.0
@@ -54,7 +55,7 @@
         trail: audit_trail.AuditTrail,
         owner: str,
         poll_wait_s: float,
-        publish: Callable[[engine_crash.EngineCrash], None],
+        publish: Callable[[urgent.EngineCrash], None],
     ) -> None:
         self._trail = trail
         self._owner = owner
@@ -114,7 +115,7 @@
         """Whether the fingerprint has a crash."""
         return self._counts.count(fingerprint, time.time()) > 0
 
-    def receive(self, news: engine_crash.EngineCrash) -> None:
+    def receive(self, news: urgent.EngineCrash) -> None:
         """Count a crash that another node has published."""
         if news.uid in self._seen_uids:
             return
@@ -134,29 +135,29 @@
             "log_reachable": self._stream.is_reachable,
         }
 
-    async def _record(self, crash: engine_crash.EngineCrash) -> None:
+    async def _record(self, crash: urgent.EngineCrash) -> None:
         _log.warning(
             "Engine {} died with {} requests of this node",
             crash.engine,
             len(crash.fingerprints),
         )
-        is_read_back = await self._stream.append(crash.to_record(self._owner))
+        is_read_back = await self._stream.append(
+            engine_crash.to_record(crash, self._owner)
+        )
         if not is_read_back:
             self.receive(crash)
         self._publish(crash)
 
     def _apply(self, item: log_client.LogRecord) -> None:
         self._counts.apply(item.offset, item.time, item.value)
-        crash = engine_crash.EngineCrash.from_record(item.value)
+        crash = engine_crash.from_record(item.value)
         if crash:
             if crash.uid not in self._seen_uids:
                 self._note(crash, item.offset)
             self._update(crash)
         self._trials.notify()
 
-    def _note(
-        self, crash: engine_crash.EngineCrash, offset: int | None
-    ) -> None:
+    def _note(self, crash: urgent.EngineCrash, offset: int | None) -> None:
         self._seen_uids.add(crash.uid)
         self._trail.add(
             "engines",
@@ -166,7 +167,7 @@
             offset,
         )
 
-    def _update(self, crash: engine_crash.EngineCrash) -> None:
+    def _update(self, crash: urgent.EngineCrash) -> None:
         now = time.time()
         for fingerprint in crash.fingerprints:
             if not self._counts.count(fingerprint, now):
@@ -188,7 +189,7 @@
         )
         _log.warning("Request {} quarantined", fingerprint)
 
-    def _interrupt_runs(self, crash: engine_crash.EngineCrash) -> None:
+    def _interrupt_runs(self, crash: urgent.EngineCrash) -> None:
         """End attempts at the same requests on other engines.
 
         Only one attempt at a suspect runs in the fleet, under a trial, so
--- a/src/fireflyspur/node/handlers/admin.py
+++ b/src/fireflyspur/node/handlers/admin.py
@@ -50,6 +50,7 @@
                 "requests_in_progress": self._node.drain.in_progress,
                 "engines": engines,
                 "prompts": self._node.runner.view(),
+                **self._node.membership.describe(),
             }
         )
 
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -4,10 +4,11 @@
 import contextlib
 import dataclasses
 import signal
-import time
 
 from tornado import httpserver
 
+from fireflyspur.admission import account_limiter
+from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
 from fireflyspur.audit import audit_trail
@@ -16,13 +17,16 @@
 from fireflyspur.clients import log_client
 from fireflyspur.engines import engine_parts
 from fireflyspur.generated import settings
+from fireflyspur.membership import news
 from fireflyspur.node import context
 from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
+from fireflyspur.node import membership_parts
 from fireflyspur.observability import logs
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
+from fireflyspur.routing import load_poller
 from fireflyspur.routing import router
 
 _log = logs.log_for("node")
@@ -34,6 +38,7 @@
 
     http: int
     admin: int
+    peer: int
 
 
 class Node:
@@ -55,6 +60,8 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
+        self._start_task(self._load_poller.run())
+        peer_port = await node.membership.start(self._stack)
         self._start_task(node.quarantine.run())
         self._start_task(node.sweeper.run())
         limits = self._config.limits
@@ -73,7 +80,7 @@
         self._stack.push_async_callback(_close_server, admin)
         self._stack.push_async_callback(_close_server, http)
         _log.info("Listening on {} port {}", address, http_port)
-        return Ports(http_port, admin_port)
+        return Ports(http_port, admin_port, peer_port)
 
     async def run_until_stopped(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -86,7 +93,9 @@
     async def stop(self) -> None:
         """Stop gracefully: no request in progress is cut."""
         self._context.drain.begin()
+        self._context.membership.announce_leaving()
         await self._context.drain.drain()
+        await self._context.membership.announce_end()
         await self._stack.aclose()
         _log.info("Stopped")
 
@@ -102,42 +111,75 @@
         )
         catalog = catalogs.Catalog()
         trail = audit_trail.AuditTrail()
-        routing = router.Router(catalog, engine_view.EngineView(catalog))
-        incarnation = int(time.time() * 1000)
-        name = config.node.name
-        engines = engine_parts.EngineParts(
-            client=engine_client.EngineClient(http, name),
-            log=log,
-            catalog=catalog,
-            router=routing,
-            trail=trail,
-            owner=f"{name}:{incarnation}",
-            poll_wait_s=config.log.poll_wait_s,
-            publish=lambda news: None,
-            live_names=lambda: [name],
-            is_dead=lambda other, started: (
-                other == name and started < incarnation
+        view = engine_view.EngineView(catalog, config.node.name)
+        routing = router.Router(catalog, view, config.node.failure_domain)
+        client = engine_client.EngineClient(http, config.node.name)
+        self._load_poller = load_poller.LoadPoller(client, view)
+        incarnation = membership_parts.start_incarnation()
+        follower = catalog_follower.CatalogFollower(
+            log,
+            catalog,
+            trail,
+            # A read that waits longer would let the configuration grow older
+            # than the bound while the log is well.
+            min(
+                config.log.poll_wait_s,
+                config.membership.staleness_bound_s / 2,
             ),
         )
-        self._stack.push_async_callback(engines.quarantine.close)
-        self._stack.push_async_callback(engines.runner.close)
+        membership = membership_parts.MembershipParts(
+            config, incarnation, follower, log, http, view, trail
+        )
+        engines = self._build_engines(
+            client, log, catalog, routing, trail, membership
+        )
         return context.NodeContext(
             settings=config,
-            follower=catalog_follower.CatalogFollower(
-                log, catalog, trail, config.log.poll_wait_s
-            ),
+            follower=follower,
             trail=trail,
             authenticator=authenticator.Authenticator(catalog),
             bodies=body_budget.BodyBudget(
                 config.limits.max_body_bytes,
                 config.limits.buffered_body_bytes,
             ),
+            admission=admission_controller.AdmissionController(
+                catalog, routing
+            ),
+            limiter=account_limiter.AccountLimiter(),
             router=routing,
             runner=engines.runner,
             quarantine=engines.quarantine,
             sweeper=engines.sweeper,
             drain=drain_controller.DrainController(config.node.drain_s),
+            membership=membership,
+        )
+
+    def _build_engines(
+        self,
+        client: engine_client.EngineClient,
+        log: log_client.LogClient,
+        catalog: catalogs.Catalog,
+        routing: router.Router,
+        trail: audit_trail.AuditTrail,
+        membership: membership_parts.MembershipParts,
+    ) -> engine_parts.EngineParts:
+        table = membership.table
+        engines = engine_parts.EngineParts(
+            client=client,
+            log=log,
+            catalog=catalog,
+            router=routing,
+            trail=trail,
+            owner=f"{table.own.name}:{table.own.incarnation}",
+            poll_wait_s=self._config.log.poll_wait_s,
+            publish=membership.bus.publish,
+            live_names=table.live_names,
+            is_dead=table.is_dead,
         )
+        membership.bus.subscribe(news.EngineCrash, engines.quarantine.receive)
+        self._stack.push_async_callback(engines.quarantine.close)
+        self._stack.push_async_callback(engines.runner.close)
+        return engines
 
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.ensure_future(coroutine)
--- a/tests/node/test_completions.py
+++ b/tests/node/test_completions.py
@@ -7,6 +7,7 @@
 import testtools
 from tornado import httpclient
 
+from fireflyspur.admission import account_limiter
 from fireflyspur.admission import body_budget
 from fireflyspur.clients import engine_client
 from fireflyspur.generated import records
@@ -44,6 +45,11 @@
         follower=types.SimpleNamespace(is_loaded=True, catalog=catalog),
         authenticator=types.SimpleNamespace(authenticate=lambda _: account),
         bodies=body_budget.BodyBudget(10_000, 10_000),
+        admission=types.SimpleNamespace(check=lambda prompt: None),
+        limiter=account_limiter.AccountLimiter(),
+        membership=types.SimpleNamespace(
+            freshness=types.SimpleNamespace(check=lambda: None)
+        ),
         drain=drain_controller.DrainController(0.0),
         runner=runner,
     )
