--- a/src/fireflyspur/membership/peer_client.py
+++ b/src/fireflyspur/membership/peer_client.py
@@ -69,6 +69,12 @@
         request = peer_pb2.CatalogRequest(after_offset=after_offset)
         return await self._call(target, "FetchCatalog", request, timeout_s)
 
+    async def report_demand(
+        self, target: str, report: peer_pb2.DemandReport, timeout_s: float
+    ) -> peer_pb2.ShareGrant | None:
+        """Report demand to a coordinator; None when it does not answer."""
+        return await self._call(target, "ReportDemand", report, timeout_s)
+
     async def close(self) -> None:
         """Close all channels."""
         while self._channels:
--- a/src/fireflyspur/node/handlers/admin.py
+++ b/src/fireflyspur/node/handlers/admin.py
@@ -52,6 +52,7 @@
                 "body_bytes_held": self._node.bodies.used_bytes,
                 "engines": engines,
                 **self._node.membership.describe(),
+                "prompts": self._node.runner.view(),
             }
         )
 
--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -52,10 +52,14 @@
                     verdict=verdict.Verdict.MAY_HAVE_RUN,
                 )
             )
-        except exceptions.FireflyspurError as error:
-            await self._fail(error)
         except iostream.StreamClosedError:
             pass
+        except exceptions.FireflyspurError as error:
+            await self._fail(error)
+        except Exception as error:
+            # A stream that only ended would look like a whole answer.
+            self.log_exception(type(error), error, error.__traceback__)
+            await self._fail(error)
         finally:
             gone.cancel()
             await _cancel(answer)
@@ -82,7 +86,7 @@
             deadline=self._received_at + timeout_s,
         )
         self._node.admission.check(prompt)
-        self._node.limiter.charge(account, prompt.all_tokens)
+        self._node.limits.limiter.charge(account, prompt.all_tokens)
         self._charged = prompt
         return prompt
 
@@ -103,7 +107,7 @@
                 generated,
                 self._summary.verdict == verdict.Verdict.RAN,
             )
-        self._node.limiter.refund(prompt.account, unused)
+        self._node.limits.limiter.refund(prompt.account, unused)
 
     def _check_model(
         self, account: authenticator.Account, body: openai_api.Body
@@ -180,7 +184,9 @@
         body: openai_api.Body,
         lines: AsyncIterator[engine_client.StreamLine],
     ) -> None:
+        is_done = False
         async for line in lines:
+            is_done = line.type == "done"
             await self._send_event(
                 openai_api.chunk(body, self.request_id, line)
             )
@@ -188,6 +194,11 @@
                 await self._send_event(
                     openai_api.usage_chunk(body, self.request_id, line.usage)
                 )
+        if not is_done:
+            raise engine_exceptions.AttemptsExhaustedError(
+                "the engine's stream has no closing line",
+                verdict=verdict.Verdict.MAY_HAVE_RUN,
+            )
         self.write(b"data: [DONE]\n\n")
         await self.finish()
 
@@ -198,7 +209,7 @@
         self.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
         await self.flush()
 
-    async def _fail(self, error: exceptions.FireflyspurError) -> None:
+    async def _fail(self, error: Exception) -> None:
         """Report an error, inside the stream once it has begun."""
         if self._summary.completion_tokens and (
             error.verdict is verdict.Verdict.NOT_RUN
--- a/src/fireflyspur/node/membership_parts.py
+++ b/src/fireflyspur/node/membership_parts.py
@@ -183,6 +183,21 @@
             urgent.MemberNews, lambda news: self._table.apply(news.member)
         )
         self._bus.subscribe(urgent.EndpointLeaving, self._mark_leaving)
+        self._view.add_leaving_listener(self._spread_leaving)
+
+    def _spread_leaving(self, name: str) -> None:
+        address = self._view.address(name)
+        self._bus.publish(
+            urgent.EndpointLeaving(
+                "engine", name, address.address, address.port
+            )
+        )
+        self._trail.add(
+            "routing",
+            "marked_leaving",
+            f"engine/{name}",
+            "the engine said that it is leaving",
+        )
 
     def _mark_leaving(self, news: urgent.EndpointLeaving) -> None:
         if self._view.is_leaving(news.address, news.port):
