--- a/src/fireflyspur/routing/ttft_predictor.py
+++ b/src/fireflyspur/routing/ttft_predictor.py
@@ -145,7 +145,8 @@
         self, engine: str, spec: records.EngineSpec, work: PromptWork
     ) -> float:
         report = self._view.load(engine)
-        needed = work.prompt_tokens + work.max_tokens
+        # A prompt larger than the engine runs over a group of engines.
+        needed = min(work.prompt_tokens + work.max_tokens, spec.memory_tokens)
         free = float(spec.memory_tokens)
         since = 0.0
         if report is not None and report.free_kv_tokens is not None:
--- a/tests/node/test_completions.py
+++ b/tests/node/handlers/test_streamed_errors.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import types
+from unittest import mock
 
 import testtools
 from tornado import httpclient
@@ -46,6 +47,10 @@
         bodies=body_budget.BodyBudget(10_000, 10_000),
         drain=drain_controller.DrainController(0.0),
         runner=runner,
+        admission=mock.Mock(),
+        limits=mock.Mock(),
+        membership=mock.Mock(),
+        metrics=mock.Mock(),
     )
     server, port = http_server.listen(
         http_server.caller_application(node), "127.0.0.1", 0
