--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -56,6 +56,13 @@
     http_status = 502
 
 
+class NodeUnreachableError(exceptions.FireflyspurError):
+    """A node's admin port did not answer as expected."""
+
+    code = "node_unreachable"
+    http_status = 503
+
+
 class EngineFailedError(exceptions.FireflyspurError):
     """The engine gave up a stream that it had taken.
 
--- a/src/fireflyspur/engines/crash_counts.py
+++ b/src/fireflyspur/engines/crash_counts.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from fireflyspur.engines import engine_crash
-from fireflyspur.membership import news as urgent
 
 # One crash may have been caused by any request of the batch; two different
 # batches rarely share more than the request that caused both.
@@ -61,7 +60,7 @@
 
     def apply(self, offset: int, time: float, value: dict[str, Any]) -> None:
         """Apply the record at an offset."""
-        crash = engine_crash.from_record(value)
+        crash = engine_crash.EngineCrash.from_record(value)
         if crash:
             for index, fingerprint in enumerate(crash.fingerprints):
                 self._add(
@@ -90,7 +89,7 @@
                 if len(self._ended) > _MAX_ENDED:
                     del self._ended[next(iter(self._ended))]
 
-    def add_news(self, crash: urgent.EngineCrash, time: float) -> None:
+    def add_news(self, crash: engine_crash.EngineCrash, time: float) -> None:
         """Count a crash that the log does not hold yet."""
         key = crash.engine, crash.incarnation
         for fingerprint in crash.fingerprints:
--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -81,8 +81,6 @@
         self._attempts: list[attempts.Attempt] = []
         self._failed: list[str] = []
         self._refusals = 0
-        self._closing: engine_client.StreamLine | None = None
-        self._has_first_token = False
 
     async def lines(self) -> AsyncIterator[engine_client.StreamLine]:
         """Yield the tokens in order, each once, then the closing line.
@@ -116,7 +114,7 @@
             try:
                 async with contextlib.aclosing(attempt.lines()) as lines:
                     async for line in lines:
-                        self._note_line(place.placement, line)
+                        self._observe(place.placement, line)
                         yield line
                 return
             except _FAILURES as error:
@@ -125,6 +123,17 @@
                 self._release(attempt)
             await self._judge(attempt, run, failure)
 
+    def _observe(
+        self,
+        placement: engine_view.Placement,
+        line: engine_client.StreamLine,
+    ) -> None:
+        router = self._parts.router
+        if line.type == "token":
+            router.first_token(placement)
+        else:
+            router.finish(placement, line)
+
     async def _place(self, stack: contextlib.AsyncExitStack) -> _Place:
         parts = self._parts
         self._check_quarantine()
@@ -160,23 +169,9 @@
             avoid = {*self._failed, *parts.quarantine.trials.engines()}
             placement = parts.router.choose(self._route(), avoid)
             place = _Place(placement)
-        self._has_first_token = False
-        stack.callback(self._finish, placement)
+        stack.callback(parts.router.finish, placement)
         return place
 
-    def _note_line(
-        self, placement: engine_view.Placement, line: engine_client.StreamLine
-    ) -> None:
-        """Tell the router what it learns from."""
-        if line.type == "done":
-            self._closing = line
-        elif not self._has_first_token:
-            self._has_first_token = True
-            self._parts.router.first_token(placement)
-
-    def _finish(self, placement: engine_view.Placement) -> None:
-        self._parts.router.finish(placement, self._closing)
-
     def _begin(
         self,
         engine: engine_client.EngineAddress,
@@ -290,7 +285,7 @@
         self._failed.append(engine.name)
         match error:
             case client_exceptions.EngineRefusedError(reason="leaving"):
-                view.mark_leaving(engine.address, engine.port)
+                view.observe_leaving(engine.name)
             case client_exceptions.EngineRefusedError():
                 pass
             case _:
--- a/src/fireflyspur/node/context.py
+++ b/src/fireflyspur/node/context.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from fireflyspur.admission import account_limiter
 from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
@@ -12,8 +11,12 @@
 from fireflyspur.engines import quarantine
 from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
+from fireflyspur.node import limit_parts
 from fireflyspur.node import membership_parts
+from fireflyspur.observability import metrics
+from fireflyspur.orders import order_manager
 from fireflyspur.records import catalog_follower
+from fireflyspur.routing import load_poller
 from fireflyspur.routing import router
 
 
@@ -27,10 +30,13 @@
     authenticator: authenticator.Authenticator
     bodies: body_budget.BodyBudget
     admission: admission_controller.AdmissionController
-    limiter: account_limiter.AccountLimiter
+    limits: limit_parts.LimitParts
     router: router.Router
+    load_poller: load_poller.LoadPoller
     runner: prompt_runner.PromptRunner
     quarantine: quarantine.Quarantine
     sweeper: holding_sweeper.HoldingSweeper
+    orders: order_manager.OrderManager
     drain: drain_controller.DrainController
     membership: membership_parts.MembershipParts
+    metrics: metrics.Metrics
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -7,7 +7,6 @@
 
 from tornado import httpserver
 
-from fireflyspur.admission import account_limiter
 from fireflyspur.admission import admission_controller
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import body_budget
@@ -15,14 +14,17 @@
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import http_client
 from fireflyspur.clients import log_client
+from fireflyspur.engines import engine_crash
 from fireflyspur.engines import engine_parts
 from fireflyspur.generated import settings
-from fireflyspur.membership import news
 from fireflyspur.node import context
 from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
+from fireflyspur.node import limit_parts
 from fireflyspur.node import membership_parts
 from fireflyspur.observability import logs
+from fireflyspur.observability import metrics
+from fireflyspur.orders import order_manager
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.records import catalog_follower
 from fireflyspur.routing import engine_view
@@ -60,17 +62,20 @@
         node = self._build()
         self._context = node
         self._start_task(node.follower.run())
-        self._start_task(self._load_poller.run())
         peer_port = await node.membership.start(self._stack)
-        self._start_task(node.quarantine.run())
-        self._start_task(node.sweeper.run())
-        limits = self._config.limits
+        for coroutine in (
+            node.quarantine.run(),
+            node.sweeper.run(),
+            node.load_poller.run(),
+            node.limits.reporter.run(),
+            node.orders.run(),
+        ):
+            self._start_task(coroutine)
         address = self._config.node.address
         http, http_port = http_server.listen(
             http_server.caller_application(node),
             address,
             self._config.node.http_port,
-            limits.max_header_bytes,
         )
         admin, admin_port = http_server.listen(
             http_server.admin_application(node),
@@ -113,26 +118,17 @@
         trail = audit_trail.AuditTrail()
         view = engine_view.EngineView(catalog, config.node.name)
         routing = router.Router(catalog, view, config.node.failure_domain)
-        client = engine_client.EngineClient(http, config.node.name)
-        self._load_poller = load_poller.LoadPoller(client, view)
         incarnation = membership_parts.start_incarnation()
-        follower = catalog_follower.CatalogFollower(
-            log,
-            catalog,
-            trail,
-            # A read that waits longer would let the configuration grow older
-            # than the bound while the log is well.
-            min(
-                config.log.poll_wait_s,
-                config.membership.staleness_bound_s / 2,
-            ),
-        )
+        follower = self._build_follower(log, catalog, trail)
         membership = membership_parts.MembershipParts(
             config, incarnation, follower, log, http, view, trail
         )
+        engine = engine_client.EngineClient(http, config.node.name)
         engines = self._build_engines(
-            client, log, catalog, routing, trail, membership
+            engine, log, catalog, routing, trail, membership
         )
+        reported = metrics.Metrics(config.metrics)
+        self._stack.callback(reported.close)
         return context.NodeContext(
             settings=config,
             follower=follower,
@@ -145,13 +141,24 @@
             admission=admission_controller.AdmissionController(
                 catalog, routing
             ),
-            limiter=account_limiter.AccountLimiter(),
+            limits=limit_parts.LimitParts(config, catalog, membership),
             router=routing,
+            load_poller=load_poller.LoadPoller(engine, view),
             runner=engines.runner,
             quarantine=engines.quarantine,
             sweeper=engines.sweeper,
+            orders=order_manager.OrderManager(
+                config.node.name,
+                catalog,
+                engine,
+                log,
+                trail,
+                membership.table.live_names,
+                config.log.poll_wait_s,
+            ),
             drain=drain_controller.DrainController(config.node.drain_s),
             membership=membership,
+            metrics=reported,
         )
 
     def _build_engines(
@@ -176,11 +183,27 @@
             live_names=table.live_names,
             is_dead=table.is_dead,
         )
-        membership.bus.subscribe(news.EngineCrash, engines.quarantine.receive)
+        membership.bus.subscribe(
+            engine_crash.EngineCrash, engines.quarantine.receive
+        )
         self._stack.push_async_callback(engines.quarantine.close)
         self._stack.push_async_callback(engines.runner.close)
         return engines
 
+    def _build_follower(
+        self,
+        log: log_client.LogClient,
+        catalog: catalogs.Catalog,
+        trail: audit_trail.AuditTrail,
+    ) -> catalog_follower.CatalogFollower:
+        # A read that waits longer would let the configuration grow older
+        # than the bound while the log is well.
+        wait_s = min(
+            self._config.log.poll_wait_s,
+            self._config.membership.staleness_bound_s / 2,
+        )
+        return catalog_follower.CatalogFollower(log, catalog, trail, wait_s)
+
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.ensure_future(coroutine)
         self._stack.push_async_callback(_cancel_task, task)
--- a/src/fireflyspur/records/catalog.py
+++ b/src/fireflyspur/records/catalog.py
@@ -18,9 +18,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Accepted:
-    """The record is in force from its offset on."""
+    """The record is in force from its offset on.
+
+    :param previous: the entry that was in force before, or None
+    """
 
     entry: record.Entry
+    previous: record.Entry | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,7 +184,7 @@
                 return Superseded(current)
         entry = self._make_entry(offset, time, value)
         self._entries[key] = entry
-        return Accepted(entry)
+        return Accepted(entry, current)
 
     def mark_gap(self, first: int) -> None:
         """Note that the log no longer has the records after the last one.
--- a/tests/engines/test_crash_counts.py
+++ b/tests/engines/test_crash_counts.py
@@ -4,13 +4,12 @@
 
 from fireflyspur.engines import crash_counts
 from fireflyspur.engines import engine_crash
-from fireflyspur.membership import news as urgent
 
 PERIOD_S = 100.0
 
 
 def crash(engine, *fingerprints, uid="c"):
-    return urgent.EngineCrash(uid, engine, "1", fingerprints)
+    return engine_crash.EngineCrash(uid, engine, "1", fingerprints)
 
 
 def trial(uid, fingerprint, engine, deadline=1000.0):
@@ -31,8 +30,8 @@
 
     def apply(self, value, time=0.0):
         self.offset += 1
-        if isinstance(value, urgent.EngineCrash):
-            value = engine_crash.to_record(value, "node-1:1")
+        if isinstance(value, engine_crash.EngineCrash):
+            value = value.to_record("node-1:1")
         self.counts.apply(self.offset, time, value)
 
     def test_one_crash_seen_by_two_nodes_counts_once(self):
--- a/tests/node/test_completions.py
+++ b/tests/node/handlers/test_streamed_errors.py
@@ -3,14 +3,15 @@
 import asyncio
 import json
 import types
+from unittest import mock
 
 import testtools
 from tornado import httpclient
 
-from fireflyspur.admission import account_limiter
 from fireflyspur.admission import body_budget
 from fireflyspur.clients import engine_client
 from fireflyspur.generated import records
+from fireflyspur.generated import settings
 from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
 from fireflyspur.records import catalog as catalogs
@@ -39,19 +40,18 @@
     account = types.SimpleNamespace(
         name="counter", spec=records.AccountSpec(key_sha256=[])
     )
-    limits = types.SimpleNamespace(prompt_bytes_per_token=4.0)
+    limits = settings.LimitsSection()
     node = types.SimpleNamespace(
         settings=types.SimpleNamespace(limits=limits),
         follower=types.SimpleNamespace(is_loaded=True, catalog=catalog),
         authenticator=types.SimpleNamespace(authenticate=lambda _: account),
         bodies=body_budget.BodyBudget(10_000, 10_000),
-        admission=types.SimpleNamespace(check=lambda prompt: None),
-        limiter=account_limiter.AccountLimiter(),
-        membership=types.SimpleNamespace(
-            freshness=types.SimpleNamespace(check=lambda: None)
-        ),
         drain=drain_controller.DrainController(0.0),
         runner=runner,
+        admission=mock.Mock(),
+        limits=mock.Mock(),
+        membership=mock.Mock(),
+        metrics=mock.Mock(),
     )
     server, port = http_server.listen(
         http_server.caller_application(node), "127.0.0.1", 0
--- a/tests/support/prompts.py
+++ b/tests/support/prompts.py
@@ -61,6 +61,8 @@
         self.publish(
             records.model(),
             records.account(),
+            # These tests are about what happens when a prompt that was
+            # admitted meets a failure, so none may be refused beforehand.
             records.make(
                 "policy",
                 "default",
