--- a/src/fireflyspur/node/membership_parts.py
+++ b/src/fireflyspur/node/membership_parts.py
@@ -162,6 +162,9 @@
 
     async def announce_end(self) -> None:
         """Tell the members that this node has no more requests."""
+        # Without the wait, the news of the end may overtake the news of
+        # leaving when the node drains at once.
+        await self._bus.flush()
         self._change_own_state(member.MemberState.DEAD)
         await self._bus.flush()
 
--- a/tests/support/nodes.py
+++ b/tests/support/nodes.py
@@ -35,14 +35,7 @@
     state: str = "live",
 ) -> None:
     """Put a VM into the VM list."""
-    vm = {
-        "role": role,
-        "address": "127.0.0.1",
-        "port": port,
-        "failure_domain": domain,
-        "state": state,
-    }
-    fleets.call(f"{fleet.url('vm-list')}/vms/{name}", "PUT", vm)
+    fleet.list_vm(name, role, domain, state, port)
 
 
 def view(fleet: fleets.Fleet, name: str) -> dict[str, Any]:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -21,7 +21,6 @@
 import yaml
 
 from fireflyspur.console import application
-from fireflyspur.console.commands import standin
 from tools import fleet as fleets
 
 _KEY = "demo-key"
@@ -35,8 +34,6 @@
 )
 # Started when the program has this stand-in.
 _WEIGHT_STORE = "weight-store"
-# Needs "standin service" and the path /services of the nodes.
-_WITH_SERVICE = False
 _SERVICE = "desk"
 _WORDS_PER_PROMPT = (200, 800, 3_000, 20_000, 60_000)
 _BYTES_PER_WORD = 5
@@ -85,14 +82,13 @@
         fleet = self._fleet
         fleet.start_standin("log", "log")
         fleet.start_standin("vm-list", "vm-list")
-        if has_standin(_WEIGHT_STORE):
-            fleet.start_standin(_WEIGHT_STORE, _WEIGHT_STORE)
-        if _WITH_SERVICE:
-            fleet.start_standin(_SERVICE, "service")
+        fleet.start_standin(_WEIGHT_STORE, _WEIGHT_STORE)
+        fleet.start_standin(_SERVICE, "service")
         for name in _ENGINES:
             fleet.start_standin(name, "engine", *_ENGINE_OPTIONS)
         for name, domain in zip(_NODES, _FAILURE_DOMAINS, strict=True):
             fleet.start_node(name, domain)
+            fleet.list_vm(name, "node", domain)
         self._publish(self._records())
         _wait(self._is_ready, "the nodes are ready")
 
@@ -111,24 +107,31 @@
             for client in self._clients.values():
                 await client.close()
 
-    def call_service_twice(self) -> list[int]:
+    def order_twice(self) -> str:
         """Send one order through two nodes, as a caller that resends.
 
-        :returns: the status codes
+        :returns: what happened, for a person
         """
         headers = {
             "Authorization": f"Bearer {_KEY}",
             "Idempotency-Key": str(_uuid7()),
         }
-        statuses = []
+        answers = []
         for name in self._live_nodes[:2]:
             url = self._fleet.url(name, "http") + f"/services/{_SERVICE}/"
             request = urllib.request.Request(
                 url + "orders", b"{}", headers, method="POST"
             )
             with urllib.request.urlopen(request, timeout=_TIMEOUT_S) as answer:
-                statuses.append(answer.status)
-        return statuses
+                replayed = answer.headers.get("Idempotent-Replayed")
+                kind = "first answer again" if replayed else "answer"
+                answers.append(f"{name}: {answer.status}, {kind}")
+        url = self._fleet.url(_SERVICE) + "/effects"
+        effects = len(fleets.call(url)["effects"])
+        return (
+            f"one booking sent twice: {'; '.join(answers)}; the service ran"
+            f" it {effects} time(s)"
+        )
 
     def stop(self) -> dict[str, int]:
         """Stop the nodes gracefully.
@@ -143,7 +146,11 @@
     def engine_streams(self) -> int:
         """Return the number of streams that the live engines hold."""
         return sum(
-            fleets.call(self._fleet.url(name) + "/engine/v1/load")["streams"]
+            len(
+                fleets.call(f"{self._fleet.url(name)}/engine/v1/holdings")[
+                    "holdings"
+                ]
+            )
             for name in _ENGINES
             if self._fleet.process(name).is_running
         )
@@ -179,10 +186,10 @@
                     memory_tokens=1_000_000,
                 )
             )
-        if _WITH_SERVICE:
-            port = self._fleet.process(_SERVICE).ports["port"]
-            endpoint = {"address": "127.0.0.1", "port": port}
-            values.append(_record("service", _SERVICE, endpoints=[endpoint]))
+        port = self._fleet.process(_SERVICE).ports["port"]
+        endpoint = {"address": "127.0.0.1", "port": port}
+        values.append(_record("service", _SERVICE, endpoints=[endpoint]))
+        values.append(_record("fleet", "default"))
         return values
 
     def _publish(self, values: list[dict[str, Any]]) -> None:
@@ -259,13 +266,6 @@
             self._live_nodes.remove(node)
 
 
-def has_standin(kind: str) -> bool:
-    """Whether the program has a stand-in."""
-    parser = argparse.ArgumentParser()
-    standin.StandinCommand().configure(parser)
-    return kind in parser.format_help()
-
-
 def report(results: list[Result], streams: int) -> str:
     """Return a short report for a person."""
     whole = [r for r in results if not r.failure]
@@ -312,8 +312,7 @@
         results = asyncio.run(demo.run())
         _wait(lambda: demo.engine_streams() == 0, "the engines hold nothing")
         print(report(results, demo.engine_streams()))
-        if _WITH_SERVICE:
-            print(f"one order sent twice: {demo.call_service_twice()}")
+        print(demo.order_twice())
         codes = demo.stop()
         print(f"exit codes of the nodes: {json.dumps(codes)}")
         failed = any(r.failure for r in results) or any(codes.values())
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -77,6 +77,7 @@
     for number, name in enumerate(_names("node", arguments.nodes)):
         domain = _DOMAINS[number % len(_DOMAINS)]
         fleet.start_node(name, domain, logging={"level": "WARNING"})
+        fleet.list_vm(name, "node", domain)
 
 
 def _publish(
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -178,6 +178,30 @@
         path.write_text(yaml.safe_dump(values), encoding="utf-8")
         return self.start(name, "node", "--settings", str(path))
 
+    def list_vm(
+        self,
+        name: str,
+        role: str,
+        failure_domain: str,
+        state: str = "live",
+        port: int | None = None,
+    ) -> None:
+        """Put a process into the VM list.
+
+        :param role: ``node``, ``engine`` or ``service``
+        :param state: ``live`` or ``leaving``
+        :param port: the listed port; None for the process's own
+        """
+        ports = self.process(name).ports
+        vm = {
+            "role": role,
+            "address": "127.0.0.1",
+            "port": port or ports["peer" if role == "node" else "port"],
+            "failure_domain": failure_domain,
+            "state": state,
+        }
+        call(f"{self.url('vm-list')}/vms/{name}", "PUT", vm)
+
     def log_text(self, name: str) -> str:
         """Return what a process wrote to standard error."""
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -280,15 +280,8 @@
 
 
 def _start_node(fleet: fleets.Fleet, name: str, domain: str) -> None:
-    port = fleet.start_node(name, domain).ports["peer"]
-    vm = {
-        "role": "node",
-        "address": "127.0.0.1",
-        "port": port,
-        "failure_domain": domain,
-        "state": "live",
-    }
-    fleets.call(f"{fleet.url('vm-list')}/vms/{name}", "PUT", vm)
+    fleet.start_node(name, domain)
+    fleet.list_vm(name, "node", domain)
 
 
 def _has(view_url: str, offset: int) -> bool:
