Let long prompts use idle engines and predict waits for memory

Cause: at 70 % of capacity, 8 of 29 long prompts were refused as overloaded although engines were idle: long prompts could use only their share of the engines, 0.3 at first, while they are 64 % of the work, and a node that sees an eighth of them learns the mix slowly. One prompt of 4,000 to 32,000 tokens waited 27.5 s: it sat behind a long one that held the engine's memory, which the prediction charged with 2 to 5 s. Ruled out: the machine (nodes used 0.06 of a core, the generator sent at most 5 ms late).

--- a/src/fireflyspur/routing/long_share.py
+++ b/src/fireflyspur/routing/long_share.py
@@ -1,4 +1,4 @@
-"""Share of the engines that long prompts may use."""
+"""Share of the engines that long prompts prefer."""
 
 import math
 
@@ -7,8 +7,8 @@
 # less, for as long as this. Without hysteresis each long prompt moved it.
 _MIN_CHANGE = 0.1
 _HOLD_S = 5.0
-# Prompts are unlike, so the engines for long ones need some slack.
-_HEADROOM = 1.25
+_MIN_SHARE = 0.1
+_MAX_SHARE = 0.8
 
 
 class LongShare:
@@ -60,7 +60,7 @@
 
     def _follow(self, now: float) -> None:
         mix = self._long_tokens / max(1.0, self._all_tokens)
-        wanted = min(0.8, max(0.1, mix * _HEADROOM))
+        wanted = min(_MAX_SHARE, max(_MIN_SHARE, mix))
         if abs(wanted - self._share) < _MIN_CHANGE:
             self._wanted_since = None
         elif self._wanted_since is None:
--- a/src/fireflyspur/routing/router.py
+++ b/src/fireflyspur/routing/router.py
@@ -19,7 +19,7 @@
 
 _RETRY_AFTER_S = 1.0
 # A short prompt goes to an engine for long ones only when it gains this much.
-_SPILL_GAIN_S = 0.1
+_SPILL_S = 0.1
 # Long prompts come after all short ones on an engine.
 _LONG_PRIORITY_OFFSET = 10
 
@@ -241,11 +241,11 @@
         to the same engine.
         """
         long_engines = self._long_engines(names)
-        if self.is_long(request.prompt_tokens):
-            return [n for n in names if n in long_engines] or names
         own = [n for n in names if n not in long_engines] or names
+        is_long = self.is_long(request.prompt_tokens)
+        drawn = set(long_engines) if is_long else set()
         count = min(self._catalog.policy().candidates, len(own))
-        drawn = set(self._random.sample(own, count))
+        drawn.update(self._random.sample(own, count))
         drawn.add(min(own, key=self._own_prefill_tokens))
         drawn.add(max(names, key=lambda n: self._cached(n, work)))
         drawn.add(self._random.choice(names))
@@ -258,15 +258,14 @@
     ) -> ttft_predictor.Prediction:
         names = self._view.candidates(request.model, request.adapter)
         long_engines = self._long_engines(names)
-        spill_s = _SPILL_GAIN_S
-        if self.is_long(request.prompt_tokens):
-            # A long prompt never uses the engines kept for short ones.
-            allowed = [p for p in predictions if p.engine in long_engines]
-            predictions, spill_s = allowed or predictions, 0.0
+        is_long = self.is_long(request.prompt_tokens)
+        ratio = self._catalog.policy().long_spill_ratio
 
         def cost_s(prediction: ttft_predictor.Prediction) -> float:
-            extra = spill_s if prediction.engine in long_engines else 0.0
-            return prediction.ttft_s + extra
+            if is_long == (prediction.engine in long_engines):
+                return prediction.ttft_s
+            extra_s = ratio * prediction.prefill_s if is_long else _SPILL_S
+            return prediction.ttft_s + extra_s
 
         self._random.shuffle(predictions)
         return min(predictions, key=cost_s)
--- a/src/fireflyspur/routing/ttft_predictor.py
+++ b/src/fireflyspur/routing/ttft_predictor.py
@@ -8,8 +8,8 @@
 
 # One way, between VMs of different failure domains.
 _CROSS_DOMAIN_LATENCY_S = 0.0015
-# A prompt that does not fit in the free memory waits for others to end; this
-# is charged for each multiple of the memory that is missing.
+# A prompt that does not fit in the free memory waits for others to generate
+# their answers; this is charged in proportion to the memory that is missing.
 _MEMORY_WAIT_S = 5.0
 _MIN_CORRECTION = 0.5
 _MAX_CORRECTION = 4.0
@@ -157,4 +157,14 @@
             if p.sent_at >= since
         )
         missing = max(0.0, needed - free)
-        return _MEMORY_WAIT_S * missing / max(1, needed)
+        if not missing:
+            return 0.0
+        # Memory comes back when work ends that is on the engine now, of
+        # whatever priority.
+        ahead = sum(
+            p.prefill_tokens for p in self._view.pending_prefills(engine)
+        )
+        if report is not None:
+            ahead = max(ahead, report.waiting_prefill_tokens)
+        share = missing / max(1, needed)
+        return ahead / spec.prefill_tokens_per_s + _MEMORY_WAIT_S * share
