Wake the engine stand-in when memory is given back

A reservation that was freed did not wake the step loop, and a stream that had its memory by reservation waited in line behind one that needed it. Ruled out: the nodes, whose streams were all on the engines' lists.

--- a/src/fireflyspur/standins/engine/batch.py
+++ b/src/fireflyspur/standins/engine/batch.py
@@ -36,6 +36,8 @@
         self._memory = memory
         self._on_end = on_end
         self._work = asyncio.Event()
+        # Reservations and imports give memory back, too.
+        memory.on_release = self._work.set
         self.waiting: list[streams.Stream] = []
         self.running: list[streams.Stream] = []
         self.crash_texts: tuple[str, ...] = ()
@@ -82,12 +84,21 @@
             self._decode(decoding)
 
     def _admit(self) -> None:
-        """Move streams into the batch, strictly in their order."""
-        while self.waiting and len(self.running) < self._settings.max_running:
-            stream = self.waiting[0]
-            if not self._take_memory(stream):
+        """Move streams into the batch, in their order.
+
+        A stream whose memory was reserved does not wait behind one that
+        needs memory: the reservation may be what the other waits for.
+        """
+        is_blocked = False
+        for stream in list(self.waiting):
+            if len(self.running) >= self._settings.max_running:
                 return
-            self.waiting.pop(0)
+            if is_blocked and not stream.allocation.blocks:
+                continue
+            if not self._take_memory(stream):
+                is_blocked = True
+                continue
+            self.waiting.remove(stream)
             self.running.append(stream)
             stream.phase = streams.Phase.PREFILL
             cached = len(stream.allocation.shared)
--- a/src/fireflyspur/standins/engine/kv_memory.py
+++ b/src/fireflyspur/standins/engine/kv_memory.py
@@ -34,6 +34,7 @@
         self, total: int, on_event: Callable[[str, list[str]], None]
     ) -> None:
         self.total = total
+        self.on_release: Callable[[], None] = lambda: None
         self._on_event = on_event
         self._private = 0
         self._users: dict[str, int] = {}
@@ -118,6 +119,7 @@
             if not self._users[key]:
                 self._idle[key] = None
         allocation.shared, allocation.private = [], 0
+        self.on_release()
 
     def clear_cache(self) -> None:
         """Drop the idle cached blocks."""
