--- a/src/fireflyspur/admission/admission_controller.py
+++ b/src/fireflyspur/admission/admission_controller.py
@@ -3,6 +3,7 @@
 import time
 
 from fireflyspur.admission import exceptions
+from fireflyspur.admission import output_estimator
 from fireflyspur.engines import prompt_request
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.routing import router as routers
@@ -30,6 +31,12 @@
     ) -> None:
         self._catalog = catalog
         self._router = router
+        self._outputs = output_estimator.OutputEstimator()
+
+    @property
+    def outputs(self) -> output_estimator.OutputEstimator:
+        """Learns the length of answers."""
+        return self._outputs
 
     def check(
         self, request: prompt_request.PromptRequest
@@ -49,7 +56,7 @@
             request.adapter,
             request.prompt,
             request.prompt_tokens,
-            request.max_tokens,
+            self._outputs.estimate(request.account, request.max_tokens),
             request.priority,
         )
         best = self._router.best(route, self._router.work(route))
--- a/src/fireflyspur/clients/exceptions.py
+++ b/src/fireflyspur/clients/exceptions.py
@@ -16,6 +16,13 @@
     code = "records_expired"
 
 
+class VmListUnavailableError(exceptions.FireflyspurError):
+    """The VM list did not answer, or not in its form."""
+
+    code = "vm_list_unavailable"
+    http_status = 503
+
+
 class EngineUnavailableError(exceptions.FireflyspurError):
     """The engine could not be reached, so nothing was sent to it."""
 
@@ -47,3 +54,50 @@
 
     code = "engine_connection_lost"
     http_status = 502
+
+
+class ServiceUnavailableError(exceptions.FireflyspurError):
+    """No endpoint of the service took the call."""
+
+    code = "service_unavailable"
+    http_status = 503
+
+
+class ServiceConnectionLostError(exceptions.FireflyspurError):
+    """The connection to the service broke before the whole answer came."""
+
+    code = "service_connection_lost"
+    http_status = 502
+
+
+class ServiceTimeoutError(exceptions.FireflyspurError):
+    """The service did not answer within the time limit of the call."""
+
+    code = "deadline_exceeded"
+    http_status = 504
+
+
+class NodeUnreachableError(exceptions.FireflyspurError):
+    """A node's admin port did not answer as expected."""
+
+    code = "node_unreachable"
+    http_status = 503
+
+
+class EngineFailedError(exceptions.FireflyspurError):
+    """The engine gave up a stream that it had taken.
+
+    :param reason: the engine's code
+    """
+
+    code = "engine_failed"
+    http_status = 502
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"the engine gave the stream up: {reason}")
+        self._reason = reason
+
+    @property
+    def reason(self) -> str:
+        """The engine's code."""
+        return self._reason
--- a/src/fireflyspur/node/node.py
+++ b/src/fireflyspur/node/node.py
@@ -4,29 +4,13 @@
 import contextlib
 import dataclasses
 import signal
-import time
 
 from tornado import httpserver
 
-from fireflyspur.admission import account_limiter
-from fireflyspur.admission import admission_controller
-from fireflyspur.admission import authenticator
-from fireflyspur.admission import body_budget
-from fireflyspur.audit import audit_trail
-from fireflyspur.clients import engine_client
-from fireflyspur.clients import http_client
-from fireflyspur.clients import log_client
-from fireflyspur.engines import prompt_runner
 from fireflyspur.generated import settings
-from fireflyspur.node import context
-from fireflyspur.node import drain_controller
 from fireflyspur.node import http_server
+from fireflyspur.node import node_builder
 from fireflyspur.observability import logs
-from fireflyspur.records import catalog as catalogs
-from fireflyspur.records import catalog_follower
-from fireflyspur.routing import engine_view
-from fireflyspur.routing import load_poller
-from fireflyspur.routing import router
 
 _log = logs.log_for("node")
 
@@ -37,10 +21,11 @@
 
     http: int
     admin: int
+    peer: int
 
 
 class Node:
-    """Builds the parts of a node, runs them and stops them in order.
+    """Runs the parts of a node and stops them in order.
 
     :param config: the node's settings
     """
@@ -55,17 +40,23 @@
 
         :returns: the ports on which the node listens
         """
-        node = self._build()
+        node = node_builder.NodeBuilder(self._config, self._stack).build()
         self._context = node
         self._start_task(node.follower.run())
-        self._start_task(self._load_poller.run())
-        limits = self._config.limits
+        peer_port = await node.membership.start(self._stack)
+        for coroutine in (
+            node.quarantine.run(),
+            node.sweeper.run(),
+            node.load_poller.run(),
+            node.limits.reporter.run(),
+            node.orders.run(),
+        ):
+            self._start_task(coroutine)
         address = self._config.node.address
         http, http_port = http_server.listen(
             http_server.caller_application(node),
             address,
             self._config.node.http_port,
-            limits.max_header_bytes,
         )
         admin, admin_port = http_server.listen(
             http_server.admin_application(node),
@@ -75,7 +66,7 @@
         self._stack.push_async_callback(_close_server, admin)
         self._stack.push_async_callback(_close_server, http)
         _log.info("Listening on {} port {}", address, http_port)
-        return Ports(http_port, admin_port)
+        return Ports(http_port, admin_port, peer_port)
 
     async def run_until_stopped(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -88,56 +79,13 @@
     async def stop(self) -> None:
         """Stop gracefully: no request in progress is cut."""
         self._context.drain.begin()
+        self._context.membership.announce_leaving()
         await self._context.drain.drain()
+        await self._context.ledger.close()
+        await self._context.membership.announce_end()
         await self._stack.aclose()
         _log.info("Stopped")
 
-    def _build(self) -> context.NodeContext:
-        config = self._config
-        http = http_client.create()
-        self._stack.callback(http.close)
-        log = log_client.LogClient(
-            http,
-            config.log.url,
-            config.node.name,
-            config.log.append_timeout_s,
-        )
-        catalog = catalogs.Catalog()
-        trail = audit_trail.AuditTrail()
-        routing = router.Router(
-            catalog,
-            engine_view.EngineView(catalog, config.node.name),
-            config.node.failure_domain,
-        )
-        engines = engine_client.EngineClient(http, config.node.name)
-        self._load_poller = load_poller.LoadPoller(engines, routing.view)
-        incarnation = int(time.time() * 1000)
-        runner = prompt_runner.PromptRunner(
-            engines,
-            routing,
-            f"{config.node.name}:{incarnation}",
-        )
-        self._stack.push_async_callback(runner.close)
-        return context.NodeContext(
-            settings=config,
-            follower=catalog_follower.CatalogFollower(
-                log, catalog, trail, config.log.poll_wait_s
-            ),
-            trail=trail,
-            authenticator=authenticator.Authenticator(catalog),
-            bodies=body_budget.BodyBudget(
-                config.limits.max_body_bytes,
-                config.limits.buffered_body_bytes,
-            ),
-            admission=admission_controller.AdmissionController(
-                catalog, routing
-            ),
-            limiter=account_limiter.AccountLimiter(),
-            router=routing,
-            runner=runner,
-            drain=drain_controller.DrainController(config.node.drain_s),
-        )
-
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
         task = asyncio.ensure_future(coroutine)
         self._stack.push_async_callback(_cancel_task, task)
--- a/src/fireflyspur/records/record_publisher.py
+++ b/src/fireflyspur/records/record_publisher.py
@@ -46,7 +46,10 @@
         :raises LogUnavailableError: if the log refused the record
         :raises PublicationUnknownError: if the record may be in the log
         """
-        errors = record.find_errors(value)
+        errors = record.find_envelope_errors(value)
+        # Of a newer schema version, nodes judge the envelope alone.
+        if not errors and value["schema_version"] <= record.SCHEMA_VERSION:
+            errors = record.find_spec_errors(value)
         if errors:
             raise exceptions.InvalidRecordError("; ".join(errors))
         uid = str(uuid.uuid4())
@@ -63,6 +66,8 @@
                 return entry
             case catalogs.Superseded(by):
                 raise exceptions.RecordBeatenError(_describe_winner(by))
+            case catalogs.Rejected(reasons):
+                raise exceptions.InvalidRecordError("; ".join(reasons))
             case _:
                 raise exceptions.PublicationUnknownError(
                     "the record was not found in the log"
@@ -88,16 +93,21 @@
         self, uid: str | None
     ) -> tuple[catalogs.Catalog, catalogs.ApplyResult | None]:
         catalog = catalogs.Catalog()
-        found, start = None, 1
+        found, found_at, start = None, None, 1
         while True:
             page = await self._log.read(catalog_follower.CONFIG_STREAM, start)
+            if page.first > start:
+                catalog.mark_gap(page.first)
             for item in page.records:
                 result = catalog.apply(item.offset, item.time, item.value)
                 if uid is not None and item.value.get("uid") == uid:
-                    found = result
+                    found, found_at = result, item.offset
+                elif isinstance(result, catalogs.Restored):
+                    found = result.judged.get(found_at, found)
             start = page.next
             if start >= page.tail:
-                return catalog, found
+                # Without a snapshot, what the log still has must do.
+                return catalog, catalog.close_gap().judged.get(found_at, found)
 
 
 def _describe_winner(entry: record.Entry | None) -> str:
--- a/src/fireflyspur/routing/engine_view.py
+++ b/src/fireflyspur/routing/engine_view.py
@@ -51,6 +51,7 @@
         self._leaving: set[tuple[str, int]] = set()
         self._unreachable_until: dict[str, float] = {}
         self._restart_listeners: list[Callable[[str], None]] = []
+        self._leaving_listeners: list[Callable[[str], None]] = []
         self._specs: dict[str, records.EngineSpec] = {}
         self._specs_offset = -1
         self._followed: list[str] = []
@@ -118,9 +119,8 @@
         former = self._loads.get(name)
         self._loads[name] = report
         self._unreachable_until.pop(name, None)
-        spec = self.specs().get(name)
-        if spec is not None and report.leaving:
-            self.mark_leaving(spec.address, spec.port)
+        if report.leaving:
+            self.observe_leaving(name)
         if former and former.incarnation != report.incarnation:
             for listener in self._restart_listeners:
                 listener(name)
@@ -129,6 +129,23 @@
         """Call a function with the name of each engine that restarted."""
         self._restart_listeners.append(listener)
 
+    def observe_leaving(self, name: str) -> None:
+        """Note that an engine itself said that it is leaving."""
+        spec = self.specs().get(name)
+        if spec is None or self.is_leaving(spec.address, spec.port):
+            return
+        self.mark_leaving(spec.address, spec.port)
+        for listener in self._leaving_listeners:
+            listener(name)
+
+    def add_leaving_listener(self, listener: Callable[[str], None]) -> None:
+        """Call a function with the name of each engine seen leaving.
+
+        It is not called for endpoints that other nodes or the VM list report
+        as leaving.
+        """
+        self._leaving_listeners.append(listener)
+
     def mark_leaving(self, address: str, port: int) -> None:
         """Give an endpoint no new work from now on."""
         self._leaving.add((address, port))
--- /dev/null
+++ b/tests/admission/test_output_estimator.py
@@ -0,0 +1,26 @@
+"""The plan for an answer follows the account's answers, not its bound."""
+
+import testtools
+
+from fireflyspur.admission import output_estimator
+
+
+class TestOutputEstimator(testtools.TestCase):
+    def test_a_large_bound_alone_does_not_refuse_a_prompt(self):
+        estimator = output_estimator.OutputEstimator()
+        self.assertLess(estimator.estimate("counter", 1_000_000), 1000)
+        self.assertEqual(10, estimator.estimate("counter", 10))
+
+    def test_long_answers_raise_the_plan_up_to_the_bound(self):
+        estimator = output_estimator.OutputEstimator()
+        for _ in range(50):
+            estimator.observe("counter", 4000, True)
+        self.assertGreaterEqual(estimator.estimate("counter", 9000), 4000)
+        self.assertEqual(500, estimator.estimate("counter", 500))
+
+    def test_an_answer_that_was_cut_never_lowers_the_plan(self):
+        estimator = output_estimator.OutputEstimator()
+        estimator.observe("counter", 4000, True)
+        before = estimator.estimate("counter", 10**6)
+        estimator.observe("counter", 3, False)
+        self.assertEqual(before, estimator.estimate("counter", 10**6))
