Prove the promises by scenarios with faults

Section 1.2 of the design page had one scenario. It reads the request that caused an effect from the headers that the service stand-in records, so that "not run" is checked for each request and not only for each key.

The checker has a new rule: a refusal carries Retry-After and comes long before the time limit.

--- a/tests/checker/test_history_checker.py
+++ b/tests/checker/test_history_checker.py
@@ -16,7 +16,7 @@
     histories.Effect(1.5, "desk", "k1", "b1"),
     histories.Answered(2.0, "p1", 200, text="a b c", complete=True),
     histories.Answered(2.0, "b1", 200, complete=True),
-    histories.Answered(2.0, "b2", 503, verdict="not_run"),
+    histories.Answered(2.0, "b2", 503, "not_run", retry_after="1"),
     histories.LeavingSeen(3.0, "engine-1"),
     histories.WorkStarted(4.0, "engine-1"),
     histories.GracefulStop(5.0, "node-1"),
@@ -27,6 +27,7 @@
 # Each event breaks the rule alone when it is added to the good history.
 BREAKING = {
     "ends_in_time": histories.Invoked(1.0, "p2", "prompt", timeout_s=1),
+    "refuses_at_once": histories.Answered(2.0, "b1", 503, "not_run"),
     "frees_memory": histories.Held("engine-1", "stream p1"),
     "answers_are_true": histories.Answered(
         2.0, "p1", 200, text="a b x", complete=True
@@ -61,3 +62,14 @@
         cut = histories.Answered(2.0, "p1", 200, text="a b", complete=True)
         found = history_checker.check(histories.History((*GOOD, cut)))
         self.assertEqual(["answers_are_true: p1 got another answer"], found)
+
+    def test_a_refusal_shortly_before_the_time_limit_is_found(self):
+        # Guards against a node that holds what it has given up on.
+        held = (
+            histories.Invoked(1.0, "p3", "prompt", timeout_s=60),
+            histories.Answered(55.0, "p3", 503, "not_run", retry_after="1"),
+        )
+        found = history_checker.check(histories.History((*GOOD, *held)))
+        self.assertEqual(
+            ["refuses_at_once: p3 was refused after 54 of 60 s"], found
+        )
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -15,16 +15,25 @@
     pass
 
 
-def _add_test(path: pathlib.Path) -> None:
-    def test(self):
-        scenario = scenario_parser.parse(path.read_text("utf-8"))
-        with fleets.Fleet() as fleet:
-            runner = scenario_runner.ScenarioRunner(fleet)
-            self.assertEqual([], runner.run(scenario))
+def _run(case: TestScenarios, scenario: scenario_parser.Scenario) -> None:
+    with fleets.Fleet() as fleet:
+        runner = scenario_runner.ScenarioRunner(fleet)
+        case.assertEqual([], runner.run(scenario))
 
-    test.__doc__ = path.stem
-    setattr(TestScenarios, f"test_{path.stem}", test)
+
+def _add_tests(path: pathlib.Path) -> None:
+    scenario = scenario_parser.parse(path.read_text("utf-8"))
+    variants = {"": scenario}
+    if scenario.values:
+        variants = {f"_{v}": scenario.with_value(v) for v in scenario.values}
+    for suffix, variant in variants.items():
+
+        def test(self, variant=variant):
+            _run(self, variant)
+
+        test.__doc__ = variant.title
+        setattr(TestScenarios, f"test_{path.stem}{suffix}", test)
 
 
 for _path in sorted(_FOLDER.glob("*.scenario")):
-    _add_test(_path)
+    _add_tests(_path)
--- a/tests/support/clients.py
+++ b/tests/support/clients.py
@@ -1,7 +1,11 @@
 """Clients that record what they sent and got."""
 
+import contextlib
+import dataclasses
 import http.client
+import itertools
 import json
+import socket
 import threading
 import time
 from typing import Any
@@ -11,6 +15,9 @@
 from tests.support import history as histories
 from tests.support import records
 
+# Services record this header with each effect.
+REQUEST_HEADER = "X-Client-Request"
+
 
 def uuid7() -> str:
     """Return a UUID of version 7 for the present time."""
@@ -29,6 +36,25 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Requests that are sent until the load is ended.
+
+    :param tokens: length of the answers
+    :param service: service that gets each second request, or empty
+    :param pause_s: pause between an answer and the next request
+    """
+
+    name: str
+    node: str
+    port: int
+    tokens: int = 20
+    service: str = ""
+    pause_s: float = 0.05
+    threads: list[threading.Thread] = dataclasses.field(default_factory=list)
+    ended: threading.Event = dataclasses.field(default_factory=threading.Event)
+
+
 class Clients:
     """Sends requests in threads of their own.
 
@@ -39,6 +65,9 @@
         self._history = history
         self._threads: list[threading.Thread] = []
         self._texts: dict[str, list[str]] = {}
+        self._connections: dict[str, http.client.HTTPConnection] = {}
+        self._loads: dict[str, Load] = {}
+        self._requests: dict[str, threading.Thread] = {}
 
     def join(self, timeout_s: float) -> None:
         """Wait until all requests have ended."""
@@ -46,6 +75,56 @@
         for thread in self._threads:
             thread.join(max(0.0, deadline - time.monotonic()))
 
+    def hang_up(self, name: str) -> None:
+        """Close the connection of a request, as a caller that is gone."""
+        connection = self._connections.get(name)
+        # Once it is answered, there is nothing to hang up.
+        with contextlib.suppress(OSError, AttributeError):
+            connection.sock.shutdown(socket.SHUT_RDWR)
+
+    def start_load(self, load: "Load", workers: int) -> None:
+        """Send requests in a closed loop of several clients.
+
+        :param workers: clients that send one request after the other
+        """
+        self._loads[load.name] = load
+        for number in range(workers):
+            thread = threading.Thread(
+                target=self._run_load, args=(load, number), daemon=True
+            )
+            load.threads.append(thread)
+            self._threads.append(thread)
+            thread.start()
+
+    def end_load(self, name: str, timeout_s: float) -> None:
+        """Send nothing more of a load, and wait for its last answers."""
+        load = self._loads[name]
+        load.ended.set()
+        deadline = time.monotonic() + timeout_s
+        for thread in load.threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+
+    def end_loads(self, timeout_s: float) -> None:
+        """End all loads."""
+        for name in self._loads:
+            self.end_load(name, timeout_s)
+
+    def _run_load(self, load: "Load", number: int) -> None:
+        for count in itertools.count():
+            name = f"{load.name}-{number}-{count}"
+            if load.service and count % 2:
+                self.send_call(
+                    name, load.node, load.port, load.service, uuid7(), name
+                )
+            else:
+                prompt = f"{name} " * 40
+                self.send_prompt(
+                    name, load.node, load.port, prompt, load.tokens
+                )
+            self._requests.pop(name).join()
+            if load.ended.wait(load.pause_s):
+                return
+
     def tokens(self, request: str) -> int:
         """Return how many tokens a streamed prompt has got."""
         return len(self._texts.get(request, ()))
@@ -105,7 +184,7 @@
         )
         headers = {
             "Idempotency-Key": idempotency_key,
-            "X-Client-Request": name,
+            REQUEST_HEADER: name,
         }
         self._start(
             name,
@@ -123,6 +202,7 @@
             target=self._run, args=(name, *arguments), daemon=True
         )
         self._threads.append(thread)
+        self._requests[name] = thread
         thread.start()
 
     def _run(
@@ -141,6 +221,7 @@
         connection = http.client.HTTPConnection(
             "127.0.0.1", port, timeout=timeout_s + 60
         )
+        self._connections[name] = connection
         try:
             connection.request(
                 method,
--- a/tests/support/history_checker.py
+++ b/tests/support/history_checker.py
@@ -14,6 +14,11 @@
 CONFIG_BOUND_S = 5.0
 # A client on a busy machine notes an answer later than it was sent.
 CLIENT_DELAY_S = 5.0
+# A refusal is due at once. A node may wait 30 s for a trial of a suspect, so
+# only requests with a longer time limit show whether it was held back.
+REFUSAL_SHARE = 0.75
+_LONG_TIMEOUT_S = 60.0
+_REFUSALS = (429, 503)
 
 
 def check(history: histories.History) -> list[str]:
@@ -38,6 +43,25 @@
         yield f"frees_memory: {held.engine} still holds {held.what}"
 
 
+def refuses_at_once(history: histories.History) -> Iterator[str]:
+    """A refusal comes long before the time limit, with a time to retry."""
+    for sent in history.of_type(histories.Invoked):
+        answer = history.answer(sent.request)
+        if answer is None or answer.status not in _REFUSALS:
+            continue
+        if not answer.retry_after:
+            yield f"refuses_at_once: {sent.request} got no Retry-After"
+        after_s = answer.time - sent.time
+        if (
+            sent.timeout_s >= _LONG_TIMEOUT_S
+            and after_s > REFUSAL_SHARE * sent.timeout_s
+        ):
+            yield (
+                f"refuses_at_once: {sent.request} was refused after"
+                f" {after_s:.0f} of {sent.timeout_s:.0f} s"
+            )
+
+
 def answers_are_true(history: histories.History) -> Iterator[str]:
     """A whole answer is the answer to the caller's own prompt."""
     for sent in history.of_type(histories.Invoked):
@@ -144,6 +168,7 @@
 
 RULES = (
     ends_in_time,
+    refuses_at_once,
     frees_memory,
     answers_are_true,
     not_run_is_true,
--- a/tests/support/scenario_parser.py
+++ b/tests/support/scenario_parser.py
@@ -27,8 +27,31 @@
 
 @dataclasses.dataclass(frozen=True)
 class Scenario:
+    """A text of the scenario language.
+
+    :param variable: word that stands for one of the values, or empty
+    :param values: values that the scenario is to be run with, one at a time
+    """
+
     title: str
     statements: list[Statement]
+    variable: str = ""
+    values: tuple[str, ...] = ()
+
+    def with_value(self, value: str) -> "Scenario":
+        """Return the scenario with a value in place of the variable."""
+        statements = [
+            dataclasses.replace(
+                s,
+                words=tuple(self._put(w, value) for w in s.words),
+                options={k: self._put(v, value) for k, v in s.options.items()},
+            )
+            for s in self.statements
+        ]
+        return Scenario(f"{self.title} ({value})", statements)
+
+    def _put(self, word: Any, value: str) -> Any:
+        return value if word == self.variable else word
 
 
 class _Builder(lark.Transformer):
@@ -51,8 +74,9 @@
         return {k: v for pair in children for k, v in pair.items()}
 
     def start(self, children):
-        title, *statements = children
-        return Scenario(title.children[0], statements)
+        title, each, *statements = children
+        name, *values = map(str, each.children) if each else ("",)
+        return Scenario(title.children[0], statements, name, tuple(values))
 
 
 def _statement(tree: lark.Tree) -> Statement:
@@ -77,4 +101,5 @@
         maybe_placeholders=True,
     )
     built = _Builder().transform(parser.parse(text.rstrip() + "\n"))
-    return Scenario(built.title, [_statement(s) for s in built.statements])
+    statements = [_statement(s) for s in built.statements]
+    return dataclasses.replace(built, statements=statements)
