--- a/tests/checker/test_history_checker.py
+++ b/tests/checker/test_history_checker.py
@@ -73,3 +73,18 @@
         self.assertEqual(
             ["refuses_at_once: p3 was refused after 54 of 60 s"], found
         )
+
+    def test_a_caller_that_hung_up_was_not_cut_by_a_stop(self):
+        # Guards against a schedule that is reported for its caller's doing.
+        cut = histories.Answered(2.5, "p1", 0, text="a ")
+        gone = histories.HungUp(2.4, "p1")
+        found = history_checker.check(histories.History((*GOOD, gone, cut)))
+        self.assertEqual([], found)
+
+    def test_only_a_kill_during_the_request_explains_a_cut(self):
+        # Guards against a kill that hides a cut of a later or earlier request.
+        cut = histories.Answered(2.5, "p1", 0, text="a ")
+        for at, count in ((0.5, 1), (2.0, 0), (3.0, 1)):
+            kill = histories.Killed(at, "node-1")
+            history = histories.History((*GOOD, kill, cut))
+            self.assertEqual(count, len(history_checker.check(history)), at)
--- a/tests/support/clients.py
+++ b/tests/support/clients.py
@@ -77,6 +77,7 @@
 
     def hang_up(self, name: str) -> None:
         """Close the connection of a request, as a caller that is gone."""
+        self._history.add(histories.HungUp(time.monotonic(), name))
         connection = self._connections.get(name)
         # Once it is answered, there is nothing to hang up.
         with contextlib.suppress(OSError, AttributeError):
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -105,6 +105,22 @@
     incarnation: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Killed:
+    """A process was about to be killed."""
+
+    time: float
+    process: str
+
+
+@dataclasses.dataclass(frozen=True)
+class HungUp:
+    """A caller closed the connection of its own request."""
+
+    time: float
+    request: str
+
+
 @dataclasses.dataclass(frozen=True)
 class GracefulStop:
     """A node was told to stop gracefully and ended."""
@@ -122,6 +138,8 @@
     | WorkStarted
     | ConfigAccepted
     | ConfigInForce
+    | Killed
+    | HungUp
     | GracefulStop
 )
 
--- a/tests/support/history_checker.py
+++ b/tests/support/history_checker.py
@@ -131,10 +131,17 @@
 def stops_cut_nothing(history: histories.History) -> Iterator[str]:
     """A graceful stop resets no connection of a request in progress."""
     stopped = {e.node: e.time for e in history.of_type(histories.GracefulStop)}
+    hung_up = {e.request for e in history.of_type(histories.HungUp)}
     for sent in history.of_type(histories.Invoked):
         answer = history.answer(sent.request)
         if sent.node not in stopped or answer is None:
             continue
+        was_killed = any(
+            kill.process == sent.node and sent.time <= kill.time <= answer.time
+            for kill in history.of_type(histories.Killed)
+        )
+        if sent.request in hung_up or was_killed:
+            continue
         if answer.status == 0 and sent.time <= stopped[sent.node]:
             yield f"stops_cut_nothing: {sent.request} was cut"
 
