Answer refused service calls and close kept connections at a stop

- A refusal of a call to a service called _finish_refused with the name from the path and raised TypeError.
Without a body, the caller got 500 internal_error with may_have_run instead of its error; with one, the connection closed.
TestRefusal got (500, may_have_run) for a wrong key.
- A stopping node answered without "Connection: close".
A TCP balancer cannot move a kept connection, so a caller that goes on sending keeps the stop waiting for its last request for as long as it likes.

--- a/src/fireflyspur/node/handlers/base.py
+++ b/src/fireflyspur/node/handlers/base.py
@@ -157,6 +157,9 @@
     def prepare(self) -> None:
         """Admit the request, or refuse it before its body is read."""
         self.set_header("X-Request-Id", self._request_id)
+        if self._node.drain.is_stopping:
+            # A balancer cannot move a connection that its caller keeps.
+            self.set_header("Connection", "close")
         # Tornado calls on_finish only after an answer. This task ends in
         # every case, also when the connection breaks within the body.
         task = asyncio.current_task()
@@ -342,7 +345,8 @@
         self.flush()
         asyncio.get_running_loop().call_later(_DISCARD_S, self._finish_refused)
 
-    def _finish_refused(self) -> None:
+    def _finish_refused(self, *_: str) -> None:
+        # Tornado passes the groups of the path, which play no part here.
         if not self._finished:
             self.finish()
 
--- a/tests/integration/test_services.py
+++ b/tests/integration/test_services.py
@@ -252,6 +252,16 @@
             self.assertEqual(200, self.call(method="GET").status)
 
 
+class TestRefusal(ServicesTestCase):
+    def test_a_refused_call_gets_its_own_error(self):
+        # Guards against a refusal that fails on the name in the path and is
+        # reported as a fault of the node that may have run the call.
+        for method in ("GET", "POST"):
+            answer = self.call(method=method, Authorization="Bearer wrong")
+            self.assertEqual((401, "not_run"), answer.error[::2], method)
+        self.assertNotIn("TypeError", self.fleet.log_text("node-2"))
+
+
 class TestLeavingEndpoint(ServicesTestCase):
     def test_other_nodes_give_it_no_new_work(self):
         # Guards against a node that keeps sending work to an endpoint that
