--- a/tests/support/fleet_driver.py
+++ b/tests/support/fleet_driver.py
@@ -156,6 +156,7 @@
         self.kill(name)
         self.start(kind, name, self._domains[name], options)
         self.finish_starts()
+        self._history.add(histories.Started(time.monotonic(), name))
 
     def stop(self, name: str) -> None:
         """Stop a process gracefully."""
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -113,6 +113,14 @@
     process: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Started:
+    """A process that was killed serves again."""
+
+    time: float
+    process: str
+
+
 @dataclasses.dataclass(frozen=True)
 class HungUp:
     """A caller closed the connection of its own request."""
@@ -139,6 +147,7 @@
     | ConfigAccepted
     | ConfigInForce
     | Killed
+    | Started
     | HungUp
     | GracefulStop
 )
