--- a/tests/support/schedules.py
+++ b/tests/support/schedules.py
@@ -165,7 +165,7 @@
                 )
             case "hang_up" if self._open:
                 self._add(f"hang up {self._open.pop()}")
-            case "wait" if self._open:
+            case "wait" if self._open and not self._frozen:
                 self._add(f"wait for {self._open.pop(0)}")
             case "pass":
                 self._add(f"let 0.{step.second // 2 + 1} s pass")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import signal
 import sys
 import time
 
@@ -19,6 +20,8 @@
 def main() -> int:
     """Run the schedules; the exit code is 1 if a promise was broken."""
     arguments = _parse()
+    # An exception lets the fleet end its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     end = time.monotonic() + arguments.minutes * 60
     failed = []
     runs = 0
