Stop reading from an engine when the caller does not read

Cause: the lines of a stream went into a queue without a bound, so a caller that does not read made the node hold all that the engine generated.

Ruled out: asyncio.Queue with a size counts chunks, which differ in size by a factor of 600, and ends a stream only when there is room.

After: 128 KB of a stream are held, then the connection waits.

--- a/src/fireflyspur/clients/engine_client.py
+++ b/src/fireflyspur/clients/engine_client.py
@@ -11,10 +11,14 @@
 from tornado import httpclient
 from tornado import simple_httpclient
 
+from fireflyspur.clients import chunk_buffer
 from fireflyspur.clients import exceptions
 
 _CONTROL_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 1.0
+# An engine generates faster than a slow caller reads. Some 1,000 tokens of a
+# stream may wait in the node; then the node stops reading from the engine.
+_MAX_UNREAD_BYTES = 128 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -248,18 +252,12 @@
         on_load: Callable[[dict[str, Any]], None] | None,
         interrupt: "asyncio.Future[None] | None",
     ) -> AsyncIterator[StreamLine]:
-        chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
-        is_read = True
-
-        def take(chunk: bytes) -> None:
-            # The connection outlives a stream that nobody reads any more.
-            if is_read:
-                chunks.put_nowait(chunk)
+        chunks = chunk_buffer.ChunkBuffer(_MAX_UNREAD_BYTES)
 
         def end(_: object) -> None:
-            chunks.put_nowait(None)
+            chunks.end()
 
-        request.streaming_callback = take
+        request.streaming_callback = chunks.put
         if on_load:
             request.header_callback = _LoadHeader(on_load)
         fetch = asyncio.ensure_future(
@@ -281,7 +279,7 @@
                 )
             _check_end(fetch, received, pending)
         finally:
-            is_read = False
+            chunks.discard()
             if interrupt:
                 interrupt.remove_done_callback(end)
             fetch.cancel()
--- a/tools/measure_hot_path.py
+++ b/tools/measure_hot_path.py
@@ -297,12 +297,12 @@
 
 _MEASURES: dict[str, Callable[[Bench], Awaitable[None]]] = {
     "memory": measure_open_streams,
-    "slow-reader": measure_slow_reader,
     "requests": measure_requests,
     "tokens": measure_tokens,
     "prompts": measure_prompts,
     "first-token": measure_first_token,
     "stalls": measure_stalls,
+    "slow-reader": measure_slow_reader,
 }
 
 
@@ -370,8 +370,9 @@
     runs: list[Figures] = []
 
     async def measure(bench: Bench) -> None:
-        for name in arguments.only:
-            await _MEASURES[name](bench)
+        for name, function in _MEASURES.items():
+            if name in arguments.only:
+                await function(bench)
 
     async def all_runs() -> None:
         async with asyncio.timeout(arguments.limit_s):
