Write the events that are ready together

Cause: each token was a write of its own, and its event was encoded from a dictionary of which only the text changes. The constant part is now encoded once, and events that are ready at the same time share a write of up to 16 KB. The first event goes out at once, the others when no further one is ready.

Ruled out: a timer that collects tokens, since it delays them; a mark on the last line of a chunk, since a duplicate that is dropped may carry it.

--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -5,7 +5,6 @@
 import contextlib
 import dataclasses
 import time
-from typing import Any
 
 import msgspec
 from tornado import iostream
@@ -25,6 +24,8 @@
 
 # Handing work to a thread costs 0.06 ms; hashing this much costs 0.17 ms.
 _HASH_IN_THREAD_CHARACTERS = 64 * 1024
+# Events that are ready at the same time are written together up to this size.
+_MAX_WRITE_BYTES = 16 * 1024
 _LOGGED_MODEL_CHARACTERS = 80
 
 
@@ -33,6 +34,9 @@
 
     body_type: type[openai_api.Body]
     _charged: prompt_request.PromptRequest | None = None
+    _flushed: "asyncio.Future[None] | None" = None
+    _unsent_bytes = 0
+    _is_flush_due = False
 
     async def post(self) -> None:
         """Answer one prompt."""
@@ -194,15 +198,15 @@
         lines: AsyncIterator[engine_client.StreamLine],
     ) -> None:
         is_done = False
+        events = openai_api.TokenEvents(body, self.request_id)
         async for line in lines:
             is_done = line.type == "done"
-            await self._send_event(
-                openai_api.chunk(body, self.request_id, line)
-            )
+            await self._send_event(events.encode(line))
             if line.type == "done" and openai_api.wants_usage(body):
-                await self._send_event(
-                    openai_api.usage_chunk(body, self.request_id, line.usage)
+                usage = openai_api.usage_chunk(
+                    body, self.request_id, line.usage
                 )
+                await self._send_event(msgspec.json.encode(usage))
         if not is_done:
             raise engine_exceptions.AttemptsExhaustedError(
                 "the engine's stream has no closing line",
@@ -211,12 +215,28 @@
         self.write(b"data: [DONE]\n\n")
         await self.finish()
 
-    async def _send_event(self, event: dict[str, Any]) -> None:
+    async def _send_event(self, event: bytes) -> None:
+        """Send an event together with those that are ready besides it."""
+        if self._flushed is not None:
+            # A caller that reads slowly holds the stream up here.
+            await self._flushed
         if not self._headers_written:
             self.set_header("Content-Type", "text/event-stream")
             self.set_header("Cache-Control", "no-store")
-        self.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
-        await self.flush()
+        self.write(b"data: " + event + b"\n\n")
+        self._unsent_bytes += len(event)
+        if not self._headers_written or self._unsent_bytes > _MAX_WRITE_BYTES:
+            self._flush_events()
+        elif not self._is_flush_due:
+            # The callback runs once no further event is ready.
+            self._is_flush_due = True
+            asyncio.get_running_loop().call_soon(self._flush_events)
+
+    def _flush_events(self) -> None:
+        self._is_flush_due = False
+        if self._unsent_bytes and not self._finished:
+            self._unsent_bytes = 0
+            self._flushed = self.flush()
 
     async def _fail(self, error: Exception) -> None:
         """Report an error, inside the stream once it has begun."""
--- a/src/fireflyspur/node/handlers/openai_api.py
+++ b/src/fireflyspur/node/handlers/openai_api.py
@@ -4,11 +4,15 @@
 import time
 from typing import Any
 
+import msgspec
+
 from fireflyspur.clients import engine_client
 from fireflyspur.errors import exceptions
 
 _DEFAULT_MAX_TOKENS = 16
 _MAX_TOKENS_LIMIT = 1_000_000
+# Stands for the text while the constant part of an event is encoded.
+_TEXT_MARK = "text"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,6 +121,39 @@
     return _envelope(body, request_id, kind, [choice])
 
 
+class TokenEvents:
+    """Encodes the events of one streamed answer.
+
+    All token events of an answer are alike but for the text, so the rest is
+    encoded once.
+
+    :param body: the request
+    :param request_id: identity of the request
+    """
+
+    def __init__(self, body: Body, request_id: str) -> None:
+        self._body = body
+        self._request_id = request_id
+        self._start: bytes | None = None
+        self._end = b""
+
+    def encode(self, line: engine_client.StreamLine) -> bytes:
+        """Return one event as JSON."""
+        if line.type != "token" or line.index == 0:
+            # The first token of a chat carries the role besides.
+            return msgspec.json.encode(
+                chunk(self._body, self._request_id, line)
+            )
+        if self._start is None:
+            sample = dataclasses.replace(line, text=_TEXT_MARK)
+            event = chunk(self._body, self._request_id, sample)
+            # Nothing that the caller wrote comes after the text.
+            self._start, _, self._end = msgspec.json.encode(event).rpartition(
+                msgspec.json.encode(_TEXT_MARK)
+            )
+        return self._start + msgspec.json.encode(line.text) + self._end
+
+
 def usage_chunk(
     body: Body, request_id: str, usage: dict[str, int]
 ) -> dict[str, Any]:
--- /dev/null
+++ b/tests/node/handlers/test_openai_api.py
@@ -0,0 +1,34 @@
+"""Bodies of the API that OpenAI's clients speak."""
+
+from unittest import mock
+
+import msgspec
+import testtools
+
+from fireflyspur.clients import engine_client
+from fireflyspur.node.handlers import openai_api
+
+
+class TestTokenEvents(testtools.TestCase):
+    def test_events_are_those_of_the_whole_encoder(self):
+        """Guards against a constant part that swallows what varies."""
+        model = 'a"text"b'
+        bodies = (
+            openai_api.CompletionBody(model, "p"),
+            openai_api.ChatBody(model, [openai_api.ChatMessage("user", "p")]),
+        )
+        lines = [
+            engine_client.StreamLine("token", "r", 1, index, text)
+            for index, text in enumerate(("a", "text", '"\n\\é\x00', ""))
+        ]
+        lines.append(
+            engine_client.StreamLine("done", "r", 1, finish_reason="stop")
+        )
+        with mock.patch("time.time", return_value=5.0):
+            for body in bodies:
+                events = openai_api.TokenEvents(body, "r")
+                for line in lines:
+                    whole = openai_api.chunk(body, "r", line)
+                    self.assertEqual(
+                        msgspec.json.encode(whole), events.encode(line)
+                    )
