Offer engines neither compression nor redirects

Cause: tornado's client puts a decompressor between connection and reader whenever it may meet a compressed answer, and looks for a redirect at each chunk. Engines do neither, and a prompt must not follow a redirect.

Ruled out: another HTTP client, since the project's is tornado's.

--- a/src/fireflyspur/clients/engine_client.py
+++ b/src/fireflyspur/clients/engine_client.py
@@ -258,6 +258,10 @@
             chunks.end()
 
         request.streaming_callback = chunks.put
+        # Engines neither redirect nor compress; both are looked at for each
+        # chunk unless they are switched off.
+        request.follow_redirects = False
+        request.decompress_response = False
         if on_load:
             request.header_callback = _LoadHeader(on_load)
         fetch = asyncio.ensure_future(
