Drop the encoded prompt once the engine has it

Cause: tornado keeps the body of a request as long as its answer lasts, so each open stream held its prompt twice. The body is now given to the connection, which frees it, and is then dropped.

Ruled out: waiting for the write, since an engine that refuses early closes the connection before it has read the whole body.

--- a/src/fireflyspur/clients/engine_client.py
+++ b/src/fireflyspur/clients/engine_client.py
@@ -145,11 +145,12 @@
         :raises EngineRefusedError: if the engine refused the stream
         :raises EngineConnectionLostError: if the connection broke
         """
+        body = _Body(msgspec.json.encode(start))
         request = httpclient.HTTPRequest(
             f"{engine.url}/streams",
             method="POST",
-            body=msgspec.json.encode(start),
-            headers=self._headers,
+            body_producer=body.write_to,
+            headers={**self._headers, "Content-Length": str(body.size)},
             connect_timeout=min(_CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
@@ -289,6 +290,23 @@
             fetch.cancel()
 
 
+class _Body:
+    """Body of a request that is dropped once it is sent.
+
+    Tornado keeps the body of a request as long as its answer lasts.
+    """
+
+    def __init__(self, data: bytes) -> None:
+        self.size = len(data)
+        self._data = data
+
+    def write_to(self, write: Callable[[bytes], object]) -> None:
+        """Give the body to the connection, which frees what it has sent."""
+        # Waiting for the write would miss an engine that refuses early.
+        write(self._data)
+        self._data = b""
+
+
 class _LoadHeader:
     """Finds the load report among the lines of a header block.
 
--- a/tests/clients/test_engine_client.py
+++ b/tests/clients/test_engine_client.py
@@ -4,6 +4,7 @@
 import contextlib
 from unittest import mock
 
+import msgspec
 import testtools
 from tornado import web
 
@@ -36,6 +37,29 @@
 
 
 class TestEngineClient(testtools.TestCase):
+    def test_a_prompt_is_sent_whole_and_then_dropped(self):
+        """Guards against a second copy of each prompt while it streams."""
+        received, held = [], []
+        body = engine_client._Body
+        line = b'{"type":"done","request_id":"r","attempt":1}\n'
+
+        def answer(handler):
+            received.append(msgspec.json.decode(handler.request.body))
+            handler.write(line)
+
+        def keep(data):
+            held.append(body(data))
+            return held[0]
+
+        async def run():
+            async with engine(answer) as lines:
+                return [line.type async for line in lines]
+
+        with mock.patch.object(engine_client, "_Body", keep):
+            self.assertEqual(["done"], asyncio.run(run()))
+        self.assertEqual(_START.prompt, received[0]["prompt"])
+        self.assertEqual(b"", held[0]._data)
+
     def test_a_redirect_is_not_followed(self):
         """Guards against a prompt that goes to an unknown endpoint."""
         asked = []
