--- a/src/fireflyspur/clients/engine_client.py
+++ b/src/fireflyspur/clients/engine_client.py
@@ -11,10 +11,14 @@
 from tornado import httpclient
 from tornado import simple_httpclient
 
+from fireflyspur.clients import chunk_buffer
 from fireflyspur.clients import exceptions
 
 _CONTROL_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 1.0
+# An engine generates faster than a slow caller reads. Some 1,000 tokens of a
+# stream may wait in the node; then the node stops reading from the engine.
+_MAX_UNREAD_BYTES = 128 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -141,11 +145,12 @@
         :raises EngineRefusedError: if the engine refused the stream
         :raises EngineConnectionLostError: if the connection broke
         """
+        body = _Body(msgspec.json.encode(start))
         request = httpclient.HTTPRequest(
             f"{engine.url}/streams",
             method="POST",
-            body=msgspec.json.encode(start),
-            headers=self._headers,
+            body_producer=body.write_to,
+            headers={**self._headers, "Content-Length": str(body.size)},
             connect_timeout=min(_CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
@@ -248,18 +253,16 @@
         on_load: Callable[[dict[str, Any]], None] | None,
         interrupt: "asyncio.Future[None] | None",
     ) -> AsyncIterator[StreamLine]:
-        chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
-        is_read = True
-
-        def take(chunk: bytes) -> None:
-            # The connection outlives a stream that nobody reads any more.
-            if is_read:
-                chunks.put_nowait(chunk)
+        chunks = chunk_buffer.ChunkBuffer(_MAX_UNREAD_BYTES)
 
         def end(_: object) -> None:
-            chunks.put_nowait(None)
+            chunks.end()
 
-        request.streaming_callback = take
+        request.streaming_callback = chunks.put
+        # Engines neither redirect nor compress; both are looked at for each
+        # chunk unless they are switched off.
+        request.follow_redirects = False
+        request.decompress_response = False
         if on_load:
             request.header_callback = _LoadHeader(on_load)
         fetch = asyncio.ensure_future(
@@ -281,12 +284,29 @@
                 )
             _check_end(fetch, received, pending)
         finally:
-            is_read = False
+            chunks.discard()
             if interrupt:
                 interrupt.remove_done_callback(end)
             fetch.cancel()
 
 
+class _Body:
+    """Body of a request that is dropped once it is sent.
+
+    Tornado keeps the body of a request as long as its answer lasts.
+    """
+
+    def __init__(self, data: bytes) -> None:
+        self.size = len(data)
+        self._data = data
+
+    def write_to(self, write: Callable[[bytes], object]) -> None:
+        """Give the body to the connection, which frees what it has sent."""
+        # Waiting for the write would miss an engine that refuses early.
+        write(self._data)
+        self._data = b""
+
+
 class _LoadHeader:
     """Finds the load report among the lines of a header block.
 
