Follow the streams of the log with one class

StreamFollower, FaultsStream, PartitionReader and CatalogFollower each had their own loop that reads pages, keeps the next offset, retries during an outage and wakes waiting tasks.

CatalogFollower keeps its own reaction to expired records and to a peer's catalog and gives both to the follower.

--- a/src/fireflyspur/claims/partition_reader.py
+++ b/src/fireflyspur/claims/partition_reader.py
@@ -1,20 +1,14 @@
 """Following of one partition of the claims."""
 
-import asyncio
 from collections.abc import Callable
 import time
 
 from fireflyspur.claims import claim_partition
-from fireflyspur.clients import exceptions
 from fireflyspur.clients import log_client
-from fireflyspur.observability import logs
+from fireflyspur.clients import stream_follower
 
 IDLE_S = 600.0
 
-_RETRY_S = 0.2
-
-_log = logs.log_for("claims")
-
 
 class PartitionReader:
     """Keeps a partition's state up to date while it is used.
@@ -32,13 +26,10 @@
         partition: claim_partition.ClaimPartition,
         poll_wait_s: float,
     ) -> None:
-        self._log = log
-        self._stream = stream
         self._partition = partition
-        self._poll_wait_s = poll_wait_s
-        self._next = 1
-        self._is_loaded = False
-        self._changed = asyncio.Event()
+        self._follower = stream_follower.StreamFollower(
+            log, stream, self._apply, poll_wait_s, part="claims"
+        )
         self._used_at = time.monotonic()
         self._waiters = 0
 
@@ -50,12 +41,12 @@
     @property
     def next_offset(self) -> int:
         """Offset of the first record that was not applied."""
-        return self._next
+        return self._follower.next_offset
 
     @property
     def is_loaded(self) -> bool:
         """Whether the tail was reached once."""
-        return self._is_loaded
+        return self._follower.is_caught_up
 
     @property
     def is_idle(self) -> bool:
@@ -76,32 +67,13 @@
         """
         self._waiters += 1
         try:
-            async with asyncio.timeout(max(0.0, timeout_s)):
-                while not condition():
-                    await self._changed.wait()
-        except TimeoutError:
-            return condition()
+            return await self._follower.wait_until(condition, timeout_s)
         finally:
             self._waiters -= 1
-        return True
 
     async def run(self) -> None:
         """Follow the stream until it is idle."""
-        while not self.is_idle:
-            try:
-                await self._read_once()
-            except exceptions.LogUnavailableError as error:
-                _log.debug("Cannot read {}: {}", self._stream, error)
-                await asyncio.sleep(_RETRY_S)
-
-    async def _read_once(self) -> None:
-        wait_s = self._poll_wait_s if self._is_loaded else 0.0
-        page = await self._log.read(self._stream, self._next, wait_s=wait_s)
-        for item in page.records:
-            self._partition.apply(item.offset, item.time, item.value)
-        self._next = max(self._next, page.next)
-        was_loaded = self._is_loaded
-        self._is_loaded = was_loaded or self._next >= page.tail
-        if page.records or not was_loaded:
-            self._changed.set()
-            self._changed = asyncio.Event()
+        await self._follower.run(is_done=lambda: self.is_idle)
+
+    def _apply(self, item: log_client.LogRecord) -> None:
+        self._partition.apply(item.offset, item.time, item.value)
--- a/src/fireflyspur/clients/stream_follower.py
+++ b/src/fireflyspur/clients/stream_follower.py
@@ -1,7 +1,9 @@
 """Following of a stream of the log."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import time
 
 from fireflyspur.clients import exceptions
@@ -10,16 +12,31 @@
 
 _RETRY_S = 0.2
 
-_log = logs.log_for("log")
+
+@dataclasses.dataclass(frozen=True)
+class PageRead:
+    """What a read of one page found.
+
+    :param started_at: monotonic time in seconds
+    :param is_at_tail: whether all records of the stream have been applied
+    """
+
+    started_at: float
+    has_records: bool
+    is_at_tail: bool
 
 
 class StreamFollower:
-    """Applies a stream's records in the order of their offsets.
+    """Applies a stream's records, each once, in the order of their offsets.
 
     :param log: client of the log
     :param stream: name of the stream
     :param apply: called with each record
     :param poll_wait_s: seconds for which a read waits for new records
+    :param part: prefix of the log lines
+    :param outage_level: level at which the begin of an outage is logged
+    :param on_expiry: called with the first retained offset when records
+        expired before they were read
     """
 
     def __init__(
@@ -28,61 +45,126 @@
         stream: str,
         apply: Callable[[log_client.LogRecord], None],
         poll_wait_s: float,
+        part: str = "log",
+        outage_level: str = "DEBUG",
+        on_expiry: Callable[[int], None] | None = None,
     ) -> None:
         self._log = log
         self._stream = stream
         self._apply = apply
         self._poll_wait_s = poll_wait_s
+        self._logger = logs.log_for(part)
+        self._outage_level = outage_level
+        self._on_expiry = on_expiry
         self._next = 1
-        self._is_caught_up = False
+        self._tail_read_at: float | None = None
+        self._is_reachable: bool | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first record that was not applied."""
+        return self._next
 
     @property
     def is_caught_up(self) -> bool:
         """Whether a read has reached the tail since the start."""
-        return self._is_caught_up
+        return self._tail_read_at is not None
+
+    @property
+    def is_reachable(self) -> bool | None:
+        """Whether the last read succeeded; None before the first one."""
+        return self._is_reachable
+
+    def is_fresh(self, margin_s: float) -> bool:
+        """Whether the tail was read recently.
+
+        :param margin_s: seconds allowed beyond the duration of a read that
+            waits for records
+        """
+        if self._is_reachable is not True or self._tail_read_at is None:
+            return False
+        age_s = time.monotonic() - self._tail_read_at
+        return age_s <= self._poll_wait_s + margin_s
+
+    def skip_to(self, offset: int) -> None:
+        """Read on from an offset, when the records before it are known."""
+        self._next = max(self._next, offset)
+
+    async def run(
+        self,
+        read: Callable[[], Awaitable[object]] | None = None,
+        is_done: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Follow the stream until cancelled.
 
-    async def run(self) -> None:
-        """Follow the stream until cancelled."""
-        while True:
+        :param read: reads one page; :meth:`read_once` by default
+        :param is_done: ends the following once it holds
+        """
+        read = read or self.read_once
+        while not is_done():
             try:
-                await self.read_once(self._poll_wait_s)
+                await read()
             except exceptions.LogUnavailableError as error:
-                _log.debug("Stream {} unreachable: {}", self._stream, error)
+                if self._is_reachable is not False:
+                    self._logger.log(
+                        self._outage_level,
+                        "Stream {} unreachable: {}",
+                        self._stream,
+                        error,
+                    )
+                self._is_reachable = False
+                self._notify()
                 await asyncio.sleep(_RETRY_S)
 
-    async def read_once(self, wait_s: float = 0.0) -> None:
+    async def read_once(self, wait_s: float | None = None) -> PageRead:
         """Read one page and apply it.
 
-        :param wait_s: seconds to wait for a record when there is none
+        :param wait_s: seconds to wait for a record when there is none; by
+            default as long as is usual, once the tail was reached
         :raises LogUnavailableError: if the log does not answer
         """
-        start = self._next
-        wait_s = wait_s if self._is_caught_up else 0.0
-        page = await self._log.read(self._stream, start, wait_s=wait_s)
+        if wait_s is None:
+            wait_s = self._poll_wait_s if self.is_caught_up else 0.0
+        # The answer may wait in a buffer while the process is paused, so only
+        # the start of the read is sure.
+        started_at = time.monotonic()
+        page = await self._log.read(self._stream, self._next, wait_s=wait_s)
+        was_reachable = self._is_reachable
+        self._is_reachable = True
+        if page.first > self._next and self._on_expiry:
+            self._on_expiry(page.first)
         for item in page.records:
-            # Two reads may overlap; each record is applied once.
+            # Two reads may overlap, and a skip may have covered a record.
             if item.offset >= self._next:
-                self._next = item.offset + 1
                 self._apply(item)
-        self._next = max(self._next, page.first)
-        if self._next >= page.tail:
-            self._is_caught_up = True
+                self._next = item.offset + 1
+        self.skip_to(page.next)
+        was_caught_up = self.is_caught_up
+        is_at_tail = self._next >= page.tail
+        if is_at_tail:
+            self._tail_read_at = started_at
+        if page.records or not (was_caught_up and was_reachable):
+            self._notify()
+        return PageRead(started_at, bool(page.records), is_at_tail)
 
-    async def read_until(
-        self, is_found: Callable[[], bool], timeout_s: float
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout_s: float
     ) -> bool:
-        """Read on until a condition holds.
+        """Wait until a condition holds while the stream is followed.
 
-        :param is_found: looks at what was applied
-        :param timeout_s: seconds after which the search is given up
+        :param condition: looks at what was applied
+        :param timeout_s: seconds after which the wait ends
         :returns: whether the condition holds
-        :raises LogUnavailableError: if the log does not answer
         """
-        deadline = time.monotonic() + timeout_s
-        while not is_found():
-            if time.monotonic() >= deadline:
-                return False
-            await self.read_once()
-            if not is_found():
-                await asyncio.sleep(0.01)
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                while not condition():
+                    await self._changed.wait()
+        except TimeoutError:
+            return condition()
         return True
+
+    def _notify(self) -> None:
+        former, self._changed = self._changed, asyncio.Event()
+        former.set()
--- /dev/null
+++ b/src/fireflyspur/clients/stream_writer.py
@@ -0,0 +1,107 @@
+"""Appends to a stream that are repeated until they were read back."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+from typing import Any
+
+from fireflyspur.clients import exceptions
+from fireflyspur.clients import log_client
+
+_GROUP_S = 0.01
+_REPEAT_S = 0.5
+_EXPIRY_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pending:
+    value: dict[str, Any]
+    expires_at: float
+
+
+class StreamWriter:
+    """Appends records under the ``uid`` that they were given.
+
+    Without an answer of the log, an append is repeated under the same ``uid``
+    until the record was read or has expired. A reader of the stream reports
+    what it read to :meth:`note_read`; it must pass over a ``uid`` that it has
+    read before.
+
+    :param log: client of the log
+    :param stream: name of the stream
+    """
+
+    def __init__(self, log: log_client.LogClient, stream: str) -> None:
+        self._log = log
+        self._stream = stream
+        self._awaited: dict[str, asyncio.Future[None]] = {}
+        self._pending: dict[str, _Pending] = {}
+        self._work = asyncio.Event()
+
+    def submit(self, value: dict[str, Any]) -> "asyncio.Future[None]":
+        """Append a record without waiting for it.
+
+        :param value: the record with its ``uid``; a ``deadline`` is the
+            wall-clock time at which it expires
+        :returns: done once the record was read back
+        """
+        seen = self._awaited.setdefault(value["uid"], asyncio.Future())
+        expires_at = value.get("deadline", time.time() + _EXPIRY_S)
+        self._pending[value["uid"]] = _Pending(value, expires_at)
+        self._work.set()
+        return seen
+
+    def is_awaited(self, uid: str) -> bool:
+        """Whether a record is still to be read back."""
+        return uid in self._awaited
+
+    def withdraw(self, uid: str) -> None:
+        """Append a record no more; it may be in the log all the same."""
+        self._pending.pop(uid, None)
+        self._awaited.pop(uid, None)
+
+    def note_read(self, uid: str) -> None:
+        """Note that a record was read."""
+        self._pending.pop(uid, None)
+        seen = self._awaited.pop(uid, None)
+        if seen and not seen.done():
+            seen.set_result(None)
+
+    async def run(self) -> None:
+        """Append what is pending until cancelled.
+
+        Records that come close together share one append, since the log's
+        rate of appends is limited.
+        """
+        while True:
+            await self._work.wait()
+            await asyncio.sleep(_GROUP_S)
+            self._work.clear()
+            sent = dict(self._pending)
+            if not sent:
+                continue
+            values = [pending.value for pending in sent.values()]
+            try:
+                await self._log.append(self._stream, values)
+                for uid in sent:
+                    self._pending.pop(uid, None)
+            except exceptions.LogUnavailableError:
+                # The records may be there all the same; a read says so.
+                await asyncio.sleep(_REPEAT_S)
+                self._drop_expired()
+            if self._pending:
+                self._work.set()
+
+    async def close(self) -> None:
+        """Send what is pending once more."""
+        values = [pending.value for pending in self._pending.values()]
+        if values:
+            with contextlib.suppress(exceptions.LogUnavailableError):
+                await self._log.append(self._stream, values)
+
+    def _drop_expired(self) -> None:
+        now = time.time()
+        for uid, pending in list(self._pending.items()):
+            if pending.expires_at <= now:
+                self.withdraw(uid)
--- a/src/fireflyspur/records/catalog_follower.py
+++ b/src/fireflyspur/records/catalog_follower.py
@@ -6,14 +6,14 @@
 from typing import Any
 
 from fireflyspur.audit import audit_trail
-from fireflyspur.clients import exceptions
 from fireflyspur.clients import log_client
+from fireflyspur.clients import stream_follower
 from fireflyspur.observability import logs
 from fireflyspur.records import catalog as catalogs
 
 CONFIG_STREAM = "config"
 
-_RETRY_S = 0.2
+_GAP_CHECK_S = 0.2
 # A round of snapshots that is being written ends within this time. After it,
 # a fleet that was down for the whole retention goes on with what is left.
 _GAP_GRACE_S = 10.0
@@ -37,12 +37,18 @@
         trail: audit_trail.AuditTrail,
         poll_wait_s: float,
     ) -> None:
-        self._log = log
         self._catalog = catalog
         self._trail = trail
         self._poll_wait_s = poll_wait_s
-        self._next = 1
-        self._log_reachable = False
+        self._stream = stream_follower.StreamFollower(
+            log,
+            CONFIG_STREAM,
+            self._apply,
+            poll_wait_s,
+            part="records",
+            outage_level="WARNING",
+            on_expiry=self._note_expiry,
+        )
         self._tail_read_at: float | None = None
         self._gap_since: float | None = None
         self._loaded = asyncio.Event()
@@ -66,7 +72,7 @@
     @property
     def is_log_reachable(self) -> bool:
         """Whether the last read of the log succeeded."""
-        return self._log_reachable
+        return self._stream.is_reachable is True
 
     @property
     def tail_read_at(self) -> float | None:
@@ -83,14 +89,7 @@
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
-        while True:
-            try:
-                await self.read_once()
-            except exceptions.LogUnavailableError as error:
-                if self._log_reachable:
-                    _log.warning("Log unreachable: {}", error)
-                self._log_reachable = False
-                await asyncio.sleep(_RETRY_S)
+        await self._stream.run(self.read_once)
 
     async def read_once(self) -> None:
         """Read one page and apply it.
@@ -99,22 +98,11 @@
         """
         is_following = self._loaded.is_set() and not self._catalog.has_gap
         wait_s = self._poll_wait_s if is_following else 0.0
-        started_at = time.monotonic()
-        page = await self._log.read(CONFIG_STREAM, self._next, wait_s=wait_s)
-        self._log_reachable = True
-        if page.first > self._next:
-            self._note_expiry(page.first)
-        for item in page.records:
-            # A peer's catalog may have covered it during the read.
-            if item.offset >= self._next:
-                self._apply(item)
-        self._next = max(self._next, page.next)
-        if self._next >= page.tail and not await self._is_gap_open():
-            # The answer may have waited in a buffer while the process was
-            # paused, so only the start of the read is sure.
-            self._tail_read_at = started_at
+        page = await self._stream.read_once(wait_s)
+        if page.is_at_tail and not await self._is_gap_open():
+            self._tail_read_at = page.started_at
             self._loaded.set()
-        if page.records:
+        if page.has_records:
             self._notify()
 
     def adopt(self, covers: int, entries: list[dict[str, Any]]) -> None:
@@ -126,7 +114,7 @@
         if covers <= self._catalog.offset:
             return
         result = self._catalog.merge_entries(covers, entries)
-        self._next = max(self._next, covers + 1)
+        self._stream.skip_to(covers + 1)
         for entry in result.entries:
             _log.info(
                 "Record {}/{} in force at offset {}", *entry.key, entry.offset
@@ -150,7 +138,7 @@
         if self._gap_since is None:
             self._gap_since = now
         if now - self._gap_since < _GAP_GRACE_S:
-            await asyncio.sleep(_RETRY_S)
+            await asyncio.sleep(_GAP_CHECK_S)
             return self._catalog.has_gap
         judged = self._catalog.close_gap().judged
         reason = "no snapshot restores the records that have expired"
