Decide leases and load slots of engines by the log alone

Faults found by reading the orders package: - An append whose answer was lost was repeated under a new uid, or, for the end of a load, not at all, so that its slot stayed taken for 300 s. - A slot was freed when its orderer stopped, although the engine went on loading, and expired after 300 s, however long the load took. - Slots were counted against the clock of each node and the fleet record that it had, so two nodes could decide differently. - Two nodes that both took themselves for the owner took the lease in turns. - All engines of a model could drop their version at once in a rollout.

Appends now go through StreamWriter and readers pass over a uid that they have read. A slot belongs to the engine: the next orderer takes it over, renews it and frees it. At most a quarter of a model's engines, and at least one, may drop it at a time.

--- a/src/fireflyspur/node/node_builder.py
+++ b/src/fireflyspur/node/node_builder.py
@@ -152,6 +152,8 @@
             self._trail,
             membership.table.live_names,
             self._config.log.poll_wait_s,
+            self._view.is_served_elsewhere,
+            pause_points.PausePoints(self._config.testing.pause_at),
         )
 
     def _build_ledger(self) -> claim_ledger.ClaimLedger:
--- a/src/fireflyspur/orders/engine_state.py
+++ b/src/fireflyspur/orders/engine_state.py
@@ -26,12 +26,14 @@
     :param held: what is resident
     :param loading: models and adapters of the order under way, or None
     :param serves_any_model: the engine takes all models and needs no order
+    :param is_leaving: the engine takes no new work and is about to stop
     """
 
     held: EngineState
     loading: dict[str, Any] | None
     serves_any_model: bool
     incarnation: str
+    is_leaving: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +65,7 @@
         values.get("loading"),
         bool(values.get("serves_any_model", False)),
         str(values.get("incarnation", "")),
+        bool(values.get("leaving", False)),
     )
 
 
@@ -101,17 +104,51 @@
     return SetModels(wanted.models, wanted.adapters)
 
 
-def needs_weights(order: Order, seen: ObservedState) -> bool:
-    """Whether an order makes the engine fetch from the weight store."""
+def missing(order: Order, seen: ObservedState) -> dict[str, bool]:
+    """Return the weights that an order makes the engine fetch.
+
+    :returns: ``model/NAME`` or ``adapter/NAME``; the value says whether the
+        engine drops another version when the load starts
+    """
     match order:
         case SetModels(models, adapters):
-            return any(
-                seen.held.models.get(n) != v for n, v in models.items()
-            ) or any(
-                seen.held.adapters.get(n) != v for n, v in adapters.items()
-            )
+            return {
+                f"{kind}/{name}": name in held
+                for kind, held, wanted in (
+                    ("model", seen.held.models, models),
+                    ("adapter", seen.held.adapters, adapters),
+                )
+                for name, version in wanted.items()
+                if held.get(name) != version
+            }
         case SetRole():
-            return False
+            return {}
+
+
+def displacement_bounds(
+    names: dict[str, bool], specs: dict[str, records.EngineSpec]
+) -> dict[str, int]:
+    """Return how many engines may be without each of the weights.
+
+    At most a quarter of the engines that the records give them to, and at
+    least one, because a single engine has to load, too.
+
+    :param names: result of :func:`missing`
+    :returns: the bound, or 0 where the engine drops nothing
+    """
+    return {
+        name: max(1, engines_with(name, specs) // 4) if drops else 0
+        for name, drops in names.items()
+    }
+
+
+def engines_with(name: str, specs: dict[str, records.EngineSpec]) -> int:
+    """Return the number of engines that records give weights to."""
+    kind, _, weights = name.partition("/")
+    return sum(
+        weights in (spec.models if kind == "model" else spec.adapters)
+        for spec in specs.values()
+    )
 
 
 def to_wire(order: Order) -> dict[str, Any]:
--- a/src/fireflyspur/orders/order_manager.py
+++ b/src/fireflyspur/orders/order_manager.py
@@ -4,15 +4,20 @@
 from collections.abc import Callable
 
 from fireflyspur.audit import audit_trail
+from fireflyspur.claims import pause_points
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import log_client
 from fireflyspur.clients import stream_follower
+from fireflyspur.clients import stream_writer
 from fireflyspur.generated import records
 from fireflyspur.membership import rendezvous
+from fireflyspur.observability import logs
 from fireflyspur.orders import engine_orderer
 from fireflyspur.orders import order_log
 from fireflyspur.records import catalog as catalogs
 
+_log = logs.log_for("orders")
+
 
 class OrderManager:
     """Runs an orderer for each engine that this node owns.
@@ -20,6 +25,9 @@
     :param node: name of this node
     :param live_names: returns the names of the live members
     :param poll_wait_s: seconds for which a read of the log waits
+    :param is_served_elsewhere: as in
+        :class:`~fireflyspur.orders.engine_orderer.OrderParts`
+    :param points: points at which a test stops the node
     """
 
     def __init__(
@@ -31,16 +39,28 @@
         trail: audit_trail.AuditTrail,
         live_names: Callable[[], list[str]],
         poll_wait_s: float,
+        is_served_elsewhere: Callable[[str, str], bool],
+        points: pause_points.PausePoints,
     ) -> None:
         self._node = node
         self._catalog = catalog
-        self._client = client
-        self._log = log
-        self._trail = trail
         self._live_names = live_names
         self._state = order_log.OrderLog()
+        self._writer = stream_writer.StreamWriter(log, order_log.ORDERS_STREAM)
         self._follower = stream_follower.StreamFollower(
-            log, order_log.ORDERS_STREAM, self._state.apply, poll_wait_s
+            log, order_log.ORDERS_STREAM, self._take, poll_wait_s, "orders"
+        )
+        self._parts = engine_orderer.OrderParts(
+            node,
+            catalog,
+            client,
+            self._follower,
+            self._writer,
+            self._state,
+            trail,
+            lambda name: name in live_names(),
+            is_served_elsewhere,
+            points,
         )
         self._orderers: dict[str, asyncio.Task[None]] = {}
 
@@ -54,40 +74,39 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._follower.run())
+                group.create_task(self._writer.run())
                 while True:
-                    self._assign()
+                    # Leases and slots that others hold must be known first.
+                    if self._follower.is_caught_up:
+                        await self._assign()
                     await asyncio.sleep(engine_orderer.COMPARE_PERIOD_S)
         finally:
             await self._stop(list(self._orderers))
+            await self._writer.close()
 
-    def _assign(self) -> None:
+    async def _assign(self) -> None:
         names = self._live_names()
         owned = {
             engine
             for engine in self._catalog.specs(records.EngineSpec)
             if rendezvous.owner(f"orders/{engine}", names) == self._node
         }
-        for engine in list(self._orderers):
-            if engine not in owned:
-                self._orderers.pop(engine).cancel()
+        await self._stop([e for e in self._orderers if e not in owned])
         for engine in owned:
             task = self._orderers.get(engine)
             if task is None or task.done():
+                if task and not task.cancelled() and task.exception():
+                    _log.error(
+                        "Orderer of {} failed: {}", engine, task.exception()
+                    )
                 self._orderers[engine] = asyncio.ensure_future(
-                    self._orderer(engine).run()
+                    engine_orderer.EngineOrderer(engine, self._parts).run()
                 )
 
-    def _orderer(self, engine: str) -> engine_orderer.EngineOrderer:
-        return engine_orderer.EngineOrderer(
-            engine,
-            self._node,
-            self._catalog,
-            self._client,
-            self._log,
-            self._follower,
-            self._state,
-            self._trail,
-        )
+    def _take(self, item: log_client.LogRecord) -> None:
+        self._state.apply(item)
+        if isinstance(item.value, dict):
+            self._writer.note_read(str(item.value.get("uid")))
 
     async def _stop(self, engines: list[str]) -> None:
         tasks = [self._orderers.pop(engine) for engine in engines]
--- a/src/fireflyspur/routing/engine_view.py
+++ b/src/fireflyspur/routing/engine_view.py
@@ -88,6 +88,10 @@
             and self._is_resident(name, model)
         ]
 
+    def is_served_elsewhere(self, name: str, model: str) -> bool:
+        """Whether an engine other than one may get work for a model."""
+        return any(n != name for n in self.candidates(model, ""))
+
     def outstanding(self, name: str) -> list[Placement]:
         """Return this node's unfinished work on an engine."""
         return self._outstanding.get(name, [])
--- a/tests/orders/test_engine_state.py
+++ b/tests/orders/test_engine_state.py
@@ -22,8 +22,15 @@
         self.assertEqual(
             engine_state.SetModels({"quill": "2"}, {"polite": "1"}), order
         )
-        self.assertTrue(
-            engine_state.needs_weights(order, seen(models={"quill": "1"}))
+        self.assertEqual(
+            {"model/quill": True},
+            engine_state.missing(order, seen(models={"quill": "1"})),
+        )
+        self.assertEqual(
+            {"model/quill": False, "adapter/polite": True},
+            engine_state.missing(
+                order, seen(models={}, adapters={"polite": "0"})
+            ),
         )
 
     def test_a_load_under_way_is_not_ordered_again(self):
@@ -41,7 +48,7 @@
         state = seen(models={"quill": "2", "old": "1"})
         order = engine_state.next_order(WANTED, state)
         self.assertIsInstance(order, engine_state.SetModels)
-        self.assertFalse(engine_state.needs_weights(order, state))
+        self.assertEqual({}, engine_state.missing(order, state))
 
     def test_the_role_comes_first(self):
         state = seen(role="standby", models={})
--- a/tests/orders/test_order_log.py
+++ b/tests/orders/test_order_log.py
@@ -6,44 +6,152 @@
 from fireflyspur.orders import order_log
 
 
-def read(*values, time=0.0):
-    log = order_log.OrderLog()
-    for offset, value in enumerate(values, 1):
-        log.apply(log_client.LogRecord(offset, time, value))
-    return log
+class Reader:
+    """Applies records with the times that a test gives."""
 
+    def __init__(self):
+        self.log = order_log.OrderLog()
+        self.offset = 0
 
-def intent(uid, engine="engine-1"):
-    return {"type": "load_intent", "uid": uid, "engine": engine}
+    def add(self, *values, time=0.0):
+        for value in values:
+            self.offset += 1
+            value = {"uid": f"uid-{self.offset}", **value}
+            self.log.apply(log_client.LogRecord(self.offset, time, value))
+        return self
 
+    @property
+    def granted(self):
+        return [intent.uid for intent in self.log.granted()]
 
-class TestOrderLog(testtools.TestCase):
+
+def read(*values):
+    return Reader().add(*values)
+
+
+def intent(uid, slots=2, **asks):
+    return {
+        "type": "load_intent",
+        "uid": uid,
+        "engine": f"engine-{uid}",
+        "slots": slots,
+        "asks": asks,
+    }
+
+
+def renewal(of, slots=2, **asks):
+    return {
+        "type": "load_renewal",
+        "intent": of,
+        "engine": f"engine-{of}",
+        "rank": 1,
+        "slots": slots,
+        "asks": asks,
+    }
+
+
+def end(of, **fields):
+    return {"type": "load_end", "intent": of, **fields}
+
+
+def lease(uid, node, config_offset=1):
+    return {
+        "type": "lease",
+        "uid": uid,
+        "engine": "e",
+        "node": node,
+        "config_offset": config_offset,
+    }
+
+
+class TestLeases(testtools.TestCase):
     def test_the_latest_lease_counts_and_its_offset_grows(self):
-        log = read(
-            {"type": "lease", "uid": "a", "engine": "e", "node": "n1"},
-            {"type": "lease", "uid": "b", "engine": "e", "node": "n2"},
-        )
+        log = read(lease("a", "n1"), lease("b", "n2")).log
         self.assertEqual(
             ("n2", 2), (log.lease("e").node, log.lease("e").offset)
         )
 
+    def test_a_repeated_append_is_no_new_lease(self):
+        """Guards against a lost answer that displaces the next orderer."""
+        log = read(lease("a", "n1"), lease("b", "n2"), lease("a", "n1")).log
+        self.assertEqual("n2", log.lease("e").node)
+
+    def test_a_lease_with_an_older_configuration_is_void(self):
+        """Guards against two owners that order in turns without end."""
+        log = read(lease("a", "n1", 5), lease("b", "n2", 4)).log
+        self.assertEqual("n1", log.lease("e").node)
+        self.assertTrue(log.has_read("b"))
+
+    def test_unknown_records_are_passed_over(self):
+        log = read({"type": "later"}, {}, {"type": "lease", "uid": 3}).log
+        self.assertIsNone(log.lease("e"))
+
+
+class TestSlots(testtools.TestCase):
     def test_only_the_first_intents_hold_a_slot(self):
         """More loads than slots would exceed the weight store's rate."""
-        log = read(intent("a"), intent("b"), intent("c"))
-        held = [u for u in "abc" if log.holds_slot(u, 2, 1.0)]
-        self.assertEqual(["a", "b"], held)
+        reader = read(intent("a"), intent("b"), intent("c"))
+        self.assertEqual(["a", "b"], reader.granted)
 
     def test_an_end_frees_the_slot_also_when_it_comes_first(self):
-        end = {"type": "load_end", "uid": "x", "intent": "a"}
-        self.assertTrue(
-            read(intent("a"), end, intent("b")).holds_slot("b", 1, 1)
+        self.assertEqual(
+            ["b"], read(intent("a", 1), end("a"), intent("b", 1)).granted
         )
-        self.assertFalse(read(end, intent("a")).has_intent("a"))
+        self.assertEqual([], read(end("a"), intent("a")).granted)
+
+    def test_an_end_for_waiting_intents_frees_no_slot(self):
+        """Guards against a former orderer that ends a successor's load."""
+        withdrawn = end("a", if_waiting=True)
+        reader = read(intent("a", 1), intent("b", 1), withdrawn)
+        self.assertEqual(["a"], reader.granted)
+        reader.add(end("b", if_waiting=True), end("a"))
+        self.assertEqual([], reader.granted)
 
     def test_the_slot_of_a_dead_holder_expires(self):
-        log = read(intent("a"), intent("b"))
-        self.assertFalse(log.holds_slot("b", 1, 1.0))
-        self.assertFalse(log.holds_slot("a", 1, 10_000.0))
+        reader = read(intent("a", 1), intent("b", 1))
+        for time in range(0, int(order_log.SLOT_LIFETIME_S), 20):
+            reader.add({"type": "tick"}, time=time)
+        self.assertEqual(["a"], reader.granted)
+        reader.add({"type": "tick"}, time=order_log.SLOT_LIFETIME_S + 1)
+        self.assertEqual(["b"], reader.granted)
 
-    def test_unknown_records_are_passed_over(self):
-        self.assertIsNone(read({"type": "later"}, {}).lease("e"))
+    def test_a_renewed_slot_does_not_expire(self):
+        reader = read(intent("a", 1), intent("b", 1))
+        for time in range(0, 10 * int(order_log.SLOT_LIFETIME_S), 20):
+            reader.add(renewal("a", 1), time=time)
+        self.assertEqual(["a"], reader.granted)
+
+    def test_an_outage_of_the_log_expires_no_slot(self):
+        """Nobody can renew meanwhile, and the load goes on."""
+        reader = read(intent("a", 1), intent("b", 1))
+        reader.add({"type": "tick"}, time=10_000.0)
+        self.assertEqual(["a"], reader.granted)
+
+    def test_a_model_keeps_engines_during_a_rollout(self):
+        """Guards against all engines of a model dropping it at once."""
+        reader = read(intent("a", m=1), intent("b", m=1), intent("c", n=1))
+        self.assertEqual(["a", "c"], reader.granted)
+        reader.add(end("a"))
+        self.assertEqual(["b", "c"], reader.granted)
+
+    def test_an_engine_that_lost_its_weights_counts_but_needs_not_wait(self):
+        reader = read(intent("a", 3, m=1), intent("b", 3, m=0))
+        self.assertEqual(["a", "b"], reader.granted)
+        reader.add(end("a"), intent("c", 3, m=1))
+        self.assertEqual(["b"], reader.granted)
+
+    def test_a_holder_that_asks_for_more_waits_for_it(self):
+        """Guards against a change of mind that drops a second model."""
+        reader = read(intent("a", m=1), intent("b", n=1))
+        reader.add(renewal("a", m=1, n=1))
+        first = reader.log.intents("engine-a")[0]
+        self.assertTrue(first.covers({"m": 1}))
+        self.assertFalse(first.covers({"m": 1, "n": 1}))
+        reader.add(end("b"))
+        first = reader.log.intents("engine-a")[0]
+        self.assertTrue(first.covers({"m": 1, "n": 1}))
+
+    def test_a_renewal_restores_an_intent_that_has_expired_from_the_log(self):
+        """Guards against a new reader that grants a slot twice."""
+        reader = read({**renewal("a", 1), "is_granted": True}, intent("b", 1))
+        self.assertEqual(["a"], reader.granted)
