Give engines that return new work by their own word

A mark of an endpoint as leaving said nothing of its sign, so only a change of the VM list, or 60 s on it as live, could take it back: an engine outside the list that returned, and a service endpoint outside the list that had refused once, stayed marked until the node was restarted.

Marks now keep the sign. What the list shows is undone by the list alone.

--- a/src/fireflyspur/membership/vm_list_watcher.py
+++ b/src/fireflyspur/membership/vm_list_watcher.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import time
 
 from fireflyspur.audit import audit_trail
 from fireflyspur.clients import exceptions
@@ -13,11 +12,7 @@
 from fireflyspur.membership import news_bus
 from fireflyspur.observability import logs
 from fireflyspur.routing import engine_view
-
-# An endpoint that another sign than the list marked as leaving gets work again
-# after the list has shown it as live for longer than the list lags. One that
-# still refuses is marked again by its first refusal.
-_RETURN_S = 60.0
+from fireflyspur.routing import leaving_marks
 
 _log = logs.log_for("vm-list")
 
@@ -57,7 +52,6 @@
         self._interval_s = interval_s
         self._endpoints: dict[str, vm_list_client.Vm] = {}
         self._left: set[tuple[str, int]] = set()
-        self._doubted_at: dict[tuple[str, int], float] = {}
         self._reachable = True
 
     @property
@@ -73,6 +67,7 @@
 
     async def read_once(self) -> None:
         """Read the list once; a failure keeps the last one."""
+        self._view.expire_leaving()
         try:
             vms = await self._client.read()
         except exceptions.VmListUnavailableError as error:
@@ -121,21 +116,11 @@
                 # endpoint as live that has already said that it is leaving.
                 if known is None or known.is_leaving or known != vm:
                     self._clear(vm, "the VM list shows it as live again")
-            elif self._is_long_doubted(place):
-                self._clear(vm, "the VM list goes on showing it as live")
         self._endpoints = listed
 
-    def _is_long_doubted(self, place: tuple[str, int]) -> bool:
-        if not self._view.is_leaving(*place):
-            self._doubted_at.pop(place, None)
-            return False
-        now = time.monotonic()
-        return now - self._doubted_at.setdefault(place, now) >= _RETURN_S
-
     def _clear(self, vm: vm_list_client.Vm, reason: str) -> None:
         place = (vm.address, vm.port)
         self._left.discard(place)
-        self._doubted_at.pop(place, None)
         self._view.clear_leaving(*place)
         self._trail.add("vm-list", "returned", vm.name, reason)
         _log.info("Endpoint {} gets work again: {}", vm.name, reason)
@@ -145,9 +130,10 @@
         if place in self._left:
             return
         self._left.add(place)
-        if self._view.is_leaving(*place):
+        is_known = self._view.is_leaving(*place)
+        self._view.mark_leaving(*place, leaving_marks.Sign.VM_LIST)
+        if is_known:
             return
-        self._view.mark_leaving(*place)
         self._trail.add("vm-list", "marked_leaving", vm.name, reason)
         _log.info("Endpoint {} is leaving: {}", vm.name, reason)
         self._bus.publish(
--- a/src/fireflyspur/node/membership_parts.py
+++ b/src/fireflyspur/node/membership_parts.py
@@ -26,6 +26,7 @@
 from fireflyspur.records import catalog_follower
 from fireflyspur.records import snapshot_writer
 from fireflyspur.routing import engine_view
+from fireflyspur.routing import leaving_marks
 
 _FRESHNESS_CHECK_S = 0.5
 
@@ -181,7 +182,7 @@
         """Note that an endpoint of a service refused work, and spread it."""
         if self._view.is_leaving(address, port):
             return
-        self._view.mark_leaving(address, port)
+        self._view.mark_leaving(address, port, leaving_marks.Sign.OWN)
         self._trail.add(
             "services", "marked_leaving", service, "the endpoint says so"
         )
@@ -198,6 +199,11 @@
         )
         self._bus.subscribe(urgent.EndpointLeaving, self._mark_leaving)
         self._view.add_leaving_listener(self._spread_leaving)
+        self._view.add_return_listener(
+            lambda name, reason: self._trail.add(
+                "routing", "returned", name, reason
+            )
+        )
 
     def _spread_leaving(self, name: str) -> None:
         address = self._view.address(name)
@@ -214,9 +220,10 @@
         )
 
     def _mark_leaving(self, news: urgent.EndpointLeaving) -> None:
-        if self._view.is_leaving(news.address, news.port):
-            return
+        is_known = self._view.is_leaving(news.address, news.port)
         self._view.mark_leaving(news.address, news.port)
+        if is_known:
+            return
         self._trail.add(
             "news", "marked_leaving", news.name, "news from another node"
         )
--- a/src/fireflyspur/routing/engine_view.py
+++ b/src/fireflyspur/routing/engine_view.py
@@ -8,6 +8,7 @@
 from fireflyspur.generated import records
 from fireflyspur.membership import rendezvous
 from fireflyspur.records import catalog as catalogs
+from fireflyspur.routing import leaving_marks
 from fireflyspur.routing import load_report
 
 # An engine that did not answer is passed over for this long.
@@ -48,8 +49,9 @@
         self._outstanding: dict[str, list[Placement]] = {}
         self._prefilling: dict[str, list[Placement]] = {}
         self._loads: dict[str, load_report.LoadReport] = {}
-        self._leaving: set[tuple[str, int]] = set()
+        self._leaving = leaving_marks.LeavingMarks()
         self._unreachable_until: dict[str, float] = {}
+        self._return_listeners: list[Callable[[str, str], None]] = []
         self._restart_listeners: list[Callable[[str], None]] = []
         self._leaving_listeners: list[Callable[[str], None]] = []
         self._specs: dict[str, records.EngineSpec] = {}
@@ -83,7 +85,9 @@
         return [
             name
             for name in self._names_serving(model, adapter)
-            if (specs[name].address, specs[name].port) not in self._leaving
+            if not self._leaving.is_marked(
+                (specs[name].address, specs[name].port)
+            )
             and self._unreachable_until.get(name, 0.0) <= now
             and self._is_resident(name, model)
         ]
@@ -123,8 +127,7 @@
         former = self._loads.get(name)
         self._loads[name] = report
         self._unreachable_until.pop(name, None)
-        if report.leaving:
-            self.observe_leaving(name)
+        self._judge_leaving(name, report)
         if former and former.incarnation != report.incarnation:
             for listener in self._restart_listeners:
                 listener(name)
@@ -134,13 +137,46 @@
         self._restart_listeners.append(listener)
 
     def observe_leaving(self, name: str) -> None:
-        """Note that an engine itself said that it is leaving."""
+        """Note that an engine refused work because it is leaving."""
+        self._note_leaving(name, None)
+
+    def _note_leaving(
+        self, name: str, report: load_report.LoadReport | None
+    ) -> None:
+        spec = self.specs().get(name)
+        if spec is None:
+            return
+        place = (spec.address, spec.port)
+        known = report or self._loads.get(name)
+        incarnation = known.incarnation if known else ""
+        sampled_at = report.sampled_at if report else None
+        if self._leaving.mark(
+            place, leaving_marks.Sign.OWN, incarnation, sampled_at
+        ):
+            for listener in self._leaving_listeners:
+                listener(name)
+
+    def _judge_leaving(
+        self, name: str, report: load_report.LoadReport
+    ) -> None:
+        """Compare an engine's report with what is known of its leaving."""
+        if report.leaving:
+            self._note_leaving(name, report)
+            return
         spec = self.specs().get(name)
-        if spec is None or self.is_leaving(spec.address, spec.port):
+        if spec is None:
             return
-        self.mark_leaving(spec.address, spec.port)
-        for listener in self._leaving_listeners:
-            listener(name)
+        if self._leaving.clear_by_report(
+            (spec.address, spec.port), report.incarnation, report.sampled_at
+        ):
+            for listener in self._return_listeners:
+                listener(name, "the engine reports that it takes work")
+
+    def add_return_listener(
+        self, listener: Callable[[str, str], None]
+    ) -> None:
+        """Call a function with each endpoint that returns, and why."""
+        self._return_listeners.append(listener)
 
     def add_leaving_listener(self, listener: Callable[[str], None]) -> None:
         """Call a function with the name of each engine seen leaving.
@@ -150,17 +186,33 @@
         """
         self._leaving_listeners.append(listener)
 
-    def mark_leaving(self, address: str, port: int) -> None:
-        """Give an endpoint no new work from now on."""
-        self._leaving.add((address, port))
+    def mark_leaving(
+        self,
+        address: str,
+        port: int,
+        sign: leaving_marks.Sign = leaving_marks.Sign.NEWS,
+    ) -> None:
+        """Give an endpoint no new work from now on.
+
+        :param sign: where this was learned
+        """
+        self._leaving.mark((address, port), sign)
 
     def clear_leaving(self, address: str, port: int) -> None:
         """Give an endpoint new work again, after its return."""
-        self._leaving.discard((address, port))
+        self._leaving.clear((address, port))
+
+    def expire_leaving(self) -> None:
+        """Give work again to endpoints without a sign for a while."""
+        for address, port in self._leaving.expire():
+            for listener in self._return_listeners:
+                listener(
+                    f"{address}:{port}", "no further sign that it is leaving"
+                )
 
     def is_leaving(self, address: str, port: int) -> bool:
         """Whether an endpoint gets no new work."""
-        return (address, port) in self._leaving
+        return self._leaving.is_marked((address, port))
 
     def mark_unreachable(self, name: str) -> None:
         """Pass over an engine that did not answer, for a short time."""
--- a/src/fireflyspur/routing/load_report.py
+++ b/src/fireflyspur/routing/load_report.py
@@ -19,6 +19,8 @@
         models or does not say
     :param prefill_by_priority: the waiting prompt tokens by priority; empty
         if the engine does not say
+    :param sampled_at: time of the report by the engine's clock, or None if
+        the engine does not say
     """
 
     received_at: float
@@ -32,6 +34,7 @@
     models: frozenset[str] | None = None
     incarnation: str = ""
     leaving: bool = False
+    sampled_at: float | None = None
 
     def prefill_ahead_of(self, priority: int) -> int:
         """Return the waiting prompt tokens that are served first.
@@ -68,4 +71,5 @@
         models=None if models is None else frozenset(models),
         incarnation=str(values.get("incarnation", "")),
         leaving=bool(values.get("leaving", False)),
+        sampled_at=values.get("time"),
     )
