--- a/src/fireflyspur/orders/order_log.py
+++ b/src/fireflyspur/orders/order_log.py
@@ -183,25 +183,28 @@
 
         A slot stays with its holder until it ends or expires.
         """
+        holders = {i.uid: i for i in self._intents.values() if i.is_granted}
         for intent in self._in_order():
-            if intent.holds is not None and intent.covers(intent.asks):
+            held = intent.holds or frozenset()
+            if not intent.is_granted and len(holders) >= intent.slots:
                 continue
-            others = [i for i in self.granted() if i.uid != intent.uid]
-            if intent.holds is None and len(others) >= intent.slots:
+            if intent.covers(intent.asks):
                 continue
             if any(
-                bound and sum(n in (i.holds or ()) for i in others) >= bound
-                for n, bound in intent.asks.items()
-                if n not in (intent.holds or ())
+                bound and _count(name, holders, intent.uid) >= bound
+                for name, bound in intent.asks.items()
+                if name not in held
             ):
                 continue
             expires_at = intent.expires_at
-            if intent.holds is None:
+            if not intent.is_granted:
                 expires_at = self._clock + SLOT_LIFETIME_S
-            self._intents[intent.uid] = dataclasses.replace(
-                intent,
-                holds=frozenset(intent.asks) | (intent.holds or frozenset()),
-                expires_at=expires_at,
+            holders[intent.uid] = self._intents[intent.uid] = (
+                dataclasses.replace(
+                    intent,
+                    holds=held | intent.asks.keys(),
+                    expires_at=expires_at,
+                )
             )
 
     def _advance(self, now: float) -> None:
@@ -218,6 +221,15 @@
                 del remembered[uid]
 
 
+def _count(name: str, holders: Mapping[str, LoadIntent], but: str) -> int:
+    """Return the number of other holders whose engine is without weights."""
+    return sum(
+        name in (holder.holds or ())
+        for holder in holders.values()
+        if holder.uid != but
+    )
+
+
 def _slots(value: dict[str, Any]) -> int:
     return max(1, int(value.get("slots", 1)))
 
