--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -24,6 +24,7 @@
 from fireflyspur.observability import logs
 from fireflyspur.routing import engine_view
 from fireflyspur.routing import exceptions as routing_exceptions
+from fireflyspur.routing import load_report
 from fireflyspur.routing import router as routers
 
 # The error itself must reach the caller within the time limit.
@@ -197,6 +198,9 @@
         )
 
         def note_load(report: dict[str, Any]) -> None:
+            self._parts.router.view.update_load(
+                engine.name, load_report.parse(report)
+            )
             if "incarnation" in report:
                 self._parts.quarantine.reporter.note_incarnation(
                     run, str(report["incarnation"])
