--- a/src/fireflyspur/routing/router.py
+++ b/src/fireflyspur/routing/router.py
@@ -255,13 +255,13 @@
         to the same engine.
         """
         long_engines = self._long_engines(names)
+        # The order breaks ties below, which would else go to the first name
+        # on every node.
+        names = self._random.sample(names, len(names))
         own = [n for n in names if n not in long_engines] or names
         is_long = self.is_long(request.prompt_tokens)
         drawn = set(long_engines) if is_long else set()
         count = min(self._catalog.policy().candidates, len(own))
-        # The draw also breaks ties below, which would else go to the first
-        # name on every node.
-        own = self._random.sample(own, len(own))
         drawn.update(own[:count])
         drawn.add(min(own, key=self._own_prefill_tokens))
         drawn.add(max(names, key=lambda n: self._cached(n, work)))
