--- a/src/fireflyspur/load/recorder.py
+++ b/src/fireflyspur/load/recorder.py
@@ -54,12 +54,18 @@
         return {"count": count, **values}
 
 
+def _ratios(summary: dict[str, Any]) -> dict[str, Any]:
+    """Return a summary of ratios, which have no unit."""
+    return {key.removesuffix("_s"): value for key, value in summary.items()}
+
+
 class _BinRecord:
     def __init__(self, mix: load_mix.LoadMix) -> None:
         self.sent = 0
         self.completed = 0
         self.ttft = Durations(mix.ttft_limit_s)
         self.peak_ttft = Durations(mix.ttft_limit_s)
+        self.ttft_to_idle = Durations()
         self.gaps = Durations(mix.gap_limit_s)
         self.duration = Durations()
 
@@ -129,6 +135,10 @@
             record.ttft.add(ttft_s)
             if arrival.is_peak:
                 record.peak_ttft.add(ttft_s)
+            idle_rate = self._mix.idle_prefill_tokens_per_s
+            if idle_rate is not None and arrival.prompt_tokens:
+                idle_s = arrival.prompt_tokens / idle_rate
+                record.ttft_to_idle.add(ttft_s / idle_s)
         for gap_s in outcome.gaps_s:
             record.gaps.add(gap_s * self._time_factor)
 
@@ -149,6 +159,7 @@
                     "completed": record.completed,
                     "ttft": record.ttft.summary(),
                     "peak_ttft": record.peak_ttft.summary(),
+                    "ttft_to_idle": _ratios(record.ttft_to_idle.summary()),
                     "gap": record.gaps.summary(),
                     "duration": record.duration.summary(),
                 }
--- a/src/fireflyspur/load/report.py
+++ b/src/fireflyspur/load/report.py
@@ -42,6 +42,12 @@
         ):
             if bin_[kind]["count"]:
                 yield f"    {title:<18}" + _durations(bin_[kind])
+        ratios = bin_["ttft_to_idle"]
+        if ratios["count"]:
+            parts = [
+                f" {k} {v:.2f}" for k, v in ratios.items() if k != "count"
+            ]
+            yield f"    {'TTFT to idle':<18}" + ",".join(parts)
     for failure in result["failures"]:
         verdict = failure["verdict"] or "no verdict"
         yield f"  failed: {failure['count']} {failure['code']} ({verdict})"
