Charge a prompt with the delay that it causes to less urgent ones

Short prompts come first on an engine, and a choice saw no difference between an idle engine and one that was busy with a long prompt. The delay now counts as a cost. The test fails without it.

--- a/src/fireflyspur/routing/router.py
+++ b/src/fireflyspur/routing/router.py
@@ -279,10 +279,12 @@
         ratio = self._catalog.policy().long_spill_ratio
 
         def cost_s(prediction: ttft_predictor.Prediction) -> float:
+            cost = prediction.ttft_s + prediction.delay_s
             if is_long == (prediction.engine in long_engines):
-                return prediction.ttft_s
-            extra_s = ratio * prediction.prefill_s if is_long else _SPILL_S
-            return prediction.ttft_s + extra_s
+                return cost
+            return cost + (
+                ratio * prediction.prefill_s if is_long else _SPILL_S
+            )
 
         self._random.shuffle(predictions)
         return min(predictions, key=cost_s)
--- a/src/fireflyspur/routing/ttft_predictor.py
+++ b/src/fireflyspur/routing/ttft_predictor.py
@@ -30,6 +30,7 @@
     :param prefill_s: seconds of its own prefill
     :param decode_s: seconds to generate all its tokens
     :param cached_bytes: length of the prefix expected in the cache
+    :param delay_s: seconds by which it delays less urgent prompts there
     """
 
     engine: str
@@ -37,6 +38,7 @@
     prefill_s: float
     decode_s: float
     cached_bytes: int
+    delay_s: float = 0.0
 
     @property
     def ttft_s(self) -> float:
@@ -100,10 +102,12 @@
         queue_s = backlog / rate + self._memory_wait_s(engine, spec, work)
         if spec.failure_domain != self._failure_domain:
             queue_s += 2 * _CROSS_DOMAIN_LATENCY_S
+        prefill_s = work.prompt_tokens * fresh / rate
         return Prediction(
             engine=engine,
             queue_s=queue_s,
-            prefill_s=work.prompt_tokens * fresh / rate,
+            prefill_s=prefill_s,
+            delay_s=prefill_s if self._has_less_urgent(engine, work) else 0.0,
             decode_s=work.max_tokens / spec.decode_tokens_per_s,
             cached_bytes=cached,
         )
@@ -123,6 +127,19 @@
             max(new, _MIN_CORRECTION), _MAX_CORRECTION
         )
 
+    def _has_less_urgent(self, engine: str, work: PromptWork) -> bool:
+        """Whether an engine processes prompts that the work would delay."""
+        if any(
+            p.priority > work.priority
+            for p in self._view.pending_prefills(engine)
+        ):
+            return True
+        report = self._view.load(engine)
+        if report is None:
+            return False
+        ahead = report.prefill_ahead_of(work.priority)
+        return report.waiting_prefill_tokens > ahead
+
     def _backlog_tokens(
         self,
         engine: str,
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -82,6 +82,15 @@
         short_engines = {routing.choose(SHORT).engine for _ in range(7)}
         self.assertEqual(set(), long_engines & short_engines)
 
+    def test_short_prompts_do_not_interrupt_a_long_one_beside_idle_engines(
+        self,
+    ):
+        """Each interruption moves the long prompt's first token back."""
+        routing = make_router(engines=4, long_spill_ratio=0)
+        busy = {routing.choose(LONG).engine for _ in range(2)}
+        chosen = {routing.choose(SHORT).engine for _ in range(2)}
+        self.assertEqual(set(), busy & chosen)
+
     def test_long_prompts_use_idle_engines_when_their_own_are_busy(self):
         """A long prompt must not wait for another beside idle engines."""
         routing = make_router()
