Let the balancer stand-in judge each backend by itself

The stand-in used a backend only while its last passed check was recent, and checked all of them in step, so one late answer made every backend look gone and the connection was closed. Ruled out: the nodes' drain, which had 3 s to spare. Backends are now checked by themselves and are left out after their checks have failed for the lag, as balancers do.

--- a/src/fireflyspur/standins/balancer.py
+++ b/src/fireflyspur/standins/balancer.py
@@ -42,16 +42,28 @@
         address, _, port = name.rpartition(":")
         self.address = address
         self.port = int(port)
-        self._ready_at: float | None = None
+        self._was_ready = False
+        self._failing_since: float | None = None
 
     def note_ready(self) -> None:
         """Note a check that passed."""
-        self._ready_at = time.monotonic()
+        self._was_ready = True
+        self._failing_since = None
+
+    def note_failed(self) -> None:
+        """Note a check that failed."""
+        if self._failing_since is None:
+            self._failing_since = time.monotonic()
 
     def is_used(self, lag_s: float) -> bool:
-        """Whether it gets connections, ready or not."""
-        age_limit = time.monotonic() - lag_s
-        return self._ready_at is not None and self._ready_at >= age_limit
+        """Whether it gets connections, ready or not.
+
+        :param lag_s: seconds for which failed checks change nothing
+        """
+        if self._failing_since is None:
+            return self._was_ready
+        failing_s = time.monotonic() - self._failing_since
+        return self._was_ready and failing_s < lag_s
 
 
 class Balancer(tcpserver.TCPServer):
@@ -68,10 +80,9 @@
         self._client = tcpclient.TCPClient()
 
     async def check(self) -> None:
-        """Check all backends in each period, for ever."""
-        while True:
-            await asyncio.gather(*map(self._check, self._backends))
-            await asyncio.sleep(self._settings.check_period_s)
+        """Check all backends, each by itself, for ever."""
+        # One that answers late must not make the others look late.
+        await asyncio.gather(*map(self._keep_checking, self._backends))
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[str, int]
@@ -90,13 +101,15 @@
         await asyncio.gather(_copy(stream, peer), _copy(peer, stream))
 
     def _choose(self) -> Backend | None:
-        # A backend's last passed check may be one period old while it is
-        # still ready.
-        lag_s = self._settings.lag_s + self._settings.check_period_s
-        used = [b for b in self._backends if b.is_used(lag_s)]
+        used = [b for b in self._backends if b.is_used(self._settings.lag_s)]
         self._next += 1
         return used[self._next % len(used)] if used else None
 
+    async def _keep_checking(self, backend: Backend) -> None:
+        while True:
+            await self._check(backend)
+            await asyncio.sleep(self._settings.check_period_s)
+
     async def _check(self, backend: Backend) -> None:
         try:
             response = await httpclient.AsyncHTTPClient().fetch(
@@ -105,9 +118,12 @@
                 raise_error=False,
             )
         except OSError:
+            backend.note_failed()
             return
         if response.code == 200:
             backend.note_ready()
+        else:
+            backend.note_failed()
 
 
 async def _copy(source: iostream.IOStream, target: iostream.IOStream) -> None:
