Drop the correction of the prefix index that nothing used

An engine has the whole prompt in its cache after it processed it, so what the answer says of the cache before teaches nothing about the next prompt.

--- a/src/fireflyspur/routing/prefix_index.py
+++ b/src/fireflyspur/routing/prefix_index.py
@@ -43,8 +43,8 @@
 class PrefixIndex:
     """Prefixes that this node has sent to each engine, oldest dropped first.
 
-    An engine's cache events come late and with gaps, so the index is a guess
-    that is corrected by what each answer says was cached.
+    An engine's cache events come late and with gaps, so the index is a guess.
+    A wrong guess costs one prefill, after which the prefix is cached again.
 
     :param max_entries: digests kept for each engine
     """
@@ -75,18 +75,6 @@
         while len(known) > self._max_entries:
             known.popitem(last=False)
 
-    def correct(
-        self, engine: str, chain: list[PrefixDigest], cached_bytes: int
-    ) -> None:
-        """Drop beginnings that the engine turned out not to have cached.
-
-        :param cached_bytes: length that was cached, as the answer says
-        """
-        known = self._engines.get(engine, {})
-        for item in chain:
-            if item.length_bytes > cached_bytes:
-                known.pop(item.digest, None)
-
     def forget(self, engine: str) -> None:
         """Drop all of an engine, after its restart."""
         self._engines.pop(engine, None)
--- a/tests/routing/test_prefix_index.py
+++ b/tests/routing/test_prefix_index.py
@@ -28,13 +28,6 @@
             0, index.cached_bytes("engine-2", self.chain("a" * 5000))
         )
 
-    def test_a_correction_drops_what_was_evicted(self):
-        index = prefix_index.PrefixIndex()
-        chain = self.chain("a" * 50_000)
-        index.add("engine-1", chain)
-        index.correct("engine-1", chain, 2000)
-        self.assertLessEqual(index.cached_bytes("engine-1", chain), 2000)
-
     def test_memory_is_bounded(self):
         index = prefix_index.PrefixIndex(max_entries=10)
         first = self.chain("a" * 1024)
