--- a/src/fireflyspur/standins/service.py
+++ b/src/fireflyspur/standins/service.py
@@ -7,6 +7,7 @@
 
 from tornado import web
 
+from fireflyspur.standins import counted_faults
 from fireflyspur.standins import server
 
 
@@ -62,12 +63,8 @@
 
     def take(self, fault: str) -> bool:
         """Use up one of the faults that are counted."""
-        count = getattr(self.faults, fault)
-        if count:
-            self.faults = dataclasses.replace(
-                self.faults, **{fault: count - 1}
-            )
-        return bool(count)
+        self.faults, is_used = counted_faults.take(self.faults, fault)
+        return is_used
 
 
 class _ServiceHandler(server.JsonHandler):
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -6,8 +6,8 @@
 import testtools
 
 from fireflyspur.standins import token_source
-from tests.support import polling
 from tests.support import records
+from tests.support import single_node
 from tools import fleet as fleets
 
 
@@ -15,22 +15,8 @@
     def setUp(self):
         super().setUp()
         self.fleet = self.enterContext(fleets.Fleet())
-        self.fleet.start_standin("log", "log")
-        self.fleet.start_standin("vm-list", "vm-list")
-        self.fleet.start_standin("engine-1", "engine", "--time-factor", "50")
-        self.fleet.start_node("node-1", "sapporo-a")
-        records.publish(
-            self.fleet,
-            records.model(),
-            records.account(),
-            records.engine(self.fleet, "engine-1"),
-        )
+        single_node.start_fleet(self.fleet)
         self.url = self.fleet.url("node-1", "http")
-        admin = self.fleet.url("node-1", "admin") + "/admin/view"
-        polling.wait_until(
-            lambda: fleets.call(admin)["config_offset"] == 3,
-            "the node follows the log",
-        )
 
     def post(self, **body):
         return urllib.request.Request(
--- a/tests/load/test_load_command.py
+++ b/tests/load/test_load_command.py
@@ -9,8 +9,8 @@
 import yaml
 
 from fireflyspur.console import application
-from tests.support import polling
 from tests.support import records
+from tests.support import single_node
 from tools import fleet as fleets
 
 _MIX = {
@@ -38,21 +38,7 @@
     def setUp(self):
         super().setUp()
         self.fleet = self.enterContext(fleets.Fleet())
-        self.fleet.start_standin("log", "log")
-        self.fleet.start_standin("vm-list", "vm-list")
-        self.fleet.start_standin("engine-1", "engine", "--time-factor", "20")
-        self.fleet.start_node("node-1", "sapporo-a")
-        records.publish(
-            self.fleet,
-            records.model(),
-            records.account(),
-            records.engine(self.fleet, "engine-1"),
-        )
-        admin = self.fleet.url("node-1", "admin") + "/admin/view"
-        polling.wait_until(
-            lambda: fleets.call(admin)["config_offset"] == 3,
-            "the node follows the log",
-        )
+        single_node.start_fleet(self.fleet, time_factor=20)
 
     def load(self, action, *options):
         path = self.fleet.folder / "mix.yaml"
--- a/tests/support/single_node.py
+++ b/tests/support/single_node.py
@@ -14,6 +14,27 @@
 NODE_SETTINGS = {"limits": {"max_body_bytes": 200_000}}
 
 
+def start_fleet(fleet, time_factor=50, **settings):
+    """Start log, VM list, engine-1 and node-1 and wait for its records."""
+    fleet.start_standin("log", "log")
+    fleet.start_standin("vm-list", "vm-list")
+    fleet.start_standin(
+        "engine-1", "engine", "--time-factor", str(time_factor)
+    )
+    fleet.start_node("node-1", "sapporo-a", **settings)
+    records.publish(
+        fleet,
+        records.model(),
+        records.account(),
+        records.engine(fleet, "engine-1"),
+    )
+    admin = fleet.url("node-1", "admin") + "/admin/view"
+    polling.wait_until(
+        lambda: fleets.call(admin)["config_offset"] == 3,
+        "the node follows the log",
+    )
+
+
 class SingleNodeTest(testtools.TestCase):
     """Starts log, VM list, engine and node once for each class."""
 
@@ -34,22 +55,9 @@
     @classmethod
     def start(cls):
         fleet = cls.fleet
-        fleet.start_standin("log", "log")
-        fleet.start_standin("vm-list", "vm-list")
-        fleet.start_standin("engine-1", "engine", "--time-factor", "50")
-        fleet.start_node("node-1", "sapporo-a", **cls.settings)
-        records.publish(
-            fleet,
-            records.model(),
-            records.account(),
-            records.engine(fleet, "engine-1"),
-        )
+        start_fleet(fleet, **cls.settings)
         cls.url = fleet.url("node-1", "http")
         cls.port = fleet.process("node-1").ports["http"]
-        polling.wait_until(
-            lambda: cls.view()["config_offset"] == 3,
-            "the node follows the log",
-        )
 
     @classmethod
     def view(cls):
