--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -13,12 +13,14 @@
 import subprocess
 import sys
 import tempfile
+import time
 from typing import Any
 import urllib.request
 
 import yaml
 
 _SOURCE_FOLDER = pathlib.Path(__file__).parents[1] / "src"
+_READY_TIMEOUT_S = 10.0
 _STOP_TIMEOUT_S = 60.0
 
 
@@ -178,6 +180,21 @@
         path.write_text(yaml.safe_dump(values), encoding="utf-8")
         return self.start(name, "node", "--settings", str(path))
 
+    def wait_ready(self, name: str) -> None:
+        """Wait until a node takes requests.
+
+        :raises RuntimeError: if it does not in time
+        """
+        url = self.url(name, "http") + "/readyz"
+        deadline = time.monotonic() + _READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                call(url)
+                return
+            except OSError:
+                time.sleep(0.05)
+        raise RuntimeError(f"{name} is not ready after {_READY_TIMEOUT_S} s")
+
     def list_vm(
         self,
         name: str,
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -21,7 +21,6 @@
 
 _KEY = "measure"
 _TICKS_PER_S = 100
-_START_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,15 +67,7 @@
 
 def _start_node(fleet: fleets.Fleet, name: str) -> None:
     fleet.start_node(name, "sapporo-a")
-    url = fleet.url(name, "http") + "/readyz"
-    deadline = time.monotonic() + _START_S
-    while time.monotonic() < deadline:
-        try:
-            fleets.call(url)
-            return
-        except OSError:
-            time.sleep(0.05)
-    raise RuntimeError(f"{name} is not ready after {_START_S} s")
+    fleet.wait_ready(name)
 
 
 async def _run(
--- a/tools/measure_hot_path.py
+++ b/tools/measure_hot_path.py
@@ -16,13 +16,11 @@
 import random
 import statistics
 import sys
-import time
 
 from tools import fleet as fleets
 from tools import raw_client
 
 _KEY = "measure"
-_START_S = 10.0
 _DESIGN_REQUESTS_PER_S = 11.4
 _DESIGN_TOKENS_PER_S = 3700
 _KB, _MB = 1000, 1_000_000
@@ -70,7 +68,7 @@
         stack.callback(engine.kill)
         _publish(fleet, engine.ports["port"])
         self.node = fleet.start_node("node", "sapporo-a")
-        _wait_ready(fleet.url("node", "http") + "/readyz")
+        fleet.wait_ready("node")
         self.through = raw_client.Target(
             self.node.ports["http"],
             "/v1/completions",
@@ -134,17 +132,6 @@
     fleets.call(url, "POST", {"records": records})
 
 
-def _wait_ready(url: str) -> None:
-    deadline = time.monotonic() + _START_S
-    while time.monotonic() < deadline:
-        try:
-            fleets.call(url)
-            return
-        except OSError:
-            time.sleep(0.05)
-    raise RuntimeError(f"the node is not ready after {_START_S} s")
-
-
 async def _calls(
     bench: Bench, callers: int, prompts: list[str], max_tokens: int
 ) -> None:
