--- a/src/fireflyspur/console/application.py
+++ b/src/fireflyspur/console/application.py
@@ -2,40 +2,43 @@
 
 import argparse
 from collections.abc import Sequence
+import importlib
 import json
 import sys
 
 from fireflyspur.clients import exceptions as client_exceptions
 from fireflyspur.console import command
-from fireflyspur.console.commands import audit
-from fireflyspur.console.commands import load
-from fireflyspur.console.commands import node
-from fireflyspur.console.commands import record
-from fireflyspur.console.commands import settings
-from fireflyspur.console.commands import standin
-from fireflyspur.console.commands import view
 from fireflyspur.errors import exceptions
 from fireflyspur.records import exceptions as record_exceptions
 
-_COMMANDS: tuple[command.Command, ...] = (
-    load.LoadCommand(),
-    node.NodeCommand(),
-    record.RecordCommand(),
-    audit.AuditCommand(),
-    view.ViewCommand(),
-    settings.SettingsCommand(),
-    standin.StandinCommand(),
-)
+# Class of each command, in the module of the command's name. A module is
+# imported when it is needed: a node starts without the libraries of others.
+_COMMANDS = {
+    "load": "LoadCommand",
+    "node": "NodeCommand",
+    "platform": "PlatformCommand",
+    "record": "RecordCommand",
+    "audit": "AuditCommand",
+    "view": "ViewCommand",
+    "settings": "SettingsCommand",
+    "standin": "StandinCommand",
+}
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the whole command line."""
+def build_parser(
+    names: Sequence[str] = tuple(_COMMANDS),
+) -> argparse.ArgumentParser:
+    """Return the parser of the command line.
+
+    :param names: the commands that it knows
+    """
     parser = argparse.ArgumentParser(
         prog="fireflyspur",
         description="Serving layer for prompts of very unlike lengths.",
     )
     commands = parser.add_subparsers(metavar="COMMAND", required=True)
-    for item in _COMMANDS:
+    for name in names:
+        item = _load_command(name)
         subparser = commands.add_parser(item.name, help=item.help)
         item.configure(subparser)
         subparser.set_defaults(command=item)
@@ -48,7 +51,9 @@
     :param argv: the arguments, or None for the process's own
     :returns: the exit code
     """
-    arguments = build_parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else list(argv)
+    names = words[:1] if words[:1] and words[0] in _COMMANDS else _COMMANDS
+    arguments = build_parser(tuple(names)).parse_args(words)
     try:
         return arguments.command.run(arguments)
     except exceptions.FireflyspurError as error:
@@ -58,6 +63,11 @@
         return command.ExitCode.FAILED
 
 
+def _load_command(name: str) -> command.Command:
+    module = importlib.import_module(f"fireflyspur.console.commands.{name}")
+    return getattr(module, _COMMANDS[name])()
+
+
 def _report(error: exceptions.FireflyspurError, as_json: bool) -> None:
     if as_json:
         print(
--- /dev/null
+++ b/src/fireflyspur/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests from callers to endpoints by routes."""
--- /dev/null
+++ b/src/fireflyspur/gateway/answer_relay.py
@@ -0,0 +1,109 @@
+"""Passing of an endpoint's answer on to a caller."""
+
+from collections.abc import Callable
+
+from fireflyspur.gateway import caller_connection
+from fireflyspur.gateway import event_splitter
+from fireflyspur.gateway import http_exchange
+from fireflyspur.gateway import messages
+
+# A plain answer up to this size is passed on once it is whole, so that a
+# broken one can be replaced.
+_MAX_HELD_BYTES = 262_144
+
+
+class AnswerRelay:
+    """Passes one answer on, even if several endpoints contribute to it.
+
+    :param connection: the caller's connection
+    :param is_last: returns whether the connection ends with this answer
+    """
+
+    def __init__(
+        self,
+        connection: caller_connection.CallerConnection,
+        is_last: Callable[[], bool],
+    ) -> None:
+        self._connection = connection
+        self._is_last = is_last
+        self._splitter = event_splitter.EventSplitter()
+        self._is_started = False
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller has got a part of the answer."""
+        return self._is_started
+
+    @property
+    def last_event_id(self) -> str | None:
+        """Id of the last event that the caller has got."""
+        return self._splitter.last_id
+
+    async def relay_plain(
+        self, exchange: http_exchange.HttpExchange, head: messages.AnswerHead
+    ) -> int:
+        """Pass on an answer without events.
+
+        :returns: the bytes of its body
+        :raises AnswerBrokenError: if it ends early
+        """
+        held = bytearray()
+        while (part := await exchange.read_part()) is not None:
+            held += part
+            if len(held) > _MAX_HELD_BYTES:
+                return await self._relay_long(exchange, head, bytes(held))
+        self._is_started = True
+        await self._connection.send_whole(
+            head.status, head.headers, bytes(held), is_last=self._is_last()
+        )
+        return len(held)
+
+    async def relay_events(
+        self, exchange: http_exchange.HttpExchange, head: messages.AnswerHead
+    ) -> None:
+        """Pass on a stream, event by event.
+
+        :raises AnswerBrokenError: if it ends early; it can be continued
+            after ``last_event_id``
+        """
+        self._splitter.drop_tail()
+        while (part := await exchange.read_part()) is not None:
+            events = self._splitter.take(part)
+            if events:
+                await self._start(head)
+                await self._connection.send_body(events)
+        await self._start(head)
+        if self._splitter.tail:
+            await self._connection.send_body(self._splitter.tail)
+        await self._connection.finish()
+
+    async def send_failure(
+        self, head: messages.AnswerHead, body: bytes
+    ) -> None:
+        """Pass on a failure that an endpoint answered."""
+        self._is_started = True
+        await self._connection.send_whole(
+            head.status, head.headers, body, is_last=self._is_last()
+        )
+
+    async def _start(self, head: messages.AnswerHead) -> None:
+        if not self._is_started:
+            self._is_started = True
+            await self._connection.send_head(
+                head.status, head.headers, None, is_last=self._is_last()
+            )
+
+    async def _relay_long(
+        self,
+        exchange: http_exchange.HttpExchange,
+        head: messages.AnswerHead,
+        held: bytes,
+    ) -> int:
+        await self._start(head)
+        await self._connection.send_body(held)
+        size = len(held)
+        while (part := await exchange.read_part()) is not None:
+            await self._connection.send_body(part)
+            size += len(part)
+        await self._connection.finish()
+        return size
--- /dev/null
+++ b/src/fireflyspur/gateway/attempt.py
@@ -0,0 +1,122 @@
+"""One attempt at a request on an endpoint."""
+
+from collections.abc import Callable
+import contextlib
+
+from fireflyspur.gateway import answer_relay
+from fireflyspur.gateway import attempt_result
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import http_exchange
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import placement as placements
+from fireflyspur.gateway import request_plan
+from fireflyspur.gateway import routing_config
+
+# An endpoint in reach accepts a connection within a few round trips; one
+# that does not is taken for gone, and nothing was sent to it.
+_CONNECT_TIMEOUT_S = 0.25
+# Statuses that promise a caller that a request has not run. Without the
+# endpoint's word the promise cannot be passed on.
+_PROMISES = frozenset((408, 421, 429, 503))
+_OTHER_INSTANCE = 421
+_MAX_FAILURE_BYTES = 262_144
+
+
+class Attempt:
+    """Sends a request to an endpoint and passes its answer on.
+
+    :param plan: the request with its route
+    :param codec: writes and reads the headers
+    :param relay: passes the answer on
+    :param on_first_part: told when the answer begins
+    """
+
+    def __init__(
+        self,
+        plan: request_plan.RequestPlan,
+        codec: messages.Codec,
+        relay: answer_relay.AnswerRelay,
+        on_first_part: Callable[[], None],
+    ) -> None:
+        self._plan = plan
+        self._codec = codec
+        self._relay = relay
+        self._on_first_part = on_first_part
+
+    async def run(
+        self, placement: placements.Placement
+    ) -> attempt_result.AttemptResult:
+        """Run the attempt.
+
+        :param placement: where the request is sent
+        """
+        try:
+            exchange = await http_exchange.HttpExchange.connect(
+                placement.first.address, _CONNECT_TIMEOUT_S
+            )
+        except exceptions.EndpointUnreachableError as error:
+            return attempt_result.NotRun(str(error))
+        with contextlib.closing(exchange):
+            self._send(exchange, placement)
+            try:
+                return await self._receive(exchange)
+            except exceptions.AnswerBrokenError as error:
+                return attempt_result.Broken(str(error), error.is_abrupt)
+
+    def _send(
+        self,
+        exchange: http_exchange.HttpExchange,
+        placement: placements.Placement,
+    ) -> None:
+        plan = self._plan
+        last_event_id = self._relay.last_event_id or plan.info.last_event_id
+        info = messages.SendInfo(
+            remaining_s=max(0.0, plan.deadline_s - clock.now_s()),
+            instance=placement.first.instance,
+            account=plan.account_name,
+            priority=plan.priority,
+            last_event_id=last_event_id,
+            helpers=tuple(
+                messages.Helper(item.address) for item in placement.helpers
+            ),
+        )
+        request = plan.request
+        headers = self._codec.encode_request(request.headers, info)
+        if request.body:
+            length = str(len(request.body)).encode()
+            headers.append((b"Content-Length", length))
+        exchange.send(request.method, request.target, headers, request.body)
+
+    async def _receive(
+        self, exchange: http_exchange.HttpExchange
+    ) -> attempt_result.AttemptResult:
+        head = await exchange.read_head()
+        info = self._codec.decode_answer(head)
+        is_other = info.attempt_id not in (None, self._plan.info.attempt_id)
+        if is_other:
+            raise exceptions.AnswerBrokenError("the answer is another's")
+        if info.is_not_run or head.status == _OTHER_INSTANCE:
+            return attempt_result.NotRun(
+                f"status {head.status}", is_full=head.status in (429, 503)
+            )
+        if not head.is_success:
+            return await self._read_failure(exchange, head)
+        if not info.is_sealed or info.is_encoded:
+            raise exceptions.AnswerBrokenError("the answer is not sealed")
+        self._on_first_part()
+        if self._plan.route.kind is routing_config.RouteKind.STREAMING:
+            await self._relay.relay_events(exchange, head)
+        else:
+            await self._relay.relay_plain(exchange, head)
+        return attempt_result.Delivered(head.status)
+
+    async def _read_failure(
+        self, exchange: http_exchange.HttpExchange, head: messages.AnswerHead
+    ) -> attempt_result.AttemptResult:
+        body = await exchange.read_body(_MAX_FAILURE_BYTES)
+        if head.status in _PROMISES:
+            raise exceptions.AnswerBrokenError(
+                f"status {head.status} without the endpoint's word"
+            )
+        return attempt_result.Rejected(head, body)
--- /dev/null
+++ b/src/fireflyspur/gateway/attempt_result.py
@@ -0,0 +1,48 @@
+"""How one attempt at a request on an endpoint ended."""
+
+import dataclasses
+
+from fireflyspur.gateway import messages
+
+
+@dataclasses.dataclass(frozen=True)
+class Delivered:
+    """The caller has the whole answer."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRun:
+    """The endpoint has not run the request and never will.
+
+    :param is_full: whether it had no room, so that it is not at fault
+    """
+
+    reason: str
+    is_full: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """The endpoint may have run the request and its answer did not arrive.
+
+    :param is_abrupt: whether the connection ended, as in a crash
+    """
+
+    reason: str
+    is_abrupt: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The endpoint answered with a failure of its own.
+
+    :param body: body of the answer
+    """
+
+    head: messages.AnswerHead
+    body: bytes
+
+
+AttemptResult = Delivered | NotRun | Broken | Rejected
--- /dev/null
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -0,0 +1,250 @@
+"""The server's side of one connection of a caller."""
+
+import asyncio
+from collections.abc import Callable
+import re
+
+import h11
+from tornado import iostream
+
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import hop_headers
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import routing_config
+
+_READ_BYTES = 65_536
+_FOLDED_HEADER = re.compile(rb"\n[ \t]")
+_END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
+_STATUSES_WITHOUT_BODY = (204, 304)
+
+
+class CallerConnection:
+    """Reads requests and writes answers, one after the other.
+
+    :param stream: the accepted stream
+    :param limits: returns the limits in force
+    """
+
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        limits: Callable[[], routing_config.CallerLimits],
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
+        )
+        self._fold_scan = b""
+
+    @property
+    def is_answer_started(self) -> bool:
+        """Whether a byte of the current answer was sent."""
+        return self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def may_answer(self) -> bool:
+        """Whether a whole answer can still be sent."""
+        return self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of a request is waiting for its answer."""
+        return (
+            self._connection.our_state is h11.IDLE
+            and self._connection.their_state is h11.IDLE
+            and not self._connection.trailing_data[0]
+        )
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.close()
+
+    async def read_request(self) -> messages.CallerRequest | None:
+        """Read the next request; None when the caller has closed.
+
+        :raises MalformedRequestError: if it cannot be served as sent
+        """
+        event = await self._read_head()
+        if event is None:
+            return None
+        self._check_framing(event)
+        body = await self._read_body()
+        return messages.CallerRequest(
+            method=event.method,
+            target=event.target,
+            headers=list(event.headers.raw_items()),
+            body=body,
+            received_at_s=clock.now_s(),
+        )
+
+    async def next_request(self) -> bool:
+        """Prepare for another request; False if the connection must end."""
+        if self._connection.our_state is not h11.DONE:
+            return False
+        if self._connection.their_state is not h11.DONE:
+            return False
+        self._connection.start_next_cycle()
+        self._fold_scan = self._connection.trailing_data[0]
+        return True
+
+    async def send_head(
+        self,
+        status: int,
+        headers: messages.Headers,
+        length: int | None,
+        *,
+        is_last: bool = False,
+    ) -> None:
+        """Send status and headers.
+
+        :param length: bytes of the body; None if they are not known
+        :param is_last: whether the connection ends with this answer
+        """
+        sent = hop_headers.remove(headers)
+        if length is not None and status not in _STATUSES_WITHOUT_BODY:
+            sent.append((b"Content-Length", str(length).encode()))
+        if is_last:
+            sent.append((b"Connection", b"close"))
+        response = h11.Response(status_code=status, headers=sent, reason=b"")
+        await self._write(self._connection.send(response))
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the body; returns once the caller keeps up."""
+        await self._write(self._connection.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """End the answer."""
+        await self._write(self._connection.send(h11.EndOfMessage()))
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: messages.Headers,
+        body: bytes,
+        *,
+        is_last: bool = False,
+    ) -> None:
+        """Send a whole answer."""
+        await self.send_head(status, headers, len(body), is_last=is_last)
+        if body:
+            await self.send_body(body)
+        await self.finish()
+
+    async def _write(self, data: bytes | None) -> None:
+        if data:
+            await self._stream.write(data)
+
+    async def _read_head(self) -> h11.Request | None:
+        try:
+            return await self._wait_head()
+        except h11.RemoteProtocolError as error:
+            raise exceptions.MalformedRequestError(
+                str(error), error.error_status_hint
+            ) from error
+
+    async def _wait_head(self) -> h11.Request | None:
+        event = self._connection.next_event()
+        if event is h11.NEED_DATA and not self._connection.trailing_data[0]:
+            if not await self._wait_first_byte():
+                return None
+            event = self._connection.next_event()
+        try:
+            async with asyncio.timeout(self._limits().header_timeout_s):
+                while event is h11.NEED_DATA:
+                    if not await self._receive():
+                        return None
+                    event = self._connection.next_event()
+        except TimeoutError as error:
+            raise exceptions.MalformedRequestError(
+                "the headers came too slowly", 408
+            ) from error
+        return event if isinstance(event, h11.Request) else None
+
+    async def _wait_first_byte(self) -> bool:
+        """Wait as long as the caller may leave the connection idle.
+
+        A longer limit that comes into force meanwhile extends the wait.
+        """
+        began = clock.now_s()
+        limit_s = self._limits().idle_timeout_s
+        read = asyncio.ensure_future(self._receive())
+        try:
+            while not read.done():
+                left_s = began + limit_s - clock.now_s()
+                if left_s <= 0:
+                    return False
+                await asyncio.wait((read,), timeout=left_s)
+                limit_s = max(limit_s, self._limits().idle_timeout_s)
+            return read.result()
+        finally:
+            read.cancel()
+
+    async def _read_body(self) -> bytes:
+        limits = self._limits()
+        if self._connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self._connection.send(go_on))
+        parts = bytearray()
+        while True:
+            event = await self._next_body_event(limits.idle_timeout_s)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(parts)
+            parts += event.data
+            if len(parts) > limits.max_body_bytes:
+                raise exceptions.MalformedRequestError(
+                    f"the body is over {limits.max_body_bytes} bytes", 413
+                )
+
+    async def _next_body_event(
+        self, timeout_s: float
+    ) -> h11.Data | h11.EndOfMessage:
+        try:
+            while True:
+                event = self._connection.next_event()
+                if isinstance(event, (h11.Data, h11.EndOfMessage)):
+                    return event
+                if event is not h11.NEED_DATA:
+                    raise iostream.StreamClosedError
+                async with asyncio.timeout(timeout_s):
+                    if not await self._receive():
+                        raise iostream.StreamClosedError
+        except h11.RemoteProtocolError as error:
+            raise exceptions.MalformedRequestError(str(error)) from error
+        except TimeoutError as error:
+            raise exceptions.MalformedRequestError(
+                "the body came too slowly", 408
+            ) from error
+
+    async def _receive(self) -> bool:
+        """Take more bytes; False when the caller has closed."""
+        try:
+            data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+        except iostream.StreamClosedError:
+            return False
+        if self._connection.their_state is h11.IDLE:
+            self._fold_scan += data
+        self._connection.receive_data(data)
+        return True
+
+    def _check_framing(self, request: h11.Request) -> None:
+        head = _END_OF_HEAD.split(self._fold_scan, 1)[0]
+        self._fold_scan = b""
+        limits = self._limits()
+        if len(head) > limits.max_header_bytes:
+            raise exceptions.MalformedRequestError(
+                f"the headers are over {limits.max_header_bytes} bytes", 431
+            )
+        if _FOLDED_HEADER.search(head):
+            raise exceptions.MalformedRequestError("a header is folded")
+        names = [name for name, _ in request.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise exceptions.MalformedRequestError(
+                "the request has both a length and chunks"
+            )
+        lengths = [v for n, v in request.headers if n == b"content-length"]
+        if lengths and int(lengths[0]) > limits.max_body_bytes:
+            raise exceptions.MalformedRequestError(
+                f"the body is over {limits.max_body_bytes} bytes", 413
+            )
--- /dev/null
+++ b/src/fireflyspur/gateway/caller_server.py
@@ -0,0 +1,105 @@
+"""Acceptance of callers' connections."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from tornado import iostream
+from tornado import tcpserver
+
+from fireflyspur.gateway import caller_connection
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import routing_config
+from fireflyspur.gateway import socket_options
+from fireflyspur.observability import logs
+
+_log = logs.log_for("callers")
+
+Serve = Callable[
+    [caller_connection.CallerConnection, messages.CallerRequest],
+    Awaitable[None],
+]
+Refuse = Callable[
+    [
+        caller_connection.CallerConnection,
+        exceptions.MalformedRequestError,
+    ],
+    Awaitable[None],
+]
+
+
+class CallerServer(tcpserver.TCPServer):
+    """Runs one task for each connection.
+
+    :param serve: answers a request
+    :param refuse: answers what is no request
+    :param limits: returns the limits in force
+    """
+
+    def __init__(
+        self,
+        serve: Serve,
+        refuse: Refuse,
+        limits: Callable[[], routing_config.CallerLimits],
+    ) -> None:
+        super().__init__()
+        self._serve = serve
+        self._refuse = refuse
+        self._limits = limits
+        self._in_progress = 0
+        self._streams: set[iostream.IOStream] = set()
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that are being answered."""
+        return self._in_progress
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        """Serve a connection until it ends."""
+        task = asyncio.current_task()
+        self._streams.add(stream)
+        try:
+            socket_options.apply(stream)
+            stream.set_close_callback(task.cancel)
+            await self._serve_connection(stream)
+        except asyncio.CancelledError:
+            # The caller has closed; what ran for it has been cancelled.
+            return
+        except (iostream.StreamClosedError, OSError):
+            return
+        finally:
+            self._streams.discard(stream)
+            stream.set_close_callback(None)
+            stream.close()
+
+    def close_connections(self) -> None:
+        """Close all connections at once."""
+        for stream in list(self._streams):
+            stream.close()
+
+    async def _serve_connection(self, stream: iostream.IOStream) -> None:
+        connection = caller_connection.CallerConnection(stream, self._limits)
+        while True:
+            try:
+                request = await connection.read_request()
+            except exceptions.MalformedRequestError as error:
+                _log.info(
+                    "Request malformed",
+                    status=error.http_status,
+                    reason=str(error),
+                )
+                if connection.may_answer:
+                    await self._refuse(connection, error)
+                return
+            if request is None:
+                return
+            self._in_progress += 1
+            try:
+                await self._serve(connection, request)
+            finally:
+                self._in_progress -= 1
+            if not await connection.next_request():
+                return
--- /dev/null
+++ b/src/fireflyspur/gateway/crash_list.py
@@ -0,0 +1,79 @@
+"""Requests that crash the endpoints which run them."""
+
+from collections.abc import Callable
+import dataclasses
+import hashlib
+
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import messages
+from fireflyspur.observability import logs
+
+# Broken answers after which a request is not run again. One can be the
+# fault of another request on the same endpoint.
+_CRASHES_TO_REFUSE = 2
+# Crashes further apart than this do not belong together.
+_MEMORY_S = 60.0
+_MAX_REQUESTS = 10_000
+
+_log = logs.log_for("crashes")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Record:
+    instances: frozenset[str]
+    at_s: float
+
+
+def fingerprint_of(request: messages.CallerRequest, caller: str) -> str:
+    """Return what is the same when a caller sends a request again.
+
+    :param caller: client account, or API key
+    """
+    digest = hashlib.blake2b(digest_size=12)
+    for part in (request.target, caller.encode(), request.body):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class CrashList:
+    """Counts the endpoints whose answer to a request broke off.
+
+    :param publish: tells the other nodes of a crash
+    """
+
+    def __init__(self, publish: Callable[[str, str], None]) -> None:
+        self._publish = publish
+        self._records: dict[str, _Record] = {}
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Whether a request is not run any more."""
+        record = self._records.get(fingerprint)
+        if record is None or clock.now_s() - record.at_s > _MEMORY_S:
+            return False
+        return len(record.instances) >= _CRASHES_TO_REFUSE
+
+    def note_crash(self, fingerprint: str, instance: str) -> None:
+        """Count a crash that this node saw."""
+        if self.add(fingerprint, instance):
+            self._publish(fingerprint, instance)
+
+    def add(self, fingerprint: str, instance: str) -> bool:
+        """Count a crash that any node saw; False if it was known."""
+        now = clock.now_s()
+        record = self._records.pop(fingerprint, None)
+        if record is None or now - record.at_s > _MEMORY_S:
+            record = _Record(frozenset(), now)
+        is_new = instance not in record.instances
+        instances = record.instances | {instance}
+        self._records[fingerprint] = _Record(instances, now)
+        while len(self._records) > _MAX_REQUESTS:
+            self._records.pop(next(iter(self._records)))
+        if is_new:
+            _log.warning(
+                "Answer broke off",
+                fingerprint=fingerprint,
+                instance=instance,
+                crashes=len(instances),
+            )
+        return is_new
--- /dev/null
+++ b/src/fireflyspur/gateway/exceptions.py
@@ -0,0 +1,108 @@
+"""Errors of the gateway."""
+
+from fireflyspur.errors import exceptions
+from fireflyspur.errors import verdict as verdicts
+
+
+class EndpointUnreachableError(exceptions.FireflyspurError):
+    """No connection to the endpoint; nothing was sent to it."""
+
+    code = "endpoint_unreachable"
+    http_status = 503
+
+
+class AnswerBrokenError(exceptions.FireflyspurError):
+    """The answer of an endpoint is missing, incomplete or not valid.
+
+    :param is_abrupt: whether the connection ended, as when the endpoint
+        crashes, instead of bringing something wrong
+    """
+
+    code = "answer_broken"
+    http_status = 502
+
+    def __init__(self, message: str, *, is_abrupt: bool = False) -> None:
+        super().__init__(message, verdict=verdicts.Verdict.MAY_HAVE_RUN)
+        self._is_abrupt = is_abrupt
+
+    @property
+    def is_abrupt(self) -> bool:
+        """Whether the connection ended before the answer did."""
+        return self._is_abrupt
+
+
+class ServiceTimeoutError(exceptions.FireflyspurError):
+    """The time limit passed while an endpoint may be at work."""
+
+    code = "gateway_timeout"
+    http_status = 504
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdict=verdicts.Verdict.MAY_HAVE_RUN)
+
+
+class NotReadyError(exceptions.FireflyspurError):
+    """The node has no configuration yet."""
+
+    code = "no_configuration"
+    http_status = 503
+
+
+class NoCapacityError(exceptions.FireflyspurError):
+    """No endpoint can serve the request in time."""
+
+    code = "no_capacity"
+    http_status = 503
+
+
+class CrashingRequestError(exceptions.FireflyspurError):
+    """The request has crashed several endpoints and is not run again."""
+
+    code = "crashing_request"
+    http_status = 503
+
+
+class RouteNotFoundError(exceptions.FireflyspurError):
+    """No route matches host and path."""
+
+    code = "no_route"
+    http_status = 404
+
+
+class UnknownKeyError(exceptions.FireflyspurError):
+    """The API key is missing or belongs to no client account."""
+
+    code = "unknown_key"
+    http_status = 401
+
+
+class MalformedRequestError(exceptions.FireflyspurError):
+    """The bytes of the caller are no request that can be served.
+
+    :param http_status: status of the answer
+    """
+
+    code = "malformed_request"
+
+    def __init__(self, message: str, http_status: int = 400) -> None:
+        super().__init__(message)
+        self.http_status = http_status
+
+
+class StoreUnavailableError(exceptions.FireflyspurError):
+    """The platform's store did not answer, or refused."""
+
+    code = "store_unavailable"
+    http_status = 503
+
+
+class RecordInvalidError(exceptions.FireflyspurError):
+    """A record of the platform cannot be used."""
+
+    code = "record_invalid"
+
+
+class InvalidSettingsError(exceptions.InvalidInputError):
+    """The settings file cannot be used."""
+
+    code = "invalid_settings"
--- /dev/null
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -0,0 +1,353 @@
+"""Serving of one request of a caller."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import itertools
+import json
+
+from fireflyspur.errors import exceptions as base_exceptions
+from fireflyspur.errors import verdict as verdicts
+from fireflyspur.gateway import answer_relay
+from fireflyspur.gateway import attempt as attempts
+from fireflyspur.gateway import attempt_result
+from fireflyspur.gateway import caller_connection
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import crash_list
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import pass_model
+from fireflyspur.gateway import placement as placements
+from fireflyspur.gateway import request_plan
+from fireflyspur.gateway import retry_allowance
+from fireflyspur.gateway import work_book
+from fireflyspur.observability import logs
+
+# An endpoint ends its work at the deadline and says so; this is the time
+# for its word to arrive.
+_LAST_WORD_S = 0.1
+_RETRY_AFTER_S = 0.25
+_SERVER_ERROR = 500
+
+_log = logs.log_for("requests")
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwarderParts:
+    """What a forwarder works with.
+
+    :param node_name: name of this node, unique over all nodes
+    :param is_draining: returns whether the node is stopping
+    """
+
+    node_name: str
+    planner: request_plan.RequestPlanner
+    codec: messages.Codec
+    directory: endpoint_directory.EndpointDirectory
+    book: work_book.WorkBook
+    placer: placements.Placer
+    allowance: retry_allowance.RetryAllowance
+    crashes: crash_list.CrashList
+    is_draining: Callable[[], bool]
+
+
+class Forwarder:
+    """Serves requests, one call each.
+
+    :param parts: what it works with
+    """
+
+    def __init__(self, parts: ForwarderParts) -> None:
+        self._parts = parts
+        self._numbers = itertools.count(1)
+
+    async def serve(
+        self,
+        connection: caller_connection.CallerConnection,
+        request: messages.CallerRequest,
+    ) -> None:
+        """Answer a request, whatever happens.
+
+        A connection whose answer has begun and cannot be ended is closed.
+        """
+        relay = answer_relay.AnswerRelay(connection, self._parts.is_draining)
+        try:
+            plan = self._parts.planner.plan(request)
+            run = _RequestRun(self._parts, plan, relay, next(self._numbers))
+        except base_exceptions.FireflyspurError as error:
+            _log.info("Request refused", code=error.code, path=request.path)
+            await self._answer_error(connection, error)
+            return
+        try:
+            await run.run()
+        except base_exceptions.FireflyspurError as error:
+            run.log_end(error.http_status, error)
+            if relay.is_started:
+                connection.close()
+            else:
+                await self._answer_error(connection, error)
+        except asyncio.CancelledError:
+            run.log_end(0, None)
+            raise
+
+    async def answer_error(
+        self,
+        connection: caller_connection.CallerConnection,
+        error: base_exceptions.FireflyspurError,
+    ) -> None:
+        """Answer with an error and end the connection."""
+        await self._answer_error(connection, error, is_last=True)
+
+    async def _answer_error(
+        self,
+        connection: caller_connection.CallerConnection,
+        error: base_exceptions.FireflyspurError,
+        *,
+        is_last: bool = False,
+    ) -> None:
+        headers = [(b"Content-Type", b"application/json")]
+        if error.retry_after_s is not None:
+            retry_after = f"{error.retry_after_s:.3f}".encode()
+            headers.append((b"Retry-After", retry_after))
+        content = {"error": {"code": error.code, "message": str(error)}}
+        await connection.send_whole(
+            error.http_status,
+            headers,
+            json.dumps(content).encode(),
+            is_last=is_last or self._parts.is_draining(),
+        )
+
+
+class _RequestRun:
+    """The attempts at one request."""
+
+    def __init__(
+        self,
+        parts: ForwarderParts,
+        plan: request_plan.RequestPlan,
+        relay: answer_relay.AnswerRelay,
+        number: int,
+    ) -> None:
+        self._parts = parts
+        self._plan = plan
+        self._relay = relay
+        self._key = f"{parts.node_name}/{number}"
+        self._fingerprint = crash_list.fingerprint_of(
+            plan.request, plan.account_name or plan.info.api_key or ""
+        )
+        self._tried: list[str] = []
+        self._may_have_run = False
+        self._first_part_s: float | None = None
+
+    async def run(self) -> None:
+        """Try endpoints until one answers or no more may be tried.
+
+        :raises FireflyspurError: if the caller does not get an answer
+        """
+        self._parts.allowance.note_request(self._plan.service.name)
+        last_word_s = self._plan.deadline_s + _LAST_WORD_S - clock.now_s()
+        try:
+            async with asyncio.timeout(last_word_s):
+                await self._try_endpoints()
+        except TimeoutError as error:
+            if self._may_have_run:
+                raise exceptions.ServiceTimeoutError(
+                    "the time limit passed"
+                ) from error
+            raise self._refusal("no endpoint took it in time") from error
+
+    def log_end(
+        self, status: int, error: base_exceptions.FireflyspurError | None
+    ) -> None:
+        """Write the line on the end of the request."""
+        plan = self._plan
+        first = self._first_part_s
+        begin = plan.request.received_at_s
+        _log.info(
+            "Request ended",
+            request=plan.info.attempt_id,
+            route=plan.route.name,
+            account=plan.account_name,
+            version=plan.version,
+            tokens=plan.info.prompt_tokens,
+            tried=self._tried,
+            status=status,
+            code=error.code if error else None,
+            reason=str(error) if error else None,
+            first_ms=None if first is None else round((first - begin) * 1e3),
+            total_ms=round((clock.now_s() - begin) * 1e3),
+        )
+
+    async def _try_endpoints(self) -> None:
+        plan = self._plan
+        reason = "no endpoint is ready"
+        while len(self._tried) < plan.route.max_attempts:
+            if self._parts.crashes.is_refused(self._fingerprint):
+                raise self._crashing()
+            if self._tried and not self._parts.allowance.try_take(
+                plan.service.name
+            ):
+                reason = f"{reason}; no retry is left"
+                break
+            placement = self._place()
+            if placement is None:
+                break
+            result = await self._attempt(placement)
+            match result:
+                case attempt_result.Delivered(status):
+                    self._parts.directory.note_success(
+                        placement.first.instance
+                    )
+                    self.log_end(status, None)
+                    return
+                case attempt_result.NotRun(why):
+                    reason = why
+                    self._note_not_run(placement, result)
+                case attempt_result.Broken(why):
+                    reason = why
+                    self._note_broken(placement, result)
+                    if not plan.route.may_repeat:
+                        raise exceptions.AnswerBrokenError(why)
+                case attempt_result.Rejected(head, body):
+                    self._may_have_run = True
+                    if not self._may_try_again(head):
+                        await self._deliver_failure(head, body)
+                        return
+                    reason = f"status {head.status}"
+        if self._may_have_run:
+            raise exceptions.AnswerBrokenError(reason)
+        raise self._refusal(reason)
+
+    def _place(self) -> placements.Placement | None:
+        plan = self._plan
+        excluded = frozenset(self._tried)
+        if plan.service.engine is None:
+            return self._parts.placer.choose_plain(plan.service.name, excluded)
+        return self._parts.placer.choose_engine(
+            plan.service, self._demand(), excluded
+        )
+
+    def _demand(self) -> placements.Demand:
+        info, route = self._plan.info, self._plan.route
+        elapsed_s = clock.now_s() - self._plan.request.received_at_s
+        return placements.Demand(
+            prompt_tokens=info.prompt_tokens,
+            output_tokens=info.max_output_tokens,
+            target_s=max(0.01, route.target_latency_s - elapsed_s),
+            max_gap_s=route.max_gap_s or route.target_latency_s,
+            weight=placements.weight_of(info.prompt_tokens),
+        )
+
+    async def _attempt(
+        self, placement: placements.Placement
+    ) -> attempt_result.AttemptResult:
+        instance = placement.first.instance
+        self._tried.append(instance)
+        with contextlib.ExitStack() as stack:
+            self._track(stack, placement)
+            attempt = attempts.Attempt(
+                self._plan,
+                self._parts.codec,
+                self._relay,
+                lambda: self._note_first_part(placement),
+            )
+            may_have_run = self._may_have_run
+            # Until the endpoint says otherwise: a timeout may come first.
+            self._may_have_run = True
+            result = await attempt.run(placement)
+            if isinstance(result, attempt_result.NotRun):
+                self._may_have_run = may_have_run
+            return result
+
+    def _track(
+        self, stack: contextlib.ExitStack, placement: placements.Placement
+    ) -> None:
+        whole = pass_model.whole_prompt(self._plan.info.prompt_tokens)
+        members = (placement.first, *placement.helpers)
+        reading = pass_model.part_of(whole, len(members))
+        demand = self._demand()
+        now = clock.now_s()
+        for item in members:
+            is_first = item is placement.first
+            work = work_book.Work(
+                key=self._key,
+                instance=item.instance,
+                reading=reading,
+                memory_tokens=(
+                    demand.prompt_tokens + demand.output_tokens
+                    if is_first
+                    else 0
+                ),
+                target_s=demand.target_s,
+                max_gap_s=demand.max_gap_s if is_first else None,
+                weight=demand.weight,
+                started_at_s=now,
+                until_s=self._plan.deadline_s,
+            )
+            self._parts.book.add(work)
+            stack.callback(self._parts.book.remove, item.instance, self._key)
+
+    def _note_first_part(self, placement: placements.Placement) -> None:
+        if self._first_part_s is None:
+            self._first_part_s = clock.now_s()
+        self._parts.book.note_first_event(placement.first.instance, self._key)
+        for item in placement.helpers:
+            self._parts.book.remove(item.instance, self._key)
+
+    def _note_not_run(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.NotRun,
+    ) -> None:
+        instance = placement.first.instance
+        _log.info(
+            "Endpoint did not run request",
+            request=self._plan.info.attempt_id,
+            instance=instance,
+            reason=result.reason,
+        )
+        if not result.is_full:
+            self._parts.directory.note_fault(instance, result.reason)
+
+    def _note_broken(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.Broken,
+    ) -> None:
+        instance = placement.first.instance
+        _log.warning(
+            "Answer of endpoint broken",
+            request=self._plan.info.attempt_id,
+            instance=instance,
+            reason=result.reason,
+            event=self._relay.last_event_id,
+        )
+        self._parts.directory.note_fault(instance, result.reason)
+        if result.is_abrupt:
+            self._parts.crashes.note_crash(self._fingerprint, instance)
+
+    def _may_try_again(self, head: messages.AnswerHead) -> bool:
+        if head.status < _SERVER_ERROR or not self._plan.route.may_repeat:
+            return False
+        return len(self._tried) < self._plan.route.max_attempts
+
+    async def _deliver_failure(
+        self, head: messages.AnswerHead, body: bytes
+    ) -> None:
+        if self._relay.is_started:
+            raise exceptions.AnswerBrokenError(f"status {head.status}")
+        await self._relay.send_failure(head, body)
+        self.log_end(head.status, None)
+
+    def _refusal(self, reason: str) -> exceptions.NoCapacityError:
+        return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
+
+    def _crashing(self) -> base_exceptions.FireflyspurError:
+        message = "the request broke several endpoints"
+        if self._may_have_run:
+            return exceptions.AnswerBrokenError(message)
+        return exceptions.CrashingRequestError(
+            message, verdict=verdicts.Verdict.NOT_RUN
+        )
--- /dev/null
+++ b/src/fireflyspur/gateway/gateway.py
@@ -0,0 +1,151 @@
+"""A node of the gateway."""
+
+import asyncio
+import contextlib
+import signal
+
+from fireflyspur.gateway import caller_connection
+from fireflyspur.gateway import caller_server
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import config_holder
+from fireflyspur.gateway import crash_list
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import forwarder
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import placement
+from fireflyspur.gateway import registry as registries
+from fireflyspur.gateway import request_plan
+from fireflyspur.gateway import retry_allowance
+from fireflyspur.gateway import settings as gateway_settings
+from fireflyspur.gateway import store_follower
+from fireflyspur.gateway import work_book
+from fireflyspur.observability import logs
+
+# The balancer asks once a second and takes a node out after two misses.
+_BALANCER_NOTICE_S = 3.0
+# Time before the kill that is left to end what is still open.
+_STOP_MARGIN_S = 0.4
+_POLL_S = 0.05
+# Endpoints that lapsed with the store register again within two seconds.
+_REGISTER_AGAIN_S = 2.5
+
+_log = logs.log_for("node")
+
+
+class Gateway:
+    """Runs the parts of a node.
+
+    :param settings: the node's settings
+    :param registry: the platform's store
+    :param codec: headers of requests and answers
+    """
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        registry: registries.Registry,
+        codec: messages.Codec,
+    ) -> None:
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._is_draining = False
+        self._stop = asyncio.Event()
+        self._holder = config_holder.ConfigHolder()
+        self._directory = endpoint_directory.EndpointDirectory(
+            outage_s=3 * settings.heartbeat_s, return_s=_REGISTER_AGAIN_S
+        )
+        self._follower = store_follower.StoreFollower(
+            registry, self._holder, self._directory
+        )
+        book = work_book.WorkBook()
+        self._forwarder = forwarder.Forwarder(
+            forwarder.ForwarderParts(
+                node_name=settings.node_name,
+                planner=request_plan.RequestPlanner(self._holder, codec),
+                codec=codec,
+                directory=self._directory,
+                book=book,
+                placer=placement.Placer(
+                    self._directory, book, settings.failure_domain
+                ),
+                allowance=retry_allowance.RetryAllowance(
+                    settings.retries, lambda: 8
+                ),
+                crashes=crash_list.CrashList(lambda *news: None),
+                is_draining=lambda: self._is_draining,
+            )
+        )
+        self._callers = caller_server.CallerServer(
+            self._forwarder.serve,
+            self._forwarder.answer_error,
+            lambda: self._holder.limits,
+        )
+        self._health = caller_server.CallerServer(
+            self._answer_health,
+            self._forwarder.answer_error,
+            lambda: self._holder.limits,
+        )
+
+    @property
+    def directory(self) -> endpoint_directory.EndpointDirectory:
+        """The endpoints that the node knows."""
+        return self._directory
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return (
+            not self._is_draining
+            and self._holder.table is not None
+            and self._directory.is_read
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        async with self._stack:
+            self._start()
+            await self._stop.wait()
+            await self._drain()
+        _log.info("Stopped")
+
+    def _start(self) -> None:
+        settings = self._settings
+        for server, address in (
+            (self._callers, settings.callers),
+            (self._health, settings.health),
+        ):
+            server.listen(address.port, address.host, backlog=1024)
+            self._stack.callback(server.close_connections)
+            self._stack.callback(server.stop)
+        follow = asyncio.ensure_future(self._follower.run())
+        self._stack.push_async_callback(_cancel, follow)
+        _log.info(
+            "Started", node=settings.node_name, callers=str(settings.callers)
+        )
+
+    async def _drain(self) -> None:
+        """Serve on until the balancer knows and no request is left."""
+        began = clock.now_s()
+        self._is_draining = True
+        _log.info("Stop begun", in_progress=self._callers.in_progress)
+        await asyncio.sleep(_BALANCER_NOTICE_S)
+        end = began + self._settings.grace_s - _STOP_MARGIN_S
+        while self._callers.in_progress and clock.now_s() < end:
+            await asyncio.sleep(_POLL_S)
+        _log.info("Stop goes on", in_progress=self._callers.in_progress)
+
+    async def _answer_health(
+        self,
+        connection: caller_connection.CallerConnection,
+        request: messages.CallerRequest,
+    ) -> None:
+        status = 200 if self.is_ready else 503
+        await connection.send_whole(status, [], b"")
+
+
+async def _cancel(task: "asyncio.Future[None]") -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -0,0 +1,169 @@
+"""One request to a server and its answer, on a connection of its own."""
+
+import asyncio
+import socket
+
+import h11
+from tornado import iostream
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import socket_options
+
+_READ_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+
+
+class HttpExchange:
+    """Sends one request and reads its answer.
+
+    A connection is used once: on a kept one, bytes that a faulty server
+    adds to an answer would be taken for the next answer.
+
+    :param stream: a connected stream, which the exchange owns
+    """
+
+    def __init__(self, stream: iostream.IOStream) -> None:
+        self._stream = stream
+        self._connection = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._has_length = True
+
+    @classmethod
+    async def connect(
+        cls, address: addresses.Address, timeout_s: float
+    ) -> "HttpExchange":
+        """Open a connection.
+
+        :raises EndpointUnreachableError: if it cannot be opened in time
+        """
+        stream = iostream.IOStream(socket.socket())
+        try:
+            async with asyncio.timeout(timeout_s):
+                await stream.connect((address.host, address.port))
+            socket_options.apply(stream)
+        except (OSError, iostream.StreamClosedError) as error:
+            stream.close()
+            raise exceptions.EndpointUnreachableError(
+                f"no connection to {address}: {_reason(error)}"
+            ) from error
+        except BaseException:
+            stream.close()
+            raise
+        return cls(stream)
+
+    @property
+    def has_length(self) -> bool:
+        """Whether the end of the answer can be told from a broken one."""
+        return self._has_length
+
+    def close(self) -> None:
+        """Close the connection; the server drops what it still does."""
+        self._stream.close()
+
+    def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: messages.Headers,
+        body: bytes,
+    ) -> None:
+        """Send the request; its bytes leave while the answer is read."""
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = self._connection.send(request)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        data += self._connection.send(h11.EndOfMessage())
+        written = self._stream.write(data)
+        # A failed write shows as a failed read.
+        written.add_done_callback(lambda future: future.exception())
+
+    async def read_head(self) -> messages.AnswerHead:
+        """Read status and headers of the answer.
+
+        :raises AnswerBrokenError: if no valid answer comes
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise exceptions.AnswerBrokenError(
+                    "the connection ended without an answer", is_abrupt=True
+                )
+            headers = list(event.headers.raw_items())
+            self._has_length = _has_length(event)
+            return messages.AnswerHead(event.status_code, headers)
+
+    async def read_part(self) -> bytes | None:
+        """Read a part of the body as it arrives; None at its end.
+
+        :raises AnswerBrokenError: if the body ends early
+        """
+        event = await self._next_event()
+        match event:
+            case h11.Data():
+                return bytes(event.data)
+            case h11.EndOfMessage():
+                return None
+            case _:
+                raise exceptions.AnswerBrokenError(
+                    "the connection ended within the answer", is_abrupt=True
+                )
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Read the whole body.
+
+        :raises AnswerBrokenError: if it ends early or is longer
+        """
+        parts = bytearray()
+        while (part := await self.read_part()) is not None:
+            parts += part
+            if len(parts) > max_bytes:
+                raise exceptions.AnswerBrokenError(
+                    f"the answer is longer than {max_bytes} bytes"
+                )
+        return bytes(parts)
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise exceptions.AnswerBrokenError(
+                    f"not a valid answer: {error}",
+                    is_abrupt=self._stream.closed(),
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._connection.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        try:
+            return await self._stream.read_bytes(_READ_BYTES, partial=True)
+        except iostream.StreamClosedError as error:
+            if error.real_error is None:
+                return b""
+            raise exceptions.AnswerBrokenError(
+                f"the connection was lost: {error.real_error}",
+                is_abrupt=True,
+            ) from error
+
+
+def _has_length(response: h11.Response) -> bool:
+    if response.status_code in (204, 304):
+        return True
+    names = {name for name, _ in response.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
+def _reason(error: Exception) -> str:
+    match error:
+        case TimeoutError():
+            return "timed out"
+        case iostream.StreamClosedError() if error.real_error:
+            return str(error.real_error)
+        case _:
+            return str(error) or type(error).__name__
--- /dev/null
+++ b/src/fireflyspur/gateway/pass_model.py
@@ -0,0 +1,106 @@
+"""Prediction of an engine's passes from its published figures.
+
+An engine works in passes. A pass runs a number of decode steps for all
+requests that are generating, and reads at most a chunk of prompt tokens
+beside each step. A prompt that is read therefore stretches the pauses
+between the events of the streams on the same engine.
+"""
+
+import dataclasses
+import math
+
+from fireflyspur.gateway import routing_config
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Prompt tokens that an engine reads for one request.
+
+    :param tokens: tokens of its part
+    :param pairs_m: million pairs of these with earlier tokens
+    """
+
+    tokens: int
+    pairs_m: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineState:
+    """What keeps an engine busy at a moment.
+
+    :param writers: requests that are generating
+    :param context_tokens: tokens of their prompts and answers so far
+    :param pending_ms: reading that is left of prompts sent before
+    :param pending_chunks: chunks that are left of it
+    """
+
+    writers: int
+    context_tokens: int
+    pending_ms: float
+    pending_chunks: int
+
+
+def whole_prompt(tokens: int) -> Reading:
+    """Return the reading of a whole prompt."""
+    return Reading(tokens, tokens * (tokens + 1) / 2 / 1e6)
+
+
+def part_of(reading: Reading, parts: int) -> Reading:
+    """Return one of a prompt's even parts."""
+    return Reading(math.ceil(reading.tokens / parts), reading.pairs_m / parts)
+
+
+def read_ms(engine: routing_config.EngineSpec, reading: Reading) -> float:
+    """Return the time of reading alone."""
+    linear = reading.tokens / engine.read_tokens_per_s * 1000
+    return linear + reading.pairs_m * engine.pairs_ms_per_m
+
+
+def chunks_of(engine: routing_config.EngineSpec, tokens: int) -> int:
+    """Return the chunks in which tokens are read."""
+    return math.ceil(tokens / engine.chunk_tokens)
+
+
+def step_ms(
+    engine: routing_config.EngineSpec, writers: int, context_tokens: int
+) -> float:
+    """Return the time of one decode step."""
+    return (
+        engine.step_ms
+        + engine.per_sequence_ms * writers
+        + engine.context_ms_per_1k * context_tokens / 1000
+    )
+
+
+def pass_ms(engine: routing_config.EngineSpec, state: EngineState) -> float:
+    """Return the time of a pass in which nothing is read."""
+    step = step_ms(engine, max(1, state.writers), state.context_tokens)
+    return engine.stride_steps * step
+
+
+def first_event_ms(
+    engine: routing_config.EngineSpec, state: EngineState, reading: Reading
+) -> float:
+    """Return the time from sending a prompt to its first event."""
+    steps = pass_ms(engine, state)
+    own_ms = read_ms(engine, reading)
+    chunks = state.pending_chunks + chunks_of(engine, reading.tokens)
+    passes = max(1, math.ceil(chunks / engine.stride_steps))
+    if not state.writers:
+        return state.pending_ms + own_ms + steps
+    # On average a prompt arrives in the middle of a pass.
+    waiting_ms = steps / 2
+    return waiting_ms + state.pending_ms + own_ms + passes * steps
+
+
+def longest_gap_ms(
+    engine: routing_config.EngineSpec, state: EngineState, reading: Reading
+) -> float:
+    """Return the longest pause of a stream while a prompt is read.
+
+    The prompts that are already waiting are read in the same passes.
+    """
+    chunks = state.pending_chunks + chunks_of(engine, reading.tokens)
+    total_ms = state.pending_ms + read_ms(engine, reading)
+    share = min(1.0, engine.stride_steps / max(1, chunks))
+    return pass_ms(engine, state) + total_ms * share
--- /dev/null
+++ b/src/fireflyspur/gateway/placement.py
@@ -0,0 +1,277 @@
+"""Choice of the endpoints that serve a request."""
+
+from collections.abc import Sequence
+import dataclasses
+import math
+import random
+
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import pass_model
+from fireflyspur.gateway import routing_config
+from fireflyspur.gateway import work_book
+
+# Width of the range around a target within which a prediction may turn out
+# either way, as a share of the target.
+_UNCERTAINTY = 0.15
+# Cost of each fault that an endpoint had since it last worked, in shares of
+# the request's own weight.
+_FAULT_COST = 0.3
+# Cost of a failure domain other than the node's own: latency and traffic.
+_REMOTE_COST = 0.01
+# Cost of a second of predicted waiting, so that of two endpoints which are
+# both on time the faster one is taken.
+_WAIT_COST_PER_S = 0.1
+# Engine memory that is left free for answers longer than announced.
+_MEMORY_SHARE = 0.95
+# Long prompts cost callers more when they are late, though less than in
+# proportion to their length.
+_WEIGHT_EXPONENT = 0.75
+_WEIGHT_UNIT_TOKENS = 5_000
+# Engines that may read one prompt together.
+_GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
+# Prompts below this gain nothing from being read in parts.
+_MIN_PART_TOKENS = 8_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """What a request asks of an endpoint.
+
+    :param weight: cost of being late, relative to other requests
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    target_s: float
+    max_gap_s: float
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """Endpoints chosen for a request.
+
+    :param first: the endpoint that answers
+    :param helpers: endpoints that read parts of the prompt
+    :param first_event_s: predicted time to the first event; None where no
+        figures of the engine are known
+    """
+
+    first: endpoints.Endpoint
+    helpers: tuple[endpoints.Endpoint, ...] = ()
+    first_event_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Candidate:
+    endpoint: endpoints.Endpoint
+    outlook: work_book.Outlook
+    handicap: float
+
+
+def weight_of(prompt_tokens: int) -> float:
+    """Return the cost of being late for a prompt."""
+    size = max(1.0, prompt_tokens / _WEIGHT_UNIT_TOKENS)
+    return size**_WEIGHT_EXPONENT
+
+
+class Placer:
+    """Chooses endpoints by predicted lateness, the request's and others'.
+
+    :param directory: the known endpoints
+    :param book: what runs on them
+    :param failure_domain: failure domain of this node
+    """
+
+    def __init__(
+        self,
+        directory: endpoint_directory.EndpointDirectory,
+        book: work_book.WorkBook,
+        failure_domain: str,
+    ) -> None:
+        self._directory = directory
+        self._book = book
+        self._failure_domain = failure_domain
+
+    def choose_plain(
+        self, service: str, excluded: frozenset[str]
+    ) -> Placement | None:
+        """Choose the endpoint of a plain service with the least work.
+
+        :param excluded: instances that were tried
+        """
+        candidates = self._candidates(service, excluded)
+        if not candidates:
+            return None
+        best = min(
+            candidates,
+            key=lambda item: (
+                self._book.count(item.instance) / max(1, item.slots)
+                + self._handicap(item),
+                random.random(),  # noqa: S311
+            ),
+        )
+        return Placement(best)
+
+    def choose_engine(
+        self,
+        service: routing_config.Service,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> Placement | None:
+        """Choose the engine, or group of engines, for a prompt."""
+        engine = service.engine
+        if engine is None:
+            return self.choose_plain(service.name, excluded)
+        now = clock.now_s()
+        candidates = [
+            _Candidate(
+                item,
+                self._book.outlook(item.instance, engine, now),
+                self._handicap(item),
+            )
+            for item in self._candidates(service.name, excluded)
+        ]
+        candidates = [c for c in candidates if _has_slot(engine, c)]
+        if not candidates:
+            return None
+        options = self._options(engine, demand, candidates)
+        return min(options, key=lambda option: option[0], default=(0, None))[1]
+
+    def _options(
+        self,
+        engine: routing_config.EngineSpec,
+        demand: Demand,
+        candidates: Sequence[_Candidate],
+    ) -> list[tuple[float, Placement]]:
+        whole = pass_model.whole_prompt(demand.prompt_tokens)
+        options = []
+        for size in _GROUP_SIZES:
+            if size > len(candidates):
+                break
+            if size > 1 and whole.tokens / size < _MIN_PART_TOKENS:
+                break
+            reading = pass_model.part_of(whole, size)
+            ranked = sorted(
+                candidates,
+                key=lambda c: (
+                    _cost(engine, demand, c, reading),
+                    random.random(),  # noqa: S311
+                ),
+            )
+            first = next((c for c in ranked if _fits(engine, demand, c)), None)
+            if first is None:
+                continue
+            others = [c for c in ranked if c is not first][: size - 1]
+            group = [first, *others]
+            options.append(self._rate(engine, demand, group, reading))
+        return options
+
+    def _rate(
+        self,
+        engine: routing_config.EngineSpec,
+        demand: Demand,
+        group: list[_Candidate],
+        reading: pass_model.Reading,
+    ) -> tuple[float, Placement]:
+        times = [
+            pass_model.first_event_ms(engine, c.outlook.state, reading) / 1000
+            for c in group
+        ]
+        first_s = max(times)
+        cost = demand.weight * (
+            _lateness(first_s, demand.target_s)
+            + _WAIT_COST_PER_S * first_s
+            + sum(c.handicap for c in group)
+        )
+        cost += sum(_harm(engine, c, reading) for c in group)
+        placement = Placement(
+            group[0].endpoint,
+            tuple(c.endpoint for c in group[1:]),
+            first_s,
+        )
+        return cost, placement
+
+    def _candidates(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        ready = self._directory.ready(service)
+        usable = [
+            item
+            for item in ready
+            if item.instance not in excluded
+            and not self._directory.is_paused(item.instance)
+        ]
+        # When all are paused, a paused one is better than none.
+        return usable or [e for e in ready if e.instance not in excluded]
+
+    def _handicap(self, item: endpoints.Endpoint) -> float:
+        faults = self._directory.fault_count(item.instance)
+        is_remote = item.failure_domain != self._failure_domain
+        return _FAULT_COST * faults + _REMOTE_COST * is_remote
+
+
+def _has_slot(
+    engine: routing_config.EngineSpec, candidate: _Candidate
+) -> bool:
+    return candidate.outlook.works < engine.slots
+
+
+def _fits(
+    engine: routing_config.EngineSpec,
+    demand: Demand,
+    candidate: _Candidate,
+) -> bool:
+    wanted = demand.prompt_tokens + demand.output_tokens
+    free = engine.kv_tokens * _MEMORY_SHARE - candidate.outlook.memory_tokens
+    return wanted <= free
+
+
+def _cost(
+    engine: routing_config.EngineSpec,
+    demand: Demand,
+    candidate: _Candidate,
+    reading: pass_model.Reading,
+) -> float:
+    first_s = (
+        pass_model.first_event_ms(engine, candidate.outlook.state, reading)
+        / 1000
+    )
+    own = (
+        _lateness(first_s, demand.target_s)
+        + _WAIT_COST_PER_S * first_s
+        + candidate.handicap
+    )
+    return demand.weight * own + _harm(engine, candidate, reading)
+
+
+def _harm(
+    engine: routing_config.EngineSpec,
+    candidate: _Candidate,
+    reading: pass_model.Reading,
+) -> float:
+    """Return the cost of the pauses that reading causes to others."""
+    state = candidate.outlook.state
+    if not candidate.outlook.gaps:
+        return 0.0
+    gap_s = pass_model.longest_gap_ms(engine, state, reading) / 1000
+    before_s = (
+        pass_model.longest_gap_ms(engine, state, pass_model.Reading(0, 0.0))
+        / 1000
+    )
+    return sum(
+        weight * (_lateness(gap_s, aim_s) - _lateness(before_s, aim_s))
+        for aim_s, weight in candidate.outlook.gaps
+    )
+
+
+def _lateness(predicted_s: float, target_s: float) -> float:
+    """Return the chance that something comes after its target."""
+    excess = (predicted_s / target_s - 1) / _UNCERTAINTY
+    if excess > 30:
+        return 1.0
+    if excess < -30:
+        return 0.0
+    return 1 / (1 + math.exp(-excess * 2))
--- /dev/null
+++ b/src/fireflyspur/gateway/registry.py
@@ -0,0 +1,64 @@
+"""What the gateway needs of the platform's store."""
+
+import abc
+import dataclasses
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import routing_config
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigRead:
+    """The newest configuration at a moment.
+
+    :param config: None if there is none, or none newer than the last one
+    :param read_at_s: clock of this node when the read began
+    """
+
+    config: routing_config.RoutingConfig | None
+    read_at_s: float
+
+
+class Registry(abc.ABC):
+    """Reads configuration, endpoints and nodes; all calls cost a fee."""
+
+    @abc.abstractmethod
+    async def read_config(self) -> ConfigRead:
+        """Read the newest configuration.
+
+        :raises StoreUnavailableError: if the store does not answer
+        :raises RecordInvalidError: if the configuration cannot be used
+        """
+
+    @abc.abstractmethod
+    async def wait_config(self, wait_s: float) -> ConfigRead:
+        """Wait for a configuration newer than the last one that was read.
+
+        :param wait_s: seconds after which the store answers in any case
+        :raises StoreUnavailableError: if the store does not answer
+        :raises RecordInvalidError: if the configuration cannot be used
+        """
+
+    @abc.abstractmethod
+    async def read_endpoints(self) -> endpoints.EndpointList:
+        """Read the registered endpoints.
+
+        :raises StoreUnavailableError: if the store does not answer
+        """
+
+    @abc.abstractmethod
+    async def register_node(
+        self, name: str, address: addresses.Address
+    ) -> None:
+        """Make this node known to the others.
+
+        :raises StoreUnavailableError: if the store does not answer
+        """
+
+    @abc.abstractmethod
+    async def read_nodes(self) -> dict[str, addresses.Address]:
+        """Return the nodes that ever registered, by name.
+
+        :raises StoreUnavailableError: if the store does not answer
+        """
--- /dev/null
+++ b/src/fireflyspur/gateway/request_plan.py
@@ -0,0 +1,100 @@
+"""What is decided about a request before it is sent anywhere."""
+
+import dataclasses
+
+from fireflyspur.gateway import config_holder
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import routing_config
+
+_MAX_PRIORITY = 9
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestPlan:
+    """A caller's request with its route.
+
+    :param version: version of the configuration that decided
+    :param deadline_s: clock time at which it gets its last answer
+    :param patience_ends_s: clock time until which the caller waits
+    :param priority: 0 is the most urgent
+    """
+
+    request: messages.CallerRequest
+    info: messages.RequestInfo
+    version: int
+    route: routing_config.Route
+    service: routing_config.Service
+    account: routing_config.ClientAccount | None
+    deadline_s: float
+    patience_ends_s: float
+    priority: int
+
+    @property
+    def account_name(self) -> str | None:
+        """Name of the client account, if the request has one."""
+        return self.account.name if self.account else None
+
+
+class RequestPlanner:
+    """Finds route, service, account and deadline of requests.
+
+    :param holder: the configuration in force
+    :param codec: reads the headers
+    """
+
+    def __init__(
+        self, holder: config_holder.ConfigHolder, codec: messages.Codec
+    ) -> None:
+        self._holder = holder
+        self._codec = codec
+
+    def plan(self, request: messages.CallerRequest) -> RequestPlan:
+        """Decide what to do with a request.
+
+        :raises NotReadyError: if no configuration is known
+        :raises RouteNotFoundError: if no route matches
+        :raises UnknownKeyError: if the key is missing or unknown
+        """
+        table = self._holder.table
+        if table is None:
+            raise exceptions.NotReadyError(
+                "no configuration is known yet", retry_after_s=0.5
+            )
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            raise exceptions.RouteNotFoundError("no route matches the path")
+        info = self._codec.decode_request(request.headers)
+        account = None
+        if table.config.needs_keys and not route.is_public:
+            account = table.find_account(info.api_key or "")
+            if account is None:
+                raise exceptions.UnknownKeyError("the API key is not known")
+        service = table.config.services.get(table.pick_service(route))
+        if service is None:
+            raise exceptions.NoCapacityError("the service is not known")
+        patience_s = info.patience_s
+        if patience_s is None:
+            patience_s = route.timeout_s
+        begin_s = request.received_at_s
+        return RequestPlan(
+            request=request,
+            info=info,
+            version=table.config.version,
+            route=route,
+            service=service,
+            account=account,
+            deadline_s=begin_s + min(patience_s, route.timeout_s),
+            patience_ends_s=begin_s + patience_s,
+            priority=_priority(route, account),
+        )
+
+
+def _priority(
+    route: routing_config.Route,
+    account: routing_config.ClientAccount | None,
+) -> int:
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return min(max(priority, 0), _MAX_PRIORITY)
--- /dev/null
+++ b/src/fireflyspur/gateway/retry_allowance.py
@@ -0,0 +1,68 @@
+"""Bound on retries that all nodes share."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from fireflyspur.gateway import clock
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryLimits:
+    """Retries that a service may get from all nodes together.
+
+    :param ratio: retries for each request
+    :param extra: retries beyond these in a window
+    :param window_s: length of a window in seconds
+    """
+
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class RetryAllowance:
+    """Counts requests and retries of each service in a sliding window.
+
+    Each node uses its share of the extra retries, so that no message
+    between nodes is needed before a retry.
+
+    :param limits: the bound for all nodes together
+    :param node_count: returns the number of nodes that may be running
+    """
+
+    # Part of the bound that is used; the rest covers what is in flight when
+    # the number of nodes changes.
+    _USED_SHARE = 0.8
+
+    def __init__(
+        self, limits: RetryLimits, node_count: Callable[[], int]
+    ) -> None:
+        self._limits = limits
+        self._node_count = node_count
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._retries: dict[str, collections.deque[float]] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request."""
+        self._window(self._requests, service).append(clock.now_s())
+
+    def try_take(self, service: str) -> bool:
+        """Take one retry; False if the share of this node is used up."""
+        retries = self._window(self._retries, service)
+        requests = self._window(self._requests, service)
+        extra = self._limits.extra / max(1, self._node_count())
+        allowed = self._limits.ratio * len(requests) + extra
+        if len(retries) + 1 > allowed * self._USED_SHARE:
+            return False
+        retries.append(clock.now_s())
+        return True
+
+    def _window(
+        self, counts: dict[str, collections.deque[float]], service: str
+    ) -> collections.deque[float]:
+        times = counts.setdefault(service, collections.deque())
+        begin = clock.now_s() - self._limits.window_s
+        while times and times[0] < begin:
+            times.popleft()
+        return times
--- a/src/fireflyspur/observability/logs.py
+++ b/src/fireflyspur/observability/logs.py
@@ -7,6 +7,8 @@
 
 import loguru
 
+from fireflyspur.observability import bounded_writer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -39,11 +41,41 @@
         extra={"part": "main", "fields": ""}, patcher=_add_fields
     )
     if log_format == "json":
-        loguru.logger.add(_json_sink(node), level=level, format="{message}")
+        loguru.logger.add(
+            _json_sink(node, _write_stderr), level=level, format="{message}"
+        )
     else:
         loguru.logger.add(sys.stderr, level=level, format=_HUMAN_FORMAT)
 
 
+def configure_stdout(level: str, node: str) -> None:
+    """Send all logs to standard output, as JSON and without blocking.
+
+    :param level: lowest level that is written
+    :param node: name of the node, added to each line
+    """
+
+    def describe_dropped(count: int) -> str:
+        return json.dumps(
+            {
+                "level": "WARNING",
+                "node": node,
+                "message": "Lines dropped",
+                "part": "logs",
+                "count": count,
+            }
+        )
+
+    writer = bounded_writer.BoundedWriter(
+        sys.stdout.fileno(), describe_dropped
+    )
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"part": "main"})
+    loguru.logger.add(
+        _json_sink(node, writer.write), level=level, format="{message}"
+    )
+
+
 def _add_fields(record: Any) -> None:
     extra = record["extra"]
     pairs = [
@@ -60,7 +92,13 @@
     return text if text.isprintable() else repr(text)
 
 
-def _json_sink(node: str) -> "Callable[[Any], None]":
+def _write_stderr(line: str) -> None:
+    sys.stderr.write(line + "\n")
+
+
+def _json_sink(
+    node: str, write_line: "Callable[[str], None]"
+) -> "Callable[[Any], None]":
     def write(message: Any) -> None:
         record = message.record
         line = {
@@ -71,6 +109,6 @@
         }
         extra = record["extra"]
         line.update({k: v for k, v in extra.items() if k != "fields"})
-        sys.stderr.write(json.dumps(line, default=str) + "\n")
+        write_line(json.dumps(line, default=str))
 
     return write
--- /dev/null
+++ b/src/fireflyspur/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the gateway and the users' platform."""
--- /dev/null
+++ b/src/fireflyspur/platform/config_codec.py
@@ -0,0 +1,161 @@
+"""Translation of the operators' configuration."""
+
+import msgspec
+
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import routing_config
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    max_attempts: int
+    priority: int = 5
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    # Whether a request needs no API key.
+    public: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity_tokens: int
+    step_ms: float
+    read_per_s: float
+    chunk: int
+    stride: int = 1
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    pairs_per_m: float = 0.0
+    report_lag_ms: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    # Path of the health check.
+    health_check: str = "/health"
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Config)
+
+
+def decode(value: bytes) -> routing_config.RoutingConfig:
+    """Decode a configuration.
+
+    :raises RecordInvalidError: if it does not have the expected form
+    """
+    try:
+        wire = _decoder.decode(value)
+        return routing_config.RoutingConfig(
+            version=wire.version,
+            routes=tuple(_route(item) for item in wire.routes),
+            services={item.name: _service(item) for item in wire.services},
+            limits=_limits(wire.limits),
+            accounts=tuple(_account(item) for item in wire.tenants or ()),
+            needs_keys=wire.tenants is not None,
+        )
+    except (msgspec.DecodeError, ValueError) as error:
+        raise exceptions.RecordInvalidError(
+            f"configuration: {error}"
+        ) from error
+
+
+def _route(wire: _Route) -> routing_config.Route:
+    shares = tuple(
+        routing_config.ServiceShare(item.service, item.weight)
+        for item in wire.traffic_split
+    )
+    if wire.service is not None:
+        shares = (routing_config.ServiceShare(wire.service, 1.0),)
+    if not shares:
+        raise ValueError(f"route {wire.name} names no service")
+    gap_ms = wire.gap_aim_ms
+    return routing_config.Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        kind=routing_config.RouteKind(wire.kind),
+        shares=shares,
+        max_attempts=wire.max_attempts,
+        timeout_s=wire.timeout_ms / 1000,
+        target_latency_s=wire.target_latency_ms / 1000,
+        max_gap_s=None if gap_ms is None else gap_ms / 1000,
+        priority=wire.priority,
+        is_public=wire.public,
+        is_resumable=wire.stream_resume,
+    )
+
+
+def _service(wire: _Service) -> routing_config.Service:
+    return routing_config.Service(
+        name=wire.name,
+        health_path=wire.health_check,
+        max_connections=wire.max_connections,
+        engine=_engine(wire.engine) if wire.engine else None,
+    )
+
+
+def _engine(wire: _Engine) -> routing_config.EngineSpec:
+    return routing_config.EngineSpec(
+        slots=wire.slots,
+        kv_tokens=wire.kv_capacity_tokens,
+        step_ms=wire.step_ms,
+        per_sequence_ms=wire.per_seq_ms,
+        context_ms_per_1k=wire.context_per_k,
+        read_tokens_per_s=wire.read_per_s,
+        pairs_ms_per_m=wire.pairs_per_m,
+        chunk_tokens=wire.chunk,
+        stride_steps=wire.stride,
+        report_lag_s=wire.report_lag_ms / 1000,
+    )
+
+
+def _limits(wire: _Limits) -> routing_config.CallerLimits:
+    return routing_config.CallerLimits(
+        max_header_bytes=wire.max_header_bytes,
+        max_body_bytes=wire.max_body_bytes,
+        header_timeout_s=wire.header_timeout_ms / 1000,
+        idle_timeout_s=wire.idle_timeout_ms / 1000,
+    )
+
+
+def _account(wire: _Tenant) -> routing_config.ClientAccount:
+    return routing_config.ClientAccount(
+        name=wire.name,
+        api_keys=tuple(wire.api_keys),
+        priority=wire.priority,
+    )
--- /dev/null
+++ b/src/fireflyspur/platform/endpoint_codec.py
@@ -0,0 +1,51 @@
+"""Translation of the entries by which endpoints register."""
+
+import msgspec
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import exceptions
+
+_STATES = {
+    "ready": endpoints.EndpointState.READY,
+    "draining": endpoints.EndpointState.LEAVING,
+}
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    # Reports since the start, not orders.
+    sequence: int = 0
+    # Unix time of the start in ms.
+    born: int | None = None
+
+
+_decoder = msgspec.json.Decoder(_Entry)
+
+
+def decode(instance: str, value: bytes) -> endpoints.Endpoint:
+    """Decode the entry of an endpoint.
+
+    :param instance: key of the entry
+    :raises RecordInvalidError: if it does not have the expected form
+    """
+    try:
+        wire = _decoder.decode(value)
+        return endpoints.Endpoint(
+            instance=instance,
+            service=wire.service,
+            address=addresses.parse(wire.address),
+            failure_domain=wire.zone,
+            state=_STATES[wire.state],
+            slots=wire.slots,
+            sequence=wire.sequence,
+            born_ms=wire.born,
+        )
+    except (msgspec.DecodeError, ValueError, KeyError) as error:
+        raise exceptions.RecordInvalidError(
+            f"entry {instance!r:.60}: {error!r:.200}"
+        ) from error
--- /dev/null
+++ b/src/fireflyspur/platform/settings_file.py
@@ -0,0 +1,94 @@
+"""Translation of the platform's settings file."""
+
+import os
+import pathlib
+import tomllib
+
+import msgspec
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import retry_allowance
+from fireflyspur.gateway import settings as gateway_settings
+
+_PATH_VARIABLE = "FIREFLYSPUR_SETTINGS"
+
+
+class _Listen(msgspec.Struct):
+    # Where clients connect.
+    front: str
+    # Where the balancer asks.
+    ready: str
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float
+    drain_ms: float
+    config_apply_ms: float
+    retry_budget_ratio: float
+    retry_budget_extra: float
+    budget_window_s: float
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _Settings(msgspec.Struct):
+    node_name: str
+    zone: str
+    ip: str
+    internal_port_range: tuple[int, int]
+    heartbeat_ms: float
+    listen: _Listen
+    bounds: _Bounds
+    platform: _Platform
+
+
+def path() -> pathlib.Path:
+    """Return the path that the platform has set.
+
+    :raises InvalidSettingsError: if it has set none
+    """
+    value = os.environ.get(_PATH_VARIABLE)
+    if not value:
+        raise exceptions.InvalidSettingsError(
+            f"the variable {_PATH_VARIABLE} is not set"
+        )
+    return pathlib.Path(value)
+
+
+def load(file: pathlib.Path) -> gateway_settings.GatewaySettings:
+    """Read the settings file; keys that are not known are ignored.
+
+    :raises InvalidSettingsError: if it cannot be read, or a field is
+        missing or of another type
+    """
+    try:
+        wire = msgspec.convert(
+            tomllib.loads(file.read_text("utf-8")), _Settings
+        )
+        return _translate(wire)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        raise exceptions.InvalidSettingsError(f"{file}: {error}") from error
+
+
+def _translate(wire: _Settings) -> gateway_settings.GatewaySettings:
+    bounds = wire.bounds
+    return gateway_settings.GatewaySettings(
+        node_name=wire.node_name,
+        failure_domain=wire.zone,
+        callers=addresses.parse(wire.listen.front),
+        health=addresses.parse(wire.listen.ready),
+        peers=addresses.Address(wire.ip, wire.internal_port_range[0]),
+        store=addresses.parse(wire.platform.address),
+        grace_s=bounds.grace_s,
+        drain_s=bounds.drain_ms / 1000,
+        config_apply_s=bounds.config_apply_ms / 1000,
+        heartbeat_s=wire.heartbeat_ms / 1000,
+        retries=retry_allowance.RetryLimits(
+            ratio=bounds.retry_budget_ratio,
+            extra=bounds.retry_budget_extra,
+            window_s=bounds.budget_window_s,
+        ),
+    )
--- /dev/null
+++ b/src/fireflyspur/platform/store_registry.py
@@ -0,0 +1,98 @@
+"""The platform's store as the gateway's registry."""
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import registry
+from fireflyspur.observability import logs
+from fireflyspur.platform import config_codec
+from fireflyspur.platform import endpoint_codec
+from fireflyspur.platform import store_client
+
+_OPERATOR_TOPIC = "keyed.op"
+_CONFIG_KEY = "config"
+_ENDPOINTS_TOPIC = "keyed.servers"
+_NODES_TOPIC = "keyed.status"
+_NODE_PREFIX = "node-"
+
+_log = logs.log_for("platform")
+
+
+class StoreRegistry(registry.Registry):
+    """Reads the platform's records.
+
+    :param store: client of the store
+    """
+
+    def __init__(self, store: store_client.StoreClient) -> None:
+        self._store = store
+        self._config_end = 0
+        self._invalid: set[str] = set()
+
+    async def read_config(self) -> registry.ConfigRead:
+        """Read the newest configuration."""
+        read_at_s = clock.now_s()
+        newest = await self._store.read_newest(_OPERATOR_TOPIC)
+        self._config_end = newest.end
+        for record in newest.records:
+            if record.key == _CONFIG_KEY:
+                config = config_codec.decode(record.value)
+                return registry.ConfigRead(config, read_at_s)
+        return registry.ConfigRead(None, read_at_s)
+
+    async def wait_config(self, wait_s: float) -> registry.ConfigRead:
+        """Wait for a configuration newer than the last one."""
+        read_at_s = clock.now_s()
+        read = await self._store.read_log(
+            _OPERATOR_TOPIC, self._config_end, wait_s
+        )
+        if read.is_expired or read.end < self._config_end:
+            return await self.read_config()
+        self._config_end += len(read.records)
+        values = [r.value for r in read.records if r.key == _CONFIG_KEY]
+        if not values:
+            return registry.ConfigRead(None, read_at_s)
+        return registry.ConfigRead(config_codec.decode(values[-1]), read_at_s)
+
+    async def read_endpoints(self) -> endpoints.EndpointList:
+        """Read the registered endpoints."""
+        read_at_s = clock.now_s()
+        newest = await self._store.read_newest(_ENDPOINTS_TOPIC)
+        found = []
+        invalid = set()
+        for record in newest.records:
+            if not record.value:
+                continue
+            try:
+                found.append(endpoint_codec.decode(record.key, record.value))
+            except exceptions.RecordInvalidError as error:
+                invalid.add(record.key)
+                if record.key not in self._invalid:
+                    _log.warning("Entry not used", reason=str(error))
+        self._invalid = invalid
+        return endpoints.EndpointList(tuple(found), read_at_s)
+
+    async def register_node(
+        self, name: str, address: addresses.Address
+    ) -> None:
+        """Make this node known to the others."""
+        record = store_client.KeyedRecord(
+            _NODE_PREFIX + name, str(address).encode()
+        )
+        await self._store.append(_NODES_TOPIC, record)
+
+    async def read_nodes(self) -> dict[str, addresses.Address]:
+        """Return the nodes that ever registered, by name."""
+        newest = await self._store.read_newest(_NODES_TOPIC)
+        nodes = {}
+        for record in newest.records:
+            if not record.key.startswith(_NODE_PREFIX):
+                continue
+            try:
+                nodes[record.key[len(_NODE_PREFIX) :]] = addresses.parse(
+                    record.value.decode("latin-1")
+                )
+            except ValueError as error:
+                _log.warning("Node not used", reason=str(error))
+        return nodes
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,303 @@
+"""What callers get and endpoints see for one request."""
+
+import asyncio
+
+import testtools
+
+from tests.support import async_tests
+from tests.support import gateway_fleet
+from tests.support import platform_worker as workers
+
+
+def arrivals(fleet, *, of="desks"):
+    found = [a for w in getattr(fleet, of) for a in w.arrivals]
+    return sorted(found, key=lambda arrival: arrival.number)
+
+
+class PlainAnswerTest(testtools.TestCase):
+    """Guards against changed, mixed and doubled requests and answers."""
+
+    @async_tests.in_loop
+    async def test_request_and_answer_are_passed_on(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            reply = await node.request(
+                "/safe/x%20y?q=1",
+                body=b"abc",
+                extra=["X-Own: 7", "Connection: x-hop", "X-Hop: 1"],
+            )
+            (arrival,) = arrivals(fleet)
+        self.assertEqual(200, reply.status)
+        self.assertTrue(reply.body.startswith(b"body of desk-"))
+        self.assertIn("x-fireflyspur-response-seal", reply.headers)
+        self.assertEqual("/safe/x%20y?q=1", arrival.target)
+        self.assertEqual("POST", arrival.method)
+        self.assertEqual(b"abc", arrival.body)
+        self.assertEqual("7", arrival.headers["x-own"])
+        self.assertNotIn("x-hop", arrival.headers)
+        self.assertNotIn("authorization", arrival.headers)
+
+    @async_tests.in_loop
+    async def test_account_is_set_whatever_the_caller_sent(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            await node.request(
+                "/safe/", extra=["X-Fireflyspur-Tenant: somebody"]
+            )
+            await node.request(
+                "/open/", key=None, extra=["X-Fireflyspur-Tenant: somebody"]
+            )
+            first, second = arrivals(fleet)
+        self.assertEqual(
+            gateway_fleet.ACCOUNT, first.headers["x-fireflyspur-tenant"]
+        )
+        self.assertNotIn("x-fireflyspur-tenant", second.headers)
+
+    @async_tests.in_loop
+    async def test_time_left_is_the_shorter_of_route_and_caller(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            await node.request("/safe/", deadline_ms=500)
+            await node.request("/safe/", deadline_ms=60_000)
+            lefts = [
+                int(a.headers["x-fireflyspur-deadline-ms"])
+                for a in arrivals(fleet)
+            ]
+        self.assertLessEqual(min(lefts), 500)
+        self.assertGreater(min(lefts), 300)
+        self.assertLessEqual(max(lefts), 2_000)
+
+    @async_tests.in_loop
+    async def test_unsafe_request_runs_once_when_its_answer_is_lost(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks:
+                desk.behaviours = [workers.crash]
+            reply = await node.request("/unsafe/")
+            count = len(arrivals(fleet))
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, count)
+
+    @async_tests.in_loop
+    async def test_unsafe_request_is_sent_again_if_it_has_not_run(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            refuse = workers.answer_status(
+                "503 Full", "X-Fireflyspur-Not-Executed: 1"
+            )
+            fleet.desks[0].usual = refuse
+            replies = [await node.request("/unsafe/") for _ in range(4)]
+        self.assertEqual([200] * 4, [r.status for r in replies])
+
+    @async_tests.in_loop
+    async def test_promise_without_the_endpoints_word_is_not_passed_on(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            for status in ("503 Full", "429 Many", "408 Slow"):
+                fleet.desks[0].behaviours = [workers.answer_status(status)]
+                reply = await node.request("/unsafe/", body=status.encode())
+                self.assertEqual(502, reply.status)
+
+    @async_tests.in_loop
+    async def test_safe_request_is_sent_again(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for bad in (
+                workers.crash,
+                workers.answer_status("500 Error", seal=True),
+                workers.answer_raw(b"not http\r\n\r\n"),
+            ):
+                for desk in fleet.desks:
+                    desk.behaviours = []
+                fleet.desks[0].usual = bad
+                reply = await node.request("/safe/")
+                self.assertEqual(200, reply.status)
+
+    @async_tests.in_loop
+    async def test_failure_is_passed_on_with_its_seal(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            fleet.desks[0].usual = workers.answer_status(
+                "500 Error", seal=True
+            )
+            reply = await node.request("/unsafe/")
+        self.assertEqual(500, reply.status)
+        self.assertEqual(b"failed", reply.body)
+        self.assertIn("x-fireflyspur-response-seal", reply.headers)
+
+    @async_tests.in_loop
+    async def test_success_that_is_not_the_endpoints_is_not_passed_on(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            seal = b"X-Fireflyspur-Response-Seal: s\r\n"
+            ok = b"HTTP/1.1 200 OK\r\n"
+            for answer in (
+                ok + b"Content-Length: 2\r\n\r\nok",
+                ok + seal + b"Content-Length: 9\r\n\r\nok",
+                ok
+                + seal
+                + b"X-Fireflyspur-Attempt-Id: other\r\n"
+                + b"Content-Length: 2\r\n\r\nok",
+                ok
+                + seal
+                + b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+            ):
+                fleet.desks[0].behaviours = [workers.answer_raw(answer)]
+                reply = await node.request("/unsafe/", body=answer)
+                self.assertEqual(502, reply.status, answer)
+
+    @async_tests.in_loop
+    async def test_bytes_after_the_answer_belong_to_no_request(self):
+        async def twice(worker, arrival, stream):
+            text = workers.head(arrival, worker, "Content-Length: 2") + b"ok"
+            await stream.write(text + text)
+
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            fleet.desks[0].behaviours = [twice]
+            reader, writer = await node.connect()
+            writer.write(gateway_fleet.request_bytes("/safe/"))
+            first = await gateway_fleet.read_reply(reader)
+            writer.write(gateway_fleet.request_bytes("/safe/"))
+            second = await gateway_fleet.read_reply(reader)
+            writer.close()
+        self.assertEqual((200, b"ok"), (first.status, first.body))
+        self.assertEqual(b"body of desk-0", second.body)
+
+    @async_tests.in_loop
+    async def test_answer_without_a_length_ends_with_its_connection(self):
+        async def unframed(worker, arrival, stream):
+            await stream.write(workers.head(arrival, worker) + b"all of it")
+
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            fleet.desks[0].behaviours = [unframed]
+            reply = await node.request("/unsafe/")
+        self.assertEqual((200, b"all of it"), (reply.status, reply.body))
+
+    @async_tests.in_loop
+    async def test_work_ends_when_the_caller_leaves(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            desk = fleet.desks[0]
+            desk.usual = workers.never_answer
+            reader, writer = await node.connect()
+            writer.write(gateway_fleet.request_bytes("/unsafe/"))
+            await gateway_fleet.wait_until(lambda: desk.arrivals)
+            writer.close()
+            await gateway_fleet.wait_until(lambda: desk.cancelled, 0.4)
+
+    @async_tests.in_loop
+    async def test_answer_comes_at_the_routes_time_limit(self):
+        routes = [
+            gateway_fleet.route("unsafe", "unsafe", "desk", timeout_ms=300)
+        ]
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            fleet.publish(gateway_fleet.config(routes=routes))
+            node = await fleet.start_node()
+            fleet.desks[0].usual = workers.never_answer
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            reply = await node.request("/unsafe/")
+            took_s = loop.time() - began
+        self.assertEqual(504, reply.status)
+        self.assertLess(took_s, 0.8)
+
+    @async_tests.in_loop
+    async def test_nothing_ready_is_refused_at_once(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks:
+                fleet.register(desk, "desk", state="draining")
+            directory = node.gateway.directory
+            await gateway_fleet.wait_until(lambda: not directory.ready("desk"))
+            reply = await node.request("/unsafe/")
+        self.assertEqual(503, reply.status)
+        self.assertGreater(float(reply.headers["retry-after"]), 0)
+
+
+class StreamTest(testtools.TestCase):
+    """Guards against lost, doubled and joined pieces of streams."""
+
+    def events(self, count):
+        return b"".join(workers.event(n) for n in range(1, count + 1))
+
+    @async_tests.in_loop
+    async def test_stream_goes_on_elsewhere_after_the_last_whole_event(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            stop = workers.answer_events(
+                5, stop_after=2, partial=b"id: 3\ndata: tok"
+            )
+            fleet.engines[0].behaviours = [stop]
+            fleet.engines[1].behaviours = [stop]
+            reply = await node.request("/chat/")
+            sent = arrivals(fleet, of="engines")
+        self.assertEqual(self.events(5), reply.body)
+        self.assertEqual("2", sent[1].headers["last-event-id"])
+
+    @async_tests.in_loop
+    async def test_resumed_stream_is_whole(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            stop = workers.answer_events(
+                5, stop_after=3, partial=b"id: 4\ndat"
+            )
+            first = True
+
+            async def once(worker, arrival, stream):
+                nonlocal first
+                behaviour = stop if first else workers.answer_events(5)
+                first = False
+                await behaviour(worker, arrival, stream)
+
+            for engine in fleet.engines:
+                engine.usual = once
+            reply = await node.request("/chat/")
+            sent = arrivals(fleet, of="engines")
+            seal = reply.headers["x-fireflyspur-response-seal"]
+            instances = [
+                e.instance
+                for e in fleet.engines
+                for a in e.arrivals
+                if "last-event-id" not in a.headers
+            ]
+        self.assertEqual(self.events(5), reply.body)
+        self.assertTrue(reply.is_whole)
+        self.assertEqual(2, len(sent))
+        self.assertEqual([seal], [f"seal-{i}" for i in instances])
+
+    @async_tests.in_loop
+    async def test_stream_that_may_not_be_resumed_does_not_look_whole(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.usual = workers.answer_events(5, stop_after=2)
+            reply = await node.request("/once/")
+            count = len(arrivals(fleet, of="engines"))
+        self.assertFalse(reply.is_whole)
+        self.assertEqual(self.events(2), reply.body)
+        self.assertEqual(1, count)
+
+    @async_tests.in_loop
+    async def test_callers_own_position_is_passed_on(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            reply = await node.request("/chat/", extra=["Last-Event-Id: 3"])
+        self.assertEqual(workers.event(4) + workers.event(5), reply.body)
+
+    @async_tests.in_loop
+    async def test_events_are_passed_on_as_they_come(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.usual = workers.answer_events(3, pause_s=0.2)
+            reader, writer = await node.connect()
+            writer.write(gateway_fleet.request_bytes("/chat/"))
+            loop = asyncio.get_running_loop()
+            await reader.readuntil(b"data: token-1")
+            first_at = loop.time()
+            await reader.readuntil(b"data: token-3")
+            gap_s = loop.time() - first_at
+            writer.close()
+        self.assertGreater(gap_s, 0.3)
