Let nodes tell one another what they send and have read

Change: datagrams between nodes carry started, read and ended requests, crashes, the version of the configuration and changes of the endpoint list. The node of the first rank reads the store; the next ones take over when they have heard nothing for a little longer. Ruled out: reports of engines (200 ms old, a fee each); an incarnation from the time of day, which may step back over a restart.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,8 @@
 	$(CODEGEN) --input src/fireflyspur/schema/load_mix.yaml --output $(GENERATED)/load_mix.py
 	$(BIN)/python -m grpc_tools.protoc -Ifireflyspur/generated=src/fireflyspur/schema \
 		--python_out=src --grpc_python_out=src fireflyspur/generated/peer.proto
+	$(BIN)/python -m grpc_tools.protoc -Ifireflyspur/generated=src/fireflyspur/schema \
+		--python_out=src fireflyspur/generated/fleet_news.proto
 	PYTHONPATH=src $(BIN)/python -m tools.reference
 
 format: install
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import itertools
 import json
 
 from fireflyspur.errors import exceptions as base_exceptions
@@ -18,11 +17,10 @@
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import messages
-from fireflyspur.gateway import pass_model
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import retry_allowance
-from fireflyspur.gateway import work_book
+from fireflyspur.gateway import work_reporter
 from fireflyspur.observability import logs
 
 # An endpoint ends its work at the deadline and says so; this is the time
@@ -38,15 +36,13 @@
 class ForwarderParts:
     """What a forwarder works with.
 
-    :param node_name: name of this node, unique over all nodes
     :param is_draining: returns whether the node is stopping
     """
 
-    node_name: str
     planner: request_plan.RequestPlanner
     codec: messages.Codec
     directory: endpoint_directory.EndpointDirectory
-    book: work_book.WorkBook
+    works: work_reporter.WorkReporter
     placer: placements.Placer
     allowance: retry_allowance.RetryAllowance
     crashes: crash_list.CrashList
@@ -61,7 +57,6 @@
 
     def __init__(self, parts: ForwarderParts) -> None:
         self._parts = parts
-        self._numbers = itertools.count(1)
 
     async def serve(
         self,
@@ -75,7 +70,7 @@
         relay = answer_relay.AnswerRelay(connection, self._parts.is_draining)
         try:
             plan = self._parts.planner.plan(request)
-            run = _RequestRun(self._parts, plan, relay, next(self._numbers))
+            run = _RequestRun(self._parts, plan, relay)
         except base_exceptions.FireflyspurError as error:
             _log.info("Request refused", code=error.code, path=request.path)
             await self._answer_error(connection, error)
@@ -128,12 +123,10 @@
         parts: ForwarderParts,
         plan: request_plan.RequestPlan,
         relay: answer_relay.AnswerRelay,
-        number: int,
     ) -> None:
         self._parts = parts
         self._plan = plan
         self._relay = relay
-        self._key = f"{parts.node_name}/{number}"
         self._fingerprint = crash_list.fingerprint_of(
             plan.request, plan.account_name or plan.info.api_key or ""
         )
@@ -243,15 +236,11 @@
     async def _attempt(
         self, placement: placements.Placement
     ) -> attempt_result.AttemptResult:
-        instance = placement.first.instance
-        self._tried.append(instance)
+        self._tried.append(placement.first.instance)
         with contextlib.ExitStack() as stack:
-            self._track(stack, placement)
+            on_first_part = self._track(stack, placement)
             attempt = attempts.Attempt(
-                self._plan,
-                self._parts.codec,
-                self._relay,
-                lambda: self._note_first_part(placement),
+                self._plan, self._parts.codec, self._relay, on_first_part
             )
             may_have_run = self._may_have_run
             # Until the endpoint says otherwise: a timeout may come first.
@@ -263,38 +252,35 @@
 
     def _track(
         self, stack: contextlib.ExitStack, placement: placements.Placement
-    ) -> None:
-        whole = pass_model.whole_prompt(self._plan.info.prompt_tokens)
+    ) -> Callable[[], None]:
+        """Count the request as running where it is sent.
+
+        :returns: to be called when its answer begins
+        """
         members = (placement.first, *placement.helpers)
-        reading = pass_model.part_of(whole, len(members))
         demand = self._demand()
-        now = clock.now_s()
-        for item in members:
-            is_first = item is placement.first
-            work = work_book.Work(
-                key=self._key,
-                instance=item.instance,
-                reading=reading,
-                memory_tokens=(
-                    demand.prompt_tokens + demand.output_tokens
-                    if is_first
-                    else 0
-                ),
-                target_s=demand.target_s,
-                max_gap_s=demand.max_gap_s if is_first else None,
-                weight=demand.weight,
-                started_at_s=now,
-                until_s=self._plan.deadline_s,
+        lasts_s = self._plan.deadline_s - clock.now_s()
+        reading = stack.enter_context(contextlib.ExitStack())
+        works = [
+            (stack if item is placement.first else reading).enter_context(
+                self._parts.works.track(
+                    item,
+                    demand,
+                    len(members),
+                    item is placement.first,
+                    lasts_s,
+                )
             )
-            self._parts.book.add(work)
-            stack.callback(self._parts.book.remove, item.instance, self._key)
-
-    def _note_first_part(self, placement: placements.Placement) -> None:
-        if self._first_part_s is None:
-            self._first_part_s = clock.now_s()
-        self._parts.book.note_first_event(placement.first.instance, self._key)
-        for item in placement.helpers:
-            self._parts.book.remove(item.instance, self._key)
+            for item in members
+        ]
+
+        def note_first_part() -> None:
+            if self._first_part_s is None:
+                self._first_part_s = clock.now_s()
+            self._parts.works.note_read(works[0], demand)
+            reading.close()
+
+        return note_first_part
 
     def _note_not_run(
         self,
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -8,8 +8,8 @@
 from fireflyspur.gateway import caller_server
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import crash_list
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import fleet_link
 from fireflyspur.gateway import forwarder
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import placement
@@ -54,24 +54,37 @@
         self._directory = endpoint_directory.EndpointDirectory(
             outage_s=3 * settings.heartbeat_s, return_s=_REGISTER_AGAIN_S
         )
+        book = work_book.WorkBook()
+        self._link = fleet_link.FleetLink(
+            settings.node_name,
+            settings.peers,
+            registry,
+            self._holder,
+            self._directory,
+            book,
+        )
         self._follower = store_follower.StoreFollower(
-            registry, self._holder, self._directory
+            settings.node_name,
+            registry,
+            self._holder,
+            self._directory,
+            self._link,
+            config_bound_s=settings.config_apply_s,
+            endpoints_bound_s=settings.drain_s,
         )
-        book = work_book.WorkBook()
         self._forwarder = forwarder.Forwarder(
             forwarder.ForwarderParts(
-                node_name=settings.node_name,
                 planner=request_plan.RequestPlanner(self._holder, codec),
                 codec=codec,
                 directory=self._directory,
-                book=book,
+                works=self._link.works,
                 placer=placement.Placer(
                     self._directory, book, settings.failure_domain
                 ),
                 allowance=retry_allowance.RetryAllowance(
-                    settings.retries, lambda: 8
+                    settings.retries, self._link.peers.fleet_size
                 ),
-                crashes=crash_list.CrashList(lambda *news: None),
+                crashes=self._link.crashes,
                 is_draining=lambda: self._is_draining,
             )
         )
@@ -91,6 +104,16 @@
         """The endpoints that the node knows."""
         return self._directory
 
+    @property
+    def link(self) -> fleet_link.FleetLink:
+        """The other nodes."""
+        return self._link
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force."""
+        return self._holder.version
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -120,16 +143,26 @@
             server.listen(address.port, address.host, backlog=1024)
             self._stack.callback(server.close_connections)
             self._stack.callback(server.stop)
-        follow = asyncio.ensure_future(self._follower.run())
-        self._stack.push_async_callback(_cancel, follow)
+        self._stack.callback(self._link.close)
+        for coroutine in (self._link.run(), self._follower.run()):
+            task = asyncio.ensure_future(coroutine)
+            task.add_done_callback(self._note_ended)
+            self._stack.push_async_callback(_cancel, task)
         _log.info(
             "Started", node=settings.node_name, callers=str(settings.callers)
         )
 
+    def _note_ended(self, task: "asyncio.Future[None]") -> None:
+        """Stop the node if a part of it fails: another start is better."""
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("Part failed", reason=repr(task.exception()))
+            self._stop.set()
+
     async def _drain(self) -> None:
         """Serve on until the balancer knows and no request is left."""
         began = clock.now_s()
         self._is_draining = True
+        self._link.tell_stopping()
         _log.info("Stop begun", in_progress=self._callers.in_progress)
         await asyncio.sleep(_BALANCER_NOTICE_S)
         end = began + self._settings.grace_s - _STOP_MARGIN_S
--- /dev/null
+++ b/src/fireflyspur/gateway/peer_table.py
@@ -0,0 +1,137 @@
+"""The other nodes of the gateway that a node knows."""
+
+import dataclasses
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.observability import logs
+
+# A node sends something at least each second; three lost datagrams in a row
+# are rare on a healthy link.
+_LIVE_S = 3.2
+# Nodes that are silent are still told everything for this long: they may
+# only be unable to send.
+_TOLD_S = 12.0
+
+_log = logs.log_for("peers")
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """Another node.
+
+    :param heard_at_s: when it was heard last; None if never
+    :param incarnation: drawn at random by each process
+    :param former_incarnation: of the process before, whose datagrams may
+        still arrive
+    :param number: of the last datagram
+    :param learned_at_s: when its address became known
+    """
+
+    name: str
+    address: addresses.Address
+    learned_at_s: float
+    heard_at_s: float | None = None
+    incarnation: int = 0
+    former_incarnation: int | None = None
+    number: int = 0
+    is_stopping: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Heard:
+    """What a datagram says about its sender.
+
+    :param is_old: whether a newer one came before
+    :param is_new: whether the sender was unknown or silent
+    :param is_restarted: whether it is another process than before
+    """
+
+    is_old: bool = False
+    is_new: bool = False
+    is_restarted: bool = False
+
+
+class PeerTable:
+    """Keeps the other nodes by name.
+
+    :param name: name of this node
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._peers: dict[str, Peer] = {}
+
+    def learn(self, name: str, address: addresses.Address) -> None:
+        """Take over the address of a node."""
+        if name == self._name:
+            return
+        known = self._peers.get(name)
+        if known is None or known.address != address:
+            self._peers[name] = Peer(name, address, clock.now_s())
+
+    def note_heard(
+        self,
+        name: str,
+        address: addresses.Address,
+        incarnation: int,
+        number: int,
+        is_stopping: bool,
+    ) -> Heard:
+        """Note that a datagram of a node has come."""
+        now = clock.now_s()
+        known = self._peers.get(name)
+        if known is not None and incarnation == known.former_incarnation:
+            return Heard(is_old=True)
+        is_same = known is not None and incarnation == known.incarnation
+        if is_same and number <= known.number:
+            return Heard(is_old=True)
+        was_live = known is not None and self._is_live(known, now)
+        self._peers[name] = Peer(
+            name=name,
+            address=address,
+            learned_at_s=known.learned_at_s if known else now,
+            heard_at_s=now,
+            incarnation=incarnation,
+            former_incarnation=_former(known, is_same),
+            number=number,
+            is_stopping=is_stopping,
+        )
+        if not was_live:
+            _log.info("Peer heard", peer=name, address=str(address))
+        return Heard(
+            is_new=not was_live,
+            is_restarted=known is not None and not is_same,
+        )
+
+    def live_names(self) -> list[str]:
+        """Return this node and those that were heard lately."""
+        now = clock.now_s()
+        names = [
+            peer.name
+            for peer in self._peers.values()
+            if self._is_live(peer, now) and not peer.is_stopping
+        ]
+        return [self._name, *names]
+
+    def told(self) -> list[Peer]:
+        """Return the nodes that get this node's news."""
+        now = clock.now_s()
+        return [
+            peer
+            for peer in self._peers.values()
+            if now - (peer.heard_at_s or peer.learned_at_s) < _TOLD_S
+        ]
+
+    def fleet_size(self) -> int:
+        """Return the number of nodes that may be running."""
+        return len(self.told()) + 1
+
+    def _is_live(self, peer: Peer, now: float) -> bool:
+        return peer.heard_at_s is not None and now - peer.heard_at_s < _LIVE_S
+
+
+def _former(known: Peer | None, is_same: bool) -> int | None:
+    if known is None:
+        return None
+    return known.former_incarnation if is_same else known.incarnation
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -8,13 +8,21 @@
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import fleet_link
+from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry as registries
 from fireflyspur.observability import logs
 
-# A read of the configuration waits this long for a change. A connection
-# that has gone silent is noticed after this time.
+# Longest wait of the reader for a new configuration. A connection that has
+# gone silent is noticed after this time.
 _CONFIG_WAIT_S = 1.0
-_ENDPOINTS_INTERVAL_S = 0.8
+# Shares of the bounds after which the first reader reads, and by which each
+# next reader waits longer. All have read before the bound is over.
+_READ_SHARE = 0.38
+_RANK_SHARE = 0.08
+_LAST_SHARE = 0.7
+# Versions that follow one another faster are read together.
+_CHANGE_PAUSE_S = 0.15
 _RETRY_S = 0.2
 
 _log = logs.log_for("store")
@@ -23,53 +31,120 @@
 class StoreFollower:
     """Keeps configuration and endpoints as new as the bounds ask.
 
+    :param name: name of this node
     :param registry: the store
-    :param holder: takes new configurations
-    :param directory: takes new lists of endpoints
+    :param link: the other nodes
+    :param config_bound_s: time in which a configuration is in force
+    :param endpoints_bound_s: time in which a leaving endpoint gets no work
     """
 
     def __init__(
         self,
+        name: str,
         registry: registries.Registry,
         holder: config_holder.ConfigHolder,
         directory: endpoint_directory.EndpointDirectory,
+        link: fleet_link.FleetLink,
+        config_bound_s: float,
+        endpoints_bound_s: float,
     ) -> None:
+        self._name = name
         self._registry = registry
         self._holder = holder
         self._directory = directory
+        self._link = link
+        self._config_bound_s = config_bound_s
+        self._endpoints_bound_s = endpoints_bound_s
         self._lost: set[str] = set()
+        self._sought_version = 0
+        self._woken = {
+            what: asyncio.Event() for what in ("config", "endpoints")
+        }
+        link.on_behind(self._wake)
 
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow("config", self._read_config))
-            group.create_task(self._follow("endpoints", self._read_endpoints))
+            group.create_task(self._follow("config", self._follow_config))
+            group.create_task(
+                self._follow("endpoints", self._follow_endpoints)
+            )
 
     async def _follow(
-        self, what: str, read: Callable[[], Awaitable[float]]
+        self, what: str, read: Callable[[], Awaitable[None]]
     ) -> None:
         while True:
             try:
-                pause_s = await read()
-                self._note_regained(what)
+                await read()
             except base_exceptions.FireflyspurError as error:
                 self._note_lost(what, error)
-                pause_s = _RETRY_S
-            await asyncio.sleep(pause_s)
+                await asyncio.sleep(_RETRY_S)
 
-    async def _read_config(self) -> float:
+    async def _follow_config(self) -> None:
         if self._holder.table is None:
             read = await self._registry.read_config()
-        else:
+            self._take_config(read)
+            if read.config is None:
+                await asyncio.sleep(_RETRY_S)
+        elif self._is_config_behind():
+            self._sought_version = self._link.told_version
+            self._take_config(await self._registry.wait_config(0))
+            await asyncio.sleep(_CHANGE_PAUSE_S)
+        elif self._rank("config") == 0:
             read = await self._registry.wait_config(_CONFIG_WAIT_S)
+            self._take_config(read)
+            if read.config is not None:
+                await asyncio.sleep(_CHANGE_PAUSE_S)
+        elif (left_s := self._left_s("config")) > 0:
+            await self._pause("config", left_s)
+        else:
+            self._take_config(await self._registry.wait_config(0))
+
+    async def _follow_endpoints(self) -> None:
+        left_s = self._left_s("endpoints")
+        if left_s > 0 and not self._link.feed.is_behind:
+            await self._pause("endpoints", left_s)
+            return
+        read = await self._registry.read_endpoints()
+        self._link.tell_endpoints(self._link.feed.take_read(read))
+        self._note_regained("endpoints")
+
+    def _take_config(self, read: registries.ConfigRead) -> None:
         if read.config is not None:
             self._holder.apply(read.config)
         self._holder.confirm(read.read_at_s)
-        return _RETRY_S if self._holder.table is None else 0.0
+        self._note_regained("config")
+        if self._holder.table is not None:
+            self._link.tell_config()
+
+    def _left_s(self, what: str) -> float:
+        """Return the time until this node must read by itself."""
+        share = _READ_SHARE + _RANK_SHARE * self._rank(what)
+        share = min(share, _LAST_SHARE)
+        if what == "config":
+            return share * self._config_bound_s - self._holder.age_s()
+        return share * self._endpoints_bound_s - self._directory.age_s()
+
+    def _is_config_behind(self) -> bool:
+        told = self._link.told_version
+        return told > max(self._holder.version, self._sought_version)
+
+    def _wake(self) -> None:
+        for event in self._woken.values():
+            event.set()
+
+    async def _pause(self, what: str, seconds: float) -> None:
+        """Sleep until others know more, or the time is over."""
+        self._woken[what].clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._woken[what].wait()
+        except TimeoutError:
+            return
 
-    async def _read_endpoints(self) -> float:
-        self._directory.replace(await self._registry.read_endpoints())
-        return _ENDPOINTS_INTERVAL_S
+    def _rank(self, what: str) -> int:
+        live = self._link.peers.live_names()
+        return reader_rank.rank_of(self._name, live, what)
 
     def _note_lost(
         self, what: str, error: base_exceptions.FireflyspurError
--- a/src/fireflyspur/gateway/work_book.py
+++ b/src/fireflyspur/gateway/work_book.py
@@ -1,6 +1,5 @@
 """The requests that are known to run on each endpoint."""
 
-from collections.abc import Iterable
 import dataclasses
 
 from fireflyspur.gateway import pass_model
@@ -18,7 +17,6 @@
     :param key: unique over all nodes
     :param reading: what the endpoint reads of the prompt
     :param memory_tokens: memory that it holds there at its end
-    :param target_s: time to the first event that is on time
     :param max_gap_s: longest pause that is on time; None if it generates
         nothing there
     :param weight: cost of being late, relative to other work
@@ -29,7 +27,6 @@
     instance: str
     reading: pass_model.Reading
     memory_tokens: int
-    target_s: float
     max_gap_s: float | None
     weight: float
     started_at_s: float
@@ -62,46 +59,51 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, dict[str, _Entry]] = {}
+        self._instances: dict[str, str] = {}
 
     def add(self, work: Work) -> None:
         """Note that a request was sent."""
         entries = self._entries.setdefault(work.instance, {})
         entries[work.key] = _Entry(work)
+        self._instances[work.key] = work.instance
 
-    def note_first_event(self, instance: str, key: str) -> None:
+    def note_read(self, key: str) -> None:
         """Note that a prompt has been read."""
-        entries = self._entries.get(instance, {})
-        if key in entries:
+        instance = self._instances.get(key)
+        if instance is not None:
+            entries = self._entries[instance]
             entries[key] = _Entry(entries[key].work, is_read=True)
 
-    def remove(self, instance: str, key: str) -> None:
+    def remove(self, key: str) -> None:
         """Note that a request has ended."""
-        entries = self._entries.get(instance)
-        if entries is not None:
-            entries.pop(key, None)
-            if not entries:
-                del self._entries[instance]
-
-    def forget_instance(self, instance: str) -> None:
-        """Drop all work of an endpoint that is gone."""
-        self._entries.pop(instance, None)
+        instance = self._instances.pop(key, None)
+        if instance is None:
+            return
+        entries = self._entries[instance]
+        del entries[key]
+        if not entries:
+            del self._entries[instance]
+
+    def remove_all(self, prefix: str) -> None:
+        """Forget the requests whose keys begin with a prefix."""
+        for key in [k for k in self._instances if k.startswith(prefix)]:
+            self.remove(key)
+
+    def remove_instance(self, instance: str) -> None:
+        """Forget the requests on an endpoint that is gone."""
+        for key in list(self._entries.get(instance, ())):
+            self.remove(key)
 
     def count(self, instance: str) -> int:
         """Return the requests on an endpoint."""
         return len(self._entries.get(instance, ()))
 
-    def works(self) -> Iterable[Work]:
-        """Return all known work."""
-        for entries in self._entries.values():
-            for entry in entries.values():
-                yield entry.work
-
     def expire(self, now: float) -> None:
         """Forget work whose end was not told."""
-        for instance, entries in list(self._entries.items()):
+        for entries in list(self._entries.values()):
             for key, entry in list(entries.items()):
                 if entry.work.until_s + _FORGET_AFTER_S < now:
-                    self.remove(instance, key)
+                    self.remove(key)
 
     def outlook(
         self, instance: str, engine: routing_config.EngineSpec, now: float
--- /dev/null
+++ b/src/fireflyspur/gateway/work_reporter.py
@@ -0,0 +1,115 @@
+"""News of the requests that run on endpoints."""
+
+from collections.abc import Iterator
+import contextlib
+import itertools
+
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import news_channel
+from fireflyspur.gateway import pass_model
+from fireflyspur.gateway import placement as placements
+from fireflyspur.gateway import work_book
+from fireflyspur.generated import fleet_news_pb2 as fleet_news
+
+# The end of reading is told for prompts from this length on; for shorter
+# ones it is predicted well enough.
+_MIN_TOLD_TOKENS = 16_000
+
+
+class WorkReporter:
+    """Enters this node's requests in the book and tells the other nodes.
+
+    :param node_name: name of this node
+    :param book: what runs where
+    :param channel: sends the news
+    """
+
+    def __init__(
+        self,
+        node_name: str,
+        book: work_book.WorkBook,
+        channel: news_channel.NewsChannel,
+    ) -> None:
+        self._node_name = node_name
+        self._book = book
+        self._channel = channel
+        self._numbers = itertools.count(1)
+
+    @contextlib.contextmanager
+    def track(
+        self,
+        item: endpoints.Endpoint,
+        demand: placements.Demand,
+        parts: int,
+        is_first: bool,
+        lasts_s: float,
+    ) -> Iterator[int]:
+        """Count a request, or a part of one, as running.
+
+        :param parts: endpoints that read the prompt together
+        :param is_first: whether the endpoint generates the answer
+        :param lasts_s: time in which it ends at the latest
+        :returns: the number of the work
+        """
+        number = next(self._numbers)
+        started = fleet_news.WorkStarted(
+            number=number,
+            instance=item.instance,
+            prompt_tokens=demand.prompt_tokens,
+            parts=parts,
+            output_tokens=demand.output_tokens if is_first else 0,
+            max_gap_ms=round(demand.max_gap_s * 1000) if is_first else 0,
+            lasts_ms=max(0, round(lasts_s * 1000)),
+        )
+        self._book.add(to_work(self._node_name, started))
+        self._channel.draft.started.append(started)
+        try:
+            yield number
+        finally:
+            self._book.remove(_key(self._node_name, number))
+            self._channel.draft.ended.append(number)
+
+    def note_read(self, number: int, demand: placements.Demand) -> None:
+        """Note that the prompt of a work has been read."""
+        self._book.note_read(_key(self._node_name, number))
+        if demand.prompt_tokens >= _MIN_TOLD_TOKENS:
+            self._channel.draft.read.append(number)
+
+    def take_news(
+        self, news: fleet_news.FleetNews, is_restarted: bool
+    ) -> None:
+        """Enter what another node tells."""
+        if is_restarted:
+            self._book.remove_all(_key(news.node, ""))
+        for started in news.started:
+            self._book.add(to_work(news.node, started))
+        for number in news.read:
+            self._book.note_read(_key(news.node, number))
+        for number in news.ended:
+            self._book.remove(_key(news.node, number))
+
+
+def to_work(node: str, started: fleet_news.WorkStarted) -> work_book.Work:
+    """Return the entry for a work that a node has started."""
+    parts = max(1, started.parts)
+    whole = pass_model.whole_prompt(started.prompt_tokens)
+    is_first = started.max_gap_ms > 0
+    now = clock.now_s()
+    memory_tokens = 0
+    if is_first:
+        memory_tokens = started.prompt_tokens + started.output_tokens
+    return work_book.Work(
+        key=_key(node, started.number),
+        instance=started.instance,
+        reading=pass_model.part_of(whole, parts),
+        memory_tokens=memory_tokens,
+        max_gap_s=started.max_gap_ms / 1000 if is_first else None,
+        weight=placements.weight_of(started.prompt_tokens),
+        started_at_s=now,
+        until_s=now + started.lasts_ms / 1000,
+    )
+
+
+def _key(node: str, number: int | str) -> str:
+    return f"{node}/{number}"
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,110 @@
+"""What nodes tell one another."""
+
+import asyncio
+
+import testtools
+
+from tests.support import async_tests
+from tests.support import gateway_fleet
+from tests.support import platform_worker as workers
+
+
+class FleetTest(testtools.TestCase):
+    """Guards against nodes that decide on less than the fleet knows."""
+
+    async def start_pair(self, fleet):
+        first = await fleet.start_node(node_name="node-1")
+        second = await fleet.start_node(node_name="node-2")
+        await gateway_fleet.wait_until(
+            lambda: all(
+                len(n.gateway.link.peers.live_names()) == 2
+                for n in (first, second)
+            )
+        )
+        return first, second
+
+    @async_tests.in_loop
+    async def test_prompts_of_another_node_are_avoided(self):
+        async with gateway_fleet.GatewayFleet(engines=2) as fleet:
+            first, second = await self.start_pair(fleet)
+            for engine in fleet.engines:
+                engine.usual = workers.answer_events(40, pause_s=0.05)
+            # Too short to be read by both engines together.
+            tokens = ["X-Fireflyspur-Token-Count: 15000,100"]
+            for number in range(4):
+                for engine in fleet.engines:
+                    engine.arrivals.clear()
+                body = bytes((number,))
+                tasks = []
+                for node in (first, second):
+                    sent = node.request("/once/", extra=tokens, body=body)
+                    tasks.append(asyncio.ensure_future(sent))
+                    await asyncio.sleep(0.04)
+                self.assertEqual(
+                    [1, 1], [len(e.arrivals) for e in fleet.engines]
+                )
+                for task in tasks:
+                    task.cancel()
+                await asyncio.sleep(0.05)
+
+    @async_tests.in_loop
+    async def test_one_node_reads_for_the_others(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            first, second = await self.start_pair(fleet)
+            await asyncio.sleep(1.0)
+            fleet.store.calls.clear()
+            await asyncio.sleep(4.0)
+            calls = dict(fleet.store.calls)
+            for node in (first, second):
+                self.assertLess(node.gateway.directory.age_s(), 2.0)
+        # Two nodes on their own would read eight times as often.
+        self.assertLessEqual(calls.get("/api/log-newest", 0), 8)
+        self.assertLessEqual(calls.get("/api/log-read", 0), 8)
+
+    @async_tests.in_loop
+    async def test_change_reaches_all_nodes_in_time(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            nodes = await self.start_pair(fleet)
+            fleet.publish(gateway_fleet.config(version=2))
+            fleet.register(fleet.desks[0], "desk", state="draining")
+            await gateway_fleet.wait_until(
+                lambda: all(
+                    n.gateway.config_version == 2
+                    and len(n.gateway.directory.ready("desk")) == 1
+                    for n in nodes
+                ),
+                timeout_s=1.9,
+            )
+
+    @async_tests.in_loop
+    async def test_reader_that_ends_is_replaced(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            first, second = await self.start_pair(fleet)
+            first.task.cancel()
+            fleet.register(fleet.desks[0], "desk", state="draining")
+            await gateway_fleet.wait_until(
+                lambda: len(second.gateway.directory.ready("desk")) == 1,
+                timeout_s=1.9,
+            )
+            fleet.publish(gateway_fleet.config(version=3))
+            await gateway_fleet.wait_until(
+                lambda: second.gateway.config_version == 3, timeout_s=1.9
+            )
+
+    @async_tests.in_loop
+    async def test_crashing_request_is_refused_by_all_nodes(self):
+        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
+            first, second = await self.start_pair(fleet)
+            for desk in fleet.desks:
+                desk.usual = workers.crash
+            await first.request("/safe/", body=b"poison")
+            await asyncio.sleep(0.05)
+            before = sum(len(d.arrivals) for d in fleet.desks)
+            for desk in fleet.desks:
+                desk.usual = workers.answer_plain
+            reply = await second.request("/safe/", body=b"poison")
+            after = sum(len(d.arrivals) for d in fleet.desks)
+            other = await second.request("/safe/", body=b"harmless")
+        self.assertEqual(503, reply.status)
+        self.assertEqual(before, after)
+        self.assertEqual(200, other.status)
