Read the settings again on SIGHUP and when the file changes

Change: SIGHUP, and a check of the file each 2 s, read the settings; bounds are put into force, addresses stay, a file that can't be used is logged. Ruled out: ignoring the signal, since the file does change.

--- a/src/fireflyspur/console/commands/platform.py
+++ b/src/fireflyspur/console/commands/platform.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import pathlib
 
 from fireflyspur.console import command
 from fireflyspur.gateway import gateway
@@ -27,20 +28,24 @@
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Run the node until it is told to stop."""
-        settings = settings_file.load(settings_file.path())
+        path = settings_file.path()
+        settings = settings_file.load(path)
         if arguments.check:
             print("The settings are valid.")
             return command.ExitCode.DONE
         logs.configure_stdout("INFO", settings.node_name)
-        asyncio.run(_serve(settings))
+        asyncio.run(_serve(settings, path))
         return command.ExitCode.DONE
 
 
-async def _serve(settings: gateway_settings.GatewaySettings) -> None:
+async def _serve(
+    settings: gateway_settings.GatewaySettings, path: pathlib.Path
+) -> None:
     store = store_client.StoreClient(settings.store)
     node = gateway.Gateway(
         settings,
         store_registry.StoreRegistry(store),
         header_codec.HeaderCodec(),
+        lambda: settings_file.load(path),
     )
     await node.run()
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -1,7 +1,9 @@
 """A node of the gateway."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
+import dataclasses
 import signal
 
 from fireflyspur.gateway import caller_connection
@@ -9,6 +11,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
 from fireflyspur.gateway import forwarder
 from fireflyspur.gateway import messages
@@ -26,6 +29,7 @@
 # Time before the kill that is left to end what is still open.
 _STOP_MARGIN_S = 0.4
 _POLL_S = 0.05
+_SETTINGS_CHECK_S = 2.0
 # Endpoints that lapsed with the store register again within two seconds.
 _REGISTER_AGAIN_S = 2.5
 
@@ -38,6 +42,7 @@
     :param settings: the node's settings
     :param registry: the platform's store
     :param codec: headers of requests and answers
+    :param load_settings: reads the settings again
     """
 
     def __init__(
@@ -45,8 +50,10 @@
         settings: gateway_settings.GatewaySettings,
         registry: registries.Registry,
         codec: messages.Codec,
+        load_settings: Callable[[], gateway_settings.GatewaySettings],
     ) -> None:
         self._settings = settings
+        self._load_settings = load_settings
         self._stack = contextlib.AsyncExitStack()
         self._is_draining = False
         self._stop = asyncio.Event()
@@ -72,6 +79,9 @@
             config_bound_s=settings.config_apply_s,
             endpoints_bound_s=settings.drain_s,
         )
+        self._allowance = retry_allowance.RetryAllowance(
+            settings.retries, self._link.peers.fleet_size
+        )
         self._forwarder = forwarder.Forwarder(
             forwarder.ForwarderParts(
                 planner=request_plan.RequestPlanner(self._holder, codec),
@@ -81,9 +91,7 @@
                 placer=placement.Placer(
                     self._directory, book, settings.failure_domain
                 ),
-                allowance=retry_allowance.RetryAllowance(
-                    settings.retries, self._link.peers.fleet_size
-                ),
+                allowance=self._allowance,
                 crashes=self._link.crashes,
                 is_draining=lambda: self._is_draining,
             )
@@ -99,6 +107,11 @@
             lambda: self._holder.limits,
         )
 
+    @property
+    def settings(self) -> gateway_settings.GatewaySettings:
+        """The settings in force."""
+        return self._settings
+
     @property
     def directory(self) -> endpoint_directory.EndpointDirectory:
         """The endpoints that the node knows."""
@@ -128,6 +141,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         async with self._stack:
             self._start()
             await self._stop.wait()
@@ -144,7 +158,11 @@
             self._stack.callback(server.close_connections)
             self._stack.callback(server.stop)
         self._stack.callback(self._link.close)
-        for coroutine in (self._link.run(), self._follower.run()):
+        for coroutine in (
+            self._link.run(),
+            self._follower.run(),
+            self._watch_settings(),
+        ):
             task = asyncio.ensure_future(coroutine)
             task.add_done_callback(self._note_ended)
             self._stack.push_async_callback(_cancel, task)
@@ -152,6 +170,26 @@
             "Started", node=settings.node_name, callers=str(settings.callers)
         )
 
+    async def _watch_settings(self) -> None:
+        """Notice a change of the settings that no signal tells."""
+        while True:
+            await asyncio.sleep(_SETTINGS_CHECK_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        """Put changed settings into force; addresses stay as they are."""
+        try:
+            settings = self._load_settings()
+        except exceptions.InvalidSettingsError as error:
+            _log.error("Settings not used", reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._allowance.set_limits(settings.retries)
+        self._follower.set_bounds(settings.config_apply_s, settings.drain_s)
+        _log.info("Settings in force", settings=dataclasses.asdict(settings))
+
     def _note_ended(self, task: "asyncio.Future[None]") -> None:
         """Stop the node if a part of it fails: another start is better."""
         if not task.cancelled() and task.exception() is not None:
--- a/src/fireflyspur/gateway/retry_allowance.py
+++ b/src/fireflyspur/gateway/retry_allowance.py
@@ -43,6 +43,10 @@
         self._requests: dict[str, collections.deque[float]] = {}
         self._retries: dict[str, collections.deque[float]] = {}
 
+    def set_limits(self, limits: RetryLimits) -> None:
+        """Put another bound into force."""
+        self._limits = limits
+
     def note_request(self, service: str) -> None:
         """Count a caller's request."""
         self._window(self._requests, service).append(clock.now_s())
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -62,6 +62,13 @@
         }
         link.on_behind(self._wake)
 
+    def set_bounds(
+        self, config_bound_s: float, endpoints_bound_s: float
+    ) -> None:
+        """Put other bounds into force."""
+        self._config_bound_s = config_bound_s
+        self._endpoints_bound_s = endpoints_bound_s
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -165,11 +165,13 @@
     async def start_node(self, is_configured=True, **changes):
         """Start a node and wait until it is ready."""
         settings = self.settings(**changes)
+        started = Node(settings)
         store = store_client.StoreClient(settings.store)
         node = gateway.Gateway(
             settings,
             store_registry.StoreRegistry(store),
             header_codec.HeaderCodec(),
+            started.load_settings,
         )
         task = asyncio.ensure_future(node.run())
         self._stack.push_async_callback(_end, task)
@@ -178,7 +180,9 @@
                 self.publish(config())
             await wait_until(lambda: node.is_ready)
         await asyncio.sleep(0)
-        return Node(node, settings, task)
+        started.gateway = node
+        started.task = task
+        return started
 
     def publish(self, wanted):
         """Publish a configuration as the operators do."""
@@ -198,12 +202,19 @@
 
 
 class Node:
-    """A running node."""
+    """A running node.
 
-    def __init__(self, node, settings, task):
-        self.gateway = node
+    ``stored`` is what its settings file holds: settings, or an error.
+    """
+
+    def __init__(self, settings):
         self.settings = settings
-        self.task = task
+        self.stored = settings
+
+    def load_settings(self):
+        if isinstance(self.stored, Exception):
+            raise self.stored
+        return self.stored
 
     async def connect(self, address=None):
         """Return reader and writer of a connection to the node."""
