Hold memory on several engines for prompts beyond one engine's

Change: the placer forms groups that have the memory together; it is reserved all or nothing, for three quarters of the time in which it must be free again, renewed while in use and released at the end, so that a node that dies leaves nothing behind. Ruled out: waiting reservations, which stop an engine from admitting quotes.

--- a/src/fireflyspur/console/commands/platform.py
+++ b/src/fireflyspur/console/commands/platform.py
@@ -9,6 +9,7 @@
 from fireflyspur.gateway import settings as gateway_settings
 from fireflyspur.observability import logs
 from fireflyspur.platform import header_codec
+from fireflyspur.platform import order_client
 from fireflyspur.platform import settings_file
 from fireflyspur.platform import store_client
 from fireflyspur.platform import store_registry
@@ -46,6 +47,7 @@
         settings,
         store_registry.StoreRegistry(store),
         header_codec.HeaderCodec(),
+        order_client.OrderClient(),
         lambda: settings_file.load(path),
     )
     await node.run()
--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -1,12 +1,14 @@
 """One attempt at a request on an endpoint."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 
 from fireflyspur.gateway import answer_relay
 from fireflyspur.gateway import attempt_result
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import placement as placements
@@ -29,6 +31,7 @@
     :param plan: the request with its route
     :param codec: writes and reads the headers
     :param relay: passes the answer on
+    :param memory: holds memory of several engines
     :param on_first_part: told when the answer begins
     """
 
@@ -37,11 +40,13 @@
         plan: request_plan.RequestPlan,
         codec: messages.Codec,
         relay: answer_relay.AnswerRelay,
+        memory: group_memory.GroupMemory,
         on_first_part: Callable[[], None],
     ) -> None:
         self._plan = plan
         self._codec = codec
         self._relay = relay
+        self._memory = memory
         self._on_first_part = on_first_part
 
     async def run(
@@ -51,6 +56,26 @@
 
         :param placement: where the request is sent
         """
+        wanted = [
+            (item.endpoint, item.tokens)
+            for item in placement.helpers
+            if item.tokens
+        ]
+        if not wanted:
+            return await self._exchange(placement, {})
+        try:
+            async with self._memory.hold(wanted) as reservations:
+                tickets = {
+                    item.endpoint.instance: item.ticket
+                    for item in reservations
+                }
+                return await self._exchange(placement, tickets)
+        except exceptions.MemoryRefusedError as error:
+            return attempt_result.NotSent(str(error), error.instance)
+
+    async def _exchange(
+        self, placement: placements.Placement, tickets: Mapping[str, str]
+    ) -> attempt_result.AttemptResult:
         try:
             exchange = await http_exchange.HttpExchange.connect(
                 placement.first.address, _CONNECT_TIMEOUT_S
@@ -58,7 +83,7 @@
         except exceptions.EndpointUnreachableError as error:
             return attempt_result.NotRun(str(error))
         with contextlib.closing(exchange):
-            self._send(exchange, placement)
+            self._send(exchange, placement, tickets)
             try:
                 return await self._receive(exchange)
             except exceptions.AnswerBrokenError as error:
@@ -68,6 +93,7 @@
         self,
         exchange: http_exchange.HttpExchange,
         placement: placements.Placement,
+        tickets: Mapping[str, str],
     ) -> None:
         plan = self._plan
         last_event_id = self._relay.last_event_id or plan.info.last_event_id
@@ -78,7 +104,11 @@
             priority=plan.priority,
             last_event_id=last_event_id,
             helpers=tuple(
-                messages.Helper(item.address) for item in placement.helpers
+                messages.Helper(
+                    item.endpoint.address,
+                    tickets.get(item.endpoint.instance),
+                )
+                for item in placement.helpers
             ),
         )
         request = plan.request
--- a/src/fireflyspur/gateway/attempt_result.py
+++ b/src/fireflyspur/gateway/attempt_result.py
@@ -12,6 +12,17 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True)
+class NotSent:
+    """An engine of the group had no room, so nothing was sent to any.
+
+    :param instance: the engine
+    """
+
+    reason: str
+    instance: str
+
+
 @dataclasses.dataclass(frozen=True)
 class NotRun:
     """The endpoint has not run the request and never will.
@@ -45,4 +56,4 @@
     body: bytes
 
 
-AttemptResult = Delivered | NotRun | Broken | Rejected
+AttemptResult = Delivered | NotSent | NotRun | Broken | Rejected
--- a/src/fireflyspur/gateway/exceptions.py
+++ b/src/fireflyspur/gateway/exceptions.py
@@ -55,6 +55,26 @@
     http_status = 503
 
 
+class MemoryRefusedError(exceptions.FireflyspurError):
+    """An engine did not set memory aside; nothing was sent to it.
+
+    :param instance: the engine
+    :param reason: what came of the order
+    """
+
+    code = "memory_refused"
+    http_status = 503
+
+    def __init__(self, instance: str, reason: str) -> None:
+        super().__init__(f"no memory on {instance}: {reason}")
+        self._instance = instance
+
+    @property
+    def instance(self) -> str:
+        """The engine."""
+        return self._instance
+
+
 class CrashingRequestError(exceptions.FireflyspurError):
     """The request has crashed several endpoints and is not run again."""
 
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from fireflyspur.gateway import crash_list
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import request_plan
@@ -28,6 +29,9 @@
 _LAST_WORD_S = 0.1
 _RETRY_AFTER_S = 0.25
 _SERVER_ERROR = 500
+# Engines without the memory that was expected, after which a prompt that
+# needs several is refused.
+_MAX_MEMORY_REFUSALS = 4
 
 _log = logs.log_for("requests")
 
@@ -46,6 +50,7 @@
     placer: placements.Placer
     allowance: retry_allowance.RetryAllowance
     crashes: crash_list.CrashList
+    memory: group_memory.GroupMemory
     is_draining: Callable[[], bool]
 
 
@@ -176,6 +181,7 @@
     async def _try_endpoints(self) -> None:
         plan = self._plan
         reason = "no endpoint is ready"
+        refused: list[str] = []
         while len(self._tried) < plan.route.max_attempts:
             if self._parts.crashes.is_refused(self._fingerprint):
                 raise self._crashing()
@@ -184,7 +190,7 @@
             ):
                 reason = f"{reason}; no retry is left"
                 break
-            placement = self._place()
+            placement = self._place(refused)
             if placement is None:
                 break
             result = await self._attempt(placement)
@@ -195,6 +201,12 @@
                     )
                     self.log_end(status, None)
                     return
+                case attempt_result.NotSent(why, instance):
+                    reason = why
+                    refused.append(instance)
+                    self._tried.pop()
+                    if len(refused) >= _MAX_MEMORY_REFUSALS:
+                        break
                 case attempt_result.NotRun(why):
                     reason = why
                     self._note_not_run(placement, result)
@@ -213,9 +225,9 @@
             raise exceptions.AnswerBrokenError(reason)
         raise self._refusal(reason)
 
-    def _place(self) -> placements.Placement | None:
+    def _place(self, refused: list[str]) -> placements.Placement | None:
         plan = self._plan
-        excluded = frozenset(self._tried)
+        excluded = frozenset((*self._tried, *refused))
         if plan.service.engine is None:
             return self._parts.placer.choose_plain(plan.service.name, excluded)
         return self._parts.placer.choose_engine(
@@ -240,14 +252,19 @@
         with contextlib.ExitStack() as stack:
             on_first_part = self._track(stack, placement)
             attempt = attempts.Attempt(
-                self._plan, self._parts.codec, self._relay, on_first_part
+                self._plan,
+                self._parts.codec,
+                self._relay,
+                self._parts.memory,
+                on_first_part,
             )
             may_have_run = self._may_have_run
             # Until the endpoint says otherwise: a timeout may come first.
             self._may_have_run = True
             result = await attempt.run(placement)
-            if isinstance(result, attempt_result.NotRun):
-                self._may_have_run = may_have_run
+            match result:
+                case attempt_result.NotRun() | attempt_result.NotSent():
+                    self._may_have_run = may_have_run
             return result
 
     def _track(
@@ -257,28 +274,30 @@
 
         :returns: to be called when its answer begins
         """
-        members = (placement.first, *placement.helpers)
         demand = self._demand()
+        parts = 1 + len(placement.helpers)
         lasts_s = self._plan.deadline_s - clock.now_s()
+        tracker = self._parts.works
         reading = stack.enter_context(contextlib.ExitStack())
-        works = [
-            (stack if item is placement.first else reading).enter_context(
-                self._parts.works.track(
-                    item,
-                    demand,
-                    len(members),
-                    item is placement.first,
-                    lasts_s,
-                )
+        numbers = [
+            stack.enter_context(
+                tracker.track_first(placement.first, demand, parts, lasts_s)
             )
-            for item in members
         ]
+        for helper in placement.helpers:
+            # A helper that keeps a part of the prompt stays in use.
+            holder = stack if helper.tokens else reading
+            number = holder.enter_context(
+                tracker.track_helper(helper, demand, parts, lasts_s)
+            )
+            numbers.append(number)
 
         def note_first_part() -> None:
             if self._first_part_s is None:
                 self._first_part_s = clock.now_s()
-            self._parts.works.note_read(works[0], demand)
             reading.close()
+            for number in numbers:
+                tracker.note_read(number, demand)
 
         return note_first_part
 
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -11,9 +11,11 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import engine_orders
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
 from fireflyspur.gateway import forwarder
+from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import registry as registries
@@ -42,6 +44,7 @@
     :param settings: the node's settings
     :param registry: the platform's store
     :param codec: headers of requests and answers
+    :param orders: sends orders to engines
     :param load_settings: reads the settings again
     """
 
@@ -50,6 +53,7 @@
         settings: gateway_settings.GatewaySettings,
         registry: registries.Registry,
         codec: messages.Codec,
+        orders: engine_orders.EngineOrders,
         load_settings: Callable[[], gateway_settings.GatewaySettings],
     ) -> None:
         self._settings = settings
@@ -82,6 +86,9 @@
         self._allowance = retry_allowance.RetryAllowance(
             settings.retries, self._link.peers.fleet_size
         )
+        self._memory = group_memory.GroupMemory(
+            orders, lambda: self._settings.memory
+        )
         self._forwarder = forwarder.Forwarder(
             forwarder.ForwarderParts(
                 planner=request_plan.RequestPlanner(self._holder, codec),
@@ -93,6 +100,7 @@
                 ),
                 allowance=self._allowance,
                 crashes=self._link.crashes,
+                memory=self._memory,
                 is_draining=lambda: self._is_draining,
             )
         )
@@ -157,6 +165,7 @@
             server.listen(address.port, address.host, backlog=1024)
             self._stack.callback(server.close_connections)
             self._stack.callback(server.stop)
+        self._stack.push_async_callback(self._memory.close)
         self._stack.callback(self._link.close)
         for coroutine in (
             self._link.run(),
--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/placement.py
@@ -49,6 +49,18 @@
     weight: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Helper:
+    """An endpoint that reads a part of a prompt.
+
+    :param tokens: memory that it keeps for the prompt; 0 if the first
+        endpoint has room for all
+    """
+
+    endpoint: endpoints.Endpoint
+    tokens: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """Endpoints chosen for a request.
@@ -60,7 +72,7 @@
     """
 
     first: endpoints.Endpoint
-    helpers: tuple[endpoints.Endpoint, ...] = ()
+    helpers: tuple[Helper, ...] = ()
     first_event_s: float | None = None
 
 
@@ -71,6 +83,18 @@
     handicap: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Group:
+    """Candidates that read one prompt together.
+
+    :param members: the one that answers comes first
+    :param helper_tokens: memory for the prompt on each of the others
+    """
+
+    members: tuple[_Candidate, ...]
+    helper_tokens: tuple[int, ...]
+
+
 def weight_of(prompt_tokens: int) -> float:
     """Return the cost of being late for a prompt."""
     size = max(1.0, prompt_tokens / _WEIGHT_UNIT_TOKENS)
@@ -161,35 +185,34 @@
                     random.random(),  # noqa: S311
                 ),
             )
-            first = next((c for c in ranked if _fits(engine, demand, c)), None)
-            if first is None:
-                continue
-            others = [c for c in ranked if c is not first][: size - 1]
-            group = [first, *others]
-            options.append(self._rate(engine, demand, group, reading))
+            group = _group(engine, demand, ranked, size)
+            if group is not None:
+                options.append(self._rate(engine, demand, group, reading))
         return options
 
     def _rate(
         self,
         engine: routing_config.EngineSpec,
         demand: Demand,
-        group: list[_Candidate],
+        group: "_Group",
         reading: pass_model.Reading,
     ) -> tuple[float, Placement]:
+        members = group.members
         times = [
             pass_model.first_event_ms(engine, c.outlook.state, reading) / 1000
-            for c in group
+            for c in members
         ]
         first_s = max(times)
         cost = demand.weight * (
             _lateness(first_s, demand.target_s)
             + _WAIT_COST_PER_S * first_s
-            + sum(c.handicap for c in group)
+            + sum(c.handicap for c in members)
         )
-        cost += sum(_harm(engine, c, reading) for c in group)
+        cost += sum(_harm(engine, c, reading) for c in members)
+        helpers = zip(members[1:], group.helper_tokens, strict=True)
         placement = Placement(
-            group[0].endpoint,
-            tuple(c.endpoint for c in group[1:]),
+            members[0].endpoint,
+            tuple(Helper(c.endpoint, tokens) for c, tokens in helpers),
             first_s,
         )
         return cost, placement
@@ -219,14 +242,50 @@
     return candidate.outlook.works < engine.slots
 
 
-def _fits(
+def _free_tokens(
+    engine: routing_config.EngineSpec, candidate: _Candidate
+) -> int:
+    usable = int(engine.kv_tokens * _MEMORY_SHARE)
+    return max(0, usable - candidate.outlook.memory_tokens)
+
+
+def _group(
     engine: routing_config.EngineSpec,
     demand: Demand,
-    candidate: _Candidate,
-) -> bool:
+    ranked: Sequence[_Candidate],
+    size: int,
+) -> _Group | None:
+    """Return the best candidates that have the memory together."""
     wanted = demand.prompt_tokens + demand.output_tokens
-    free = engine.kv_tokens * _MEMORY_SHARE - candidate.outlook.memory_tokens
-    return wanted <= free
+    free = [_free_tokens(engine, c) for c in ranked]
+    roomy = next(
+        (i for i, tokens in enumerate(free) if tokens >= wanted), None
+    )
+    if roomy is not None:
+        others = [c for i, c in enumerate(ranked) if i != roomy]
+        members = (ranked[roomy], *others[: size - 1])
+        return _Group(members, (0,) * (size - 1))
+    members = tuple(ranked[:size])
+    if sum(free[:size]) < wanted:
+        return None
+    return _Group(members, _shares(demand, free[:size]))
+
+
+def _shares(demand: Demand, free: Sequence[int]) -> tuple[int, ...]:
+    """Return the memory that each helper keeps.
+
+    The first endpoint keeps its even share and the answer, and more only
+    if the others have no room.
+    """
+    even = math.ceil(demand.prompt_tokens / len(free))
+    left = demand.prompt_tokens + demand.output_tokens - free[0]
+    shares = []
+    for index, tokens in enumerate(free[1:], 1):
+        later = sum(free[index + 1 :])
+        share = min(tokens, max(even, left - later))
+        shares.append(share)
+        left -= share
+    return tuple(shares)
 
 
 def _cost(
--- a/src/fireflyspur/gateway/settings.py
+++ b/src/fireflyspur/gateway/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import retry_allowance
 
 
@@ -31,3 +32,4 @@
     config_apply_s: float
     heartbeat_s: float
     retries: retry_allowance.RetryLimits
+    memory: group_memory.MemoryLimits
--- a/src/fireflyspur/gateway/work_reporter.py
+++ b/src/fireflyspur/gateway/work_reporter.py
@@ -36,32 +36,50 @@
         self._channel = channel
         self._numbers = itertools.count(1)
 
-    @contextlib.contextmanager
-    def track(
+    def track_first(
         self,
         item: endpoints.Endpoint,
         demand: placements.Demand,
         parts: int,
-        is_first: bool,
         lasts_s: float,
-    ) -> Iterator[int]:
-        """Count a request, or a part of one, as running.
+    ) -> contextlib.AbstractContextManager[int]:
+        """Count a request as running on the endpoint that answers it.
 
         :param parts: endpoints that read the prompt together
-        :param is_first: whether the endpoint generates the answer
         :param lasts_s: time in which it ends at the latest
-        :returns: the number of the work
+        :returns: gives the number of the work
         """
-        number = next(self._numbers)
         started = fleet_news.WorkStarted(
-            number=number,
             instance=item.instance,
             prompt_tokens=demand.prompt_tokens,
             parts=parts,
-            output_tokens=demand.output_tokens if is_first else 0,
-            max_gap_ms=round(demand.max_gap_s * 1000) if is_first else 0,
+            memory_tokens=demand.prompt_tokens + demand.output_tokens,
+            max_gap_ms=max(1, round(demand.max_gap_s * 1000)),
             lasts_ms=max(0, round(lasts_s * 1000)),
         )
+        return self._track(started)
+
+    def track_helper(
+        self,
+        helper: placements.Helper,
+        demand: placements.Demand,
+        parts: int,
+        lasts_s: float,
+    ) -> contextlib.AbstractContextManager[int]:
+        """Count a part of a prompt as being read by a helper."""
+        started = fleet_news.WorkStarted(
+            instance=helper.endpoint.instance,
+            prompt_tokens=demand.prompt_tokens,
+            parts=parts,
+            memory_tokens=helper.tokens,
+            lasts_ms=max(0, round(lasts_s * 1000)),
+        )
+        return self._track(started)
+
+    @contextlib.contextmanager
+    def _track(self, started: fleet_news.WorkStarted) -> Iterator[int]:
+        number = next(self._numbers)
+        started.number = number
         self._book.add(to_work(self._node_name, started))
         self._channel.draft.started.append(started)
         try:
@@ -96,14 +114,11 @@
     whole = pass_model.whole_prompt(started.prompt_tokens)
     is_first = started.max_gap_ms > 0
     now = clock.now_s()
-    memory_tokens = 0
-    if is_first:
-        memory_tokens = started.prompt_tokens + started.output_tokens
     return work_book.Work(
         key=_key(node, started.number),
         instance=started.instance,
         reading=pass_model.part_of(whole, parts),
-        memory_tokens=memory_tokens,
+        memory_tokens=started.memory_tokens,
         max_gap_s=started.max_gap_ms / 1000 if is_first else None,
         weight=placements.weight_of(started.prompt_tokens),
         started_at_s=now,
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -8,6 +8,7 @@
 
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import retry_allowance
 from fireflyspur.gateway import settings as gateway_settings
 
@@ -28,6 +29,9 @@
     retry_budget_ratio: float
     retry_budget_extra: float
     budget_window_s: float
+    # Memory that was set aside must be free this long after its request.
+    free_ms: float = 4_000
+    hold_max_ms: float = 20_000
 
 
 class _Platform(msgspec.Struct):
@@ -91,4 +95,8 @@
             extra=bounds.retry_budget_extra,
             window_s=bounds.budget_window_s,
         ),
+        memory=group_memory.MemoryLimits(
+            free_s=bounds.free_ms / 1000,
+            hold_max_s=bounds.hold_max_ms / 1000,
+        ),
     )
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -6,9 +6,11 @@
 
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import gateway
+from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import retry_allowance
 from fireflyspur.gateway import settings as gateway_settings
 from fireflyspur.platform import header_codec
+from fireflyspur.platform import order_client
 from fireflyspur.platform import store_client
 from fireflyspur.platform import store_registry
 from tests.support import loopback
@@ -158,6 +160,7 @@
                 "config_apply_s": 2.0,
                 "heartbeat_s": 1.2,
                 "retries": retry_allowance.RetryLimits(0.2, 100, 10.0),
+                "memory": group_memory.MemoryLimits(4.0, 20.0),
                 **changes,
             }
         )
@@ -171,6 +174,7 @@
             settings,
             store_registry.StoreRegistry(store),
             header_codec.HeaderCodec(),
+            order_client.OrderClient(),
             started.load_settings,
         )
         task = asyncio.ensure_future(node.run())
