Place prompts by the order of reading, and refuse what a stop would cut

Change: quotes share engines; the model knows urgent reading, and delays of waiting prompts cost; predictions have a disturbed share; silence beyond what known work explains is probed, and an idempotent stream is then run elsewhere; only an endpoint without a connection has crashed; a stopping node refuses what it can't finish.

--- a/src/fireflyspur/gateway/answer_relay.py
+++ b/src/fireflyspur/gateway/answer_relay.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from fireflyspur.gateway import caller_connection
+from fireflyspur.gateway import clock
 from fireflyspur.gateway import event_splitter
 from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
@@ -28,6 +29,13 @@
         self._is_last = is_last
         self._splitter = event_splitter.EventSplitter()
         self._is_started = False
+        self._last_event_s: float | None = None
+        self._longest_gap_s = 0.0
+
+    @property
+    def longest_gap_s(self) -> float:
+        """Longest pause between events that were passed on."""
+        return self._longest_gap_s
 
     @property
     def is_started(self) -> bool:
@@ -70,6 +78,7 @@
         while (part := await exchange.read_part()) is not None:
             events = self._splitter.take(part)
             if events:
+                self._note_event()
                 await self._start(head)
                 await self._connection.send_body(events)
         await self._start(head)
@@ -86,6 +95,13 @@
             head.status, head.headers, body, is_last=self._is_last()
         )
 
+    def _note_event(self) -> None:
+        now = clock.now_s()
+        if self._last_event_s is not None:
+            gap_s = now - self._last_event_s
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self._last_event_s = now
+
     async def _start(self, head: messages.AnswerHead) -> None:
         if not self._is_started:
             self._is_started = True
--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -33,6 +33,7 @@
     :param relay: passes the answer on
     :param memory: holds memory of several engines
     :param on_first_part: told when the answer begins
+    :param watch_silence: returns what decides how long silence is borne
     """
 
     def __init__(
@@ -42,12 +43,16 @@
         relay: answer_relay.AnswerRelay,
         memory: group_memory.GroupMemory,
         on_first_part: Callable[[], None],
+        watch_silence: Callable[
+            [placements.Placement], http_exchange.WatchSilence
+        ],
     ) -> None:
         self._plan = plan
         self._codec = codec
         self._relay = relay
         self._memory = memory
         self._on_first_part = on_first_part
+        self._watch_silence = watch_silence
 
     async def run(
         self, placement: placements.Placement
@@ -71,17 +76,23 @@
                 }
                 return await self._exchange(placement, tickets)
         except exceptions.MemoryRefusedError as error:
-            return attempt_result.NotSent(str(error), error.instance)
+            return attempt_result.NotSent(
+                str(error), error.instance, is_unreachable=False
+            )
 
     async def _exchange(
         self, placement: placements.Placement, tickets: Mapping[str, str]
     ) -> attempt_result.AttemptResult:
         try:
             exchange = await http_exchange.HttpExchange.connect(
-                placement.first.address, _CONNECT_TIMEOUT_S
+                placement.first.address,
+                _CONNECT_TIMEOUT_S,
+                self._watch_silence(placement),
             )
         except exceptions.EndpointUnreachableError as error:
-            return attempt_result.NotRun(str(error))
+            return attempt_result.NotSent(
+                str(error), placement.first.instance, is_unreachable=True
+            )
         with contextlib.closing(exchange):
             self._send(exchange, placement, tickets)
             try:
@@ -128,7 +139,9 @@
             raise exceptions.AnswerBrokenError("the answer is another's")
         if info.is_not_run or head.status == _OTHER_INSTANCE:
             return attempt_result.NotRun(
-                f"status {head.status}", is_full=head.status in (429, 503)
+                f"status {head.status}",
+                is_full=head.status in (429, 503),
+                is_gone=head.status == _OTHER_INSTANCE,
             )
         if not head.is_success:
             return await self._read_failure(exchange, head)
--- a/src/fireflyspur/gateway/attempt_result.py
+++ b/src/fireflyspur/gateway/attempt_result.py
@@ -14,13 +14,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotSent:
-    """An engine of the group had no room, so nothing was sent to any.
+    """Nothing was sent to any endpoint.
 
-    :param instance: the engine
+    :param instance: the endpoint that prevented it
+    :param is_unreachable: whether it took no connection; else an engine of
+        a group had no room
     """
 
     reason: str
     instance: str
+    is_unreachable: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,10 +31,12 @@
     """The endpoint has not run the request and never will.
 
     :param is_full: whether it had no room, so that it is not at fault
+    :param is_gone: whether another instance is at the address
     """
 
     reason: str
     is_full: bool = False
+    is_gone: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/fireflyspur/gateway/endpoint_monitor.py
@@ -0,0 +1,167 @@
+"""Finding out what has become of an endpoint."""
+
+import asyncio
+from collections.abc import Sequence
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import crash_list
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import http_exchange
+from fireflyspur.gateway import news_channel
+from fireflyspur.gateway import pass_model
+from fireflyspur.gateway import routing_config
+from fireflyspur.gateway import work_book
+from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.observability import logs
+
+# A living endpoint in reach accepts within a few round trips.
+_CONNECT_TIMEOUT_S = 0.3
+# Silence that is borne beyond what the model explains: a share for its
+# errors, and a time for the network and the node itself.
+_MODEL_SHARE = 2.0
+_SLACK_S = 0.35
+# Silence of a plain service says little: its work takes as long as it does.
+_PLAIN_SILENCE_S = 0.5
+
+_log = logs.log_for("endpoints")
+
+
+class EndpointMonitor:
+    """Judges endpoints that are silent, or whose connections broke.
+
+    :param directory: gets what is found out
+    :param crashes: gets the requests that an endpoint crashed with
+    :param book: what is known to run on endpoints
+    :param channel: tells the other nodes
+    """
+
+    def __init__(
+        self,
+        directory: endpoint_directory.EndpointDirectory,
+        crashes: crash_list.CrashList,
+        book: work_book.WorkBook,
+        channel: news_channel.NewsChannel,
+    ) -> None:
+        self._directory = directory
+        self._crashes = crashes
+        self._book = book
+        self._channel = channel
+        self._checks: set[asyncio.Future[None]] = set()
+
+    def check_crash(self, item: endpoints.Endpoint, fingerprint: str) -> None:
+        """Count a crash if the endpoint takes no connection any more.
+
+        The check runs in the background.
+
+        :param fingerprint: request whose answer broke off
+        """
+        check = asyncio.ensure_future(self._check(item, fingerprint))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    def note_unreachable(self, instance: str) -> None:
+        """Note that an endpoint takes no connection."""
+        if not self._directory.is_paused(instance):
+            self._tell(instance, fleet_news.FAILED)
+        self._directory.note_fault(instance, "no connection")
+
+    def note_left(self, instance: str, reason: str) -> None:
+        """Note that an endpoint is gone by its own or its heir's word."""
+        self._directory.note_left(instance, reason)
+        self._tell(instance, fleet_news.LEFT)
+
+    def silence_watch(
+        self,
+        members: Sequence[endpoints.Endpoint],
+        engine: routing_config.EngineSpec | None,
+        may_repeat: bool,
+    ) -> http_exchange.WatchSilence:
+        """Return what decides how long a silent answer is waited for.
+
+        An endpoint that is silent for longer than the known work on it
+        explains is asked for a connection. Without one its answer is given
+        up at once, and with one after as much time again, if the request
+        may be repeated elsewhere.
+
+        :param members: the endpoint that answers, and its helpers
+        """
+        probed = False
+
+        async def watch(silent_s: float) -> float:
+            nonlocal probed
+            explained_s = self._explained_s(members, engine)
+            if silent_s < explained_s:
+                return explained_s - silent_s
+            if not probed:
+                probed = True
+                await self._probe(members[0], silent_s)
+            if not may_repeat or engine is None:
+                return max(explained_s, _PLAIN_SILENCE_S)
+            if silent_s > 2 * explained_s:
+                raise exceptions.AnswerBrokenError(
+                    f"silent for {silent_s:.1f} s,"
+                    f" {explained_s:.1f} s were explained"
+                )
+            return max(0.05, 2 * explained_s - silent_s)
+
+        return watch
+
+    async def close(self) -> None:
+        """End the checks that run."""
+        for check in self._checks:
+            check.cancel()
+        await asyncio.gather(*self._checks, return_exceptions=True)
+
+    def _explained_s(
+        self,
+        members: Sequence[endpoints.Endpoint],
+        engine: routing_config.EngineSpec | None,
+    ) -> float:
+        """Return the time in which an event should come."""
+        if engine is None:
+            return _PLAIN_SILENCE_S
+        now = clock.now_s()
+        longest_ms = 0.0
+        for item in members:
+            state = self._book.outlook(item.instance, engine, now).state
+            ms = state.pending_ms + pass_model.pass_ms(engine, state)
+            longest_ms = max(longest_ms, ms)
+        return _SLACK_S + _MODEL_SHARE * longest_ms / 1000
+
+    async def _probe(self, item: endpoints.Endpoint, silent_s: float) -> None:
+        is_reachable = await _is_reachable(item.address)
+        _log.info(
+            "Endpoint silent",
+            instance=item.instance,
+            silent_s=round(silent_s, 3),
+            is_reachable=is_reachable,
+        )
+        if not is_reachable:
+            self.note_unreachable(item.instance)
+            raise exceptions.AnswerBrokenError(
+                f"silent for {silent_s:.1f} s and takes no connection",
+                is_abrupt=True,
+            )
+
+    async def _check(self, item: endpoints.Endpoint, fingerprint: str) -> None:
+        if not await _is_reachable(item.address):
+            self.note_unreachable(item.instance)
+            self._crashes.note_crash(fingerprint, item.instance)
+
+    def _tell(self, instance: str, event: int) -> None:
+        report = fleet_news.EndpointReport(instance=instance, event=event)
+        self._channel.draft.reports.append(report)
+
+
+async def _is_reachable(address: addresses.Address) -> bool:
+    try:
+        exchange = await http_exchange.HttpExchange.connect(
+            address, _CONNECT_TIMEOUT_S
+        )
+    except exceptions.EndpointUnreachableError:
+        return False
+    exchange.close()
+    return True
--- a/src/fireflyspur/gateway/exceptions.py
+++ b/src/fireflyspur/gateway/exceptions.py
@@ -48,6 +48,13 @@
     http_status = 503
 
 
+class NodeStoppingError(exceptions.FireflyspurError):
+    """The node stops before the request could be done."""
+
+    code = "node_stopping"
+    http_status = 503
+
+
 class NoCapacityError(exceptions.FireflyspurError):
     """No endpoint can serve the request in time."""
 
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -73,6 +73,11 @@
         """Requests that crash endpoints."""
         return self._crashes
 
+    @property
+    def channel(self) -> news_channel.NewsChannel:
+        """Sends news to the other nodes."""
+        return self._channel
+
     @property
     def feed(self) -> endpoint_feed.EndpointFeed:
         """The exchange of endpoints."""
@@ -106,12 +111,6 @@
         """Tell what the newest list of endpoints changes."""
         self._channel.draft.endpoints.CopyFrom(seen)
 
-    def tell_endpoint(self, instance: str, *, has_left: bool) -> None:
-        """Tell that an endpoint failed or left."""
-        event = fleet_news.LEFT if has_left else fleet_news.FAILED
-        report = fleet_news.EndpointReport(instance=instance, event=event)
-        self._channel.draft.reports.append(report)
-
     def tell_stopping(self) -> None:
         """Tell that this node is about to stop."""
         self._is_stopping = True
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -5,6 +5,10 @@
 import contextlib
 import dataclasses
 import json
+from typing import Any
+
+import h11
+from tornado import iostream
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
@@ -15,8 +19,10 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import crash_list
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import endpoint_monitor
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import group_memory
+from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import request_plan
@@ -28,10 +34,12 @@
 # for its word to arrive.
 _LAST_WORD_S = 0.1
 _RETRY_AFTER_S = 0.25
+# Another node takes the request at once.
+_RETRY_ELSEWHERE_S = 0.02
 _SERVER_ERROR = 500
-# Engines without the memory that was expected, after which a prompt that
-# needs several is refused.
-_MAX_MEMORY_REFUSALS = 4
+# Endpoints that took no connection, or had less memory than expected, after
+# which a request is refused.
+_MAX_NOT_SENT = 5
 
 _log = logs.log_for("requests")
 
@@ -41,6 +49,8 @@
     """What a forwarder works with.
 
     :param is_draining: returns whether the node is stopping
+    :param ends_at_s: returns when the process ends; None while no stop has
+        begun
     """
 
     planner: request_plan.RequestPlanner
@@ -52,6 +62,8 @@
     crashes: crash_list.CrashList
     memory: group_memory.GroupMemory
     is_draining: Callable[[], bool]
+    ends_at_s: Callable[[], float | None]
+    monitor: endpoint_monitor.EndpointMonitor
 
 
 class Forwarder:
@@ -75,6 +87,7 @@
         relay = answer_relay.AnswerRelay(connection, self._parts.is_draining)
         try:
             plan = self._parts.planner.plan(request)
+            self._check_time_left(plan)
             run = _RequestRun(self._parts, plan, relay)
         except base_exceptions.FireflyspurError as error:
             _log.info("Request refused", code=error.code, path=request.path)
@@ -91,6 +104,27 @@
         except asyncio.CancelledError:
             run.log_end(0, None)
             raise
+        except (iostream.StreamClosedError, h11.LocalProtocolError) as error:
+            # The caller has gone, or the endpoint sent more or less than
+            # it announced; the answer can't be ended properly.
+            _log.warning("Answer not passed on", reason=repr(error))
+            run.log_end(0, None)
+            connection.close()
+
+    def _check_time_left(self, plan: request_plan.RequestPlan) -> None:
+        """Refuse what would be cut by the end of this process.
+
+        :raises NodeStoppingError: if it would not be done before
+        """
+        ends_at_s = self._parts.ends_at_s()
+        if ends_at_s is None:
+            return
+        left_s = ends_at_s - clock.now_s()
+        if plan.expected_s() > left_s:
+            raise exceptions.NodeStoppingError(
+                f"this node stops in {left_s:.1f} s; others are ready",
+                retry_after_s=_RETRY_ELSEWHERE_S,
+            )
 
     async def answer_error(
         self,
@@ -138,6 +172,7 @@
         self._tried: list[str] = []
         self._may_have_run = False
         self._first_part_s: float | None = None
+        self._placement: placements.Placement | None = None
 
     async def run(self) -> None:
         """Try endpoints until one answers or no more may be tried.
@@ -174,10 +209,25 @@
             status=status,
             code=error.code if error else None,
             reason=str(error) if error else None,
-            first_ms=None if first is None else round((first - begin) * 1e3),
-            total_ms=round((clock.now_s() - begin) * 1e3),
+            first_ms=None if first is None else _ms(first - begin),
+            gap_ms=_ms(self._relay.longest_gap_s),
+            total_ms=_ms(clock.now_s() - begin),
+            **self._describe_placement(),
         )
 
+    def _describe_placement(self) -> dict[str, Any]:
+        """Return what the last placement was decided by."""
+        placement = self._placement
+        if placement is None:
+            return {}
+        predicted_s = placement.first_event_s
+        return {
+            "helpers": len(placement.helpers),
+            "predicted_ms": None if predicted_s is None else _ms(predicted_s),
+            "busy": placement.works,
+            "endpoints_age_ms": _ms(self._parts.directory.age_s()),
+        }
+
     async def _try_endpoints(self) -> None:
         plan = self._plan
         reason = "no endpoint is ready"
@@ -205,7 +255,8 @@
                     reason = why
                     refused.append(instance)
                     self._tried.pop()
-                    if len(refused) >= _MAX_MEMORY_REFUSALS:
+                    self._note_not_sent(result)
+                    if len(refused) >= _MAX_NOT_SENT:
                         break
                 case attempt_result.NotRun(why):
                     reason = why
@@ -249,6 +300,7 @@
         self, placement: placements.Placement
     ) -> attempt_result.AttemptResult:
         self._tried.append(placement.first.instance)
+        self._placement = placement
         with contextlib.ExitStack() as stack:
             on_first_part = self._track(stack, placement)
             attempt = attempts.Attempt(
@@ -257,6 +309,7 @@
                 self._relay,
                 self._parts.memory,
                 on_first_part,
+                self._watch_silence,
             )
             may_have_run = self._may_have_run
             # Until the endpoint says otherwise: a timeout may come first.
@@ -301,6 +354,16 @@
 
         return note_first_part
 
+    def _note_not_sent(self, result: attempt_result.NotSent) -> None:
+        _log.info(
+            "Request not sent",
+            request=self._plan.info.attempt_id,
+            instance=result.instance,
+            reason=result.reason,
+        )
+        if result.is_unreachable:
+            self._parts.monitor.note_unreachable(result.instance)
+
     def _note_not_run(
         self,
         placement: placements.Placement,
@@ -313,7 +376,11 @@
             instance=instance,
             reason=result.reason,
         )
-        if not result.is_full:
+        if result.is_full:
+            return
+        if result.is_gone:
+            self._parts.monitor.note_left(instance, result.reason)
+        else:
             self._parts.directory.note_fault(instance, result.reason)
 
     def _note_broken(
@@ -331,7 +398,16 @@
         )
         self._parts.directory.note_fault(instance, result.reason)
         if result.is_abrupt:
-            self._parts.crashes.note_crash(self._fingerprint, instance)
+            self._parts.monitor.check_crash(placement.first, self._fingerprint)
+
+    def _watch_silence(
+        self, placement: placements.Placement
+    ) -> http_exchange.WatchSilence:
+        engine = self._plan.service.engine
+        members = [placement.first, *(h.endpoint for h in placement.helpers)]
+        return self._parts.monitor.silence_watch(
+            members, engine, self._plan.route.may_repeat
+        )
 
     def _may_try_again(self, head: messages.AnswerHead) -> bool:
         if head.status < _SERVER_ERROR or not self._plan.route.may_repeat:
@@ -356,3 +432,7 @@
         return exceptions.CrashingRequestError(
             message, verdict=verdicts.Verdict.NOT_RUN
         )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import endpoint_monitor
 from fireflyspur.gateway import engine_orders
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
@@ -59,7 +60,7 @@
         self._settings = settings
         self._load_settings = load_settings
         self._stack = contextlib.AsyncExitStack()
-        self._is_draining = False
+        self._ends_at_s: float | None = None
         self._stop = asyncio.Event()
         self._holder = config_holder.ConfigHolder()
         self._directory = endpoint_directory.EndpointDirectory(
@@ -86,6 +87,9 @@
         self._allowance = retry_allowance.RetryAllowance(
             settings.retries, self._link.peers.fleet_size
         )
+        self._monitor = endpoint_monitor.EndpointMonitor(
+            self._directory, self._link.crashes, book, self._link.channel
+        )
         self._memory = group_memory.GroupMemory(
             orders, lambda: self._settings.memory
         )
@@ -101,7 +105,9 @@
                 allowance=self._allowance,
                 crashes=self._link.crashes,
                 memory=self._memory,
-                is_draining=lambda: self._is_draining,
+                is_draining=lambda: self._ends_at_s is not None,
+                ends_at_s=lambda: self._ends_at_s,
+                monitor=self._monitor,
             )
         )
         self._callers = caller_server.CallerServer(
@@ -139,7 +145,7 @@
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
         return (
-            not self._is_draining
+            self._ends_at_s is None
             and self._holder.table is not None
             and self._directory.is_read
         )
@@ -166,6 +172,7 @@
             self._stack.callback(server.close_connections)
             self._stack.callback(server.stop)
         self._stack.push_async_callback(self._memory.close)
+        self._stack.push_async_callback(self._monitor.close)
         self._stack.callback(self._link.close)
         for coroutine in (
             self._link.run(),
@@ -207,12 +214,11 @@
 
     async def _drain(self) -> None:
         """Serve on until the balancer knows and no request is left."""
-        began = clock.now_s()
-        self._is_draining = True
+        end = clock.now_s() + self._settings.grace_s - _STOP_MARGIN_S
+        self._ends_at_s = end
         self._link.tell_stopping()
         _log.info("Stop begun", in_progress=self._callers.in_progress)
-        await asyncio.sleep(_BALANCER_NOTICE_S)
-        end = began + self._settings.grace_s - _STOP_MARGIN_S
+        await asyncio.sleep(min(_BALANCER_NOTICE_S, end - clock.now_s()))
         while self._callers.in_progress and clock.now_s() < end:
             await asyncio.sleep(_POLL_S)
         _log.info("Stop goes on", in_progress=self._callers.in_progress)
--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -1,16 +1,23 @@
 """One request to a server and its answer, on a connection of its own."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import socket
 
 import h11
 from tornado import iostream
 
 from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import socket_options
 
+# Gets the seconds of silence so far, and returns those after which it wants
+# to be asked again. Raises AnswerBrokenError to end the wait.
+WatchSilence = Callable[[float], Awaitable[float]]
+
 _READ_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
 
@@ -22,10 +29,16 @@
     adds to an answer would be taken for the next answer.
 
     :param stream: a connected stream, which the exchange owns
+    :param watch_silence: asked while nothing comes; None to wait for ever
     """
 
-    def __init__(self, stream: iostream.IOStream) -> None:
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        watch_silence: WatchSilence | None = None,
+    ) -> None:
         self._stream = stream
+        self._watch_silence = watch_silence
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -33,7 +46,10 @@
 
     @classmethod
     async def connect(
-        cls, address: addresses.Address, timeout_s: float
+        cls,
+        address: addresses.Address,
+        timeout_s: float,
+        watch_silence: WatchSilence | None = None,
     ) -> "HttpExchange":
         """Open a connection.
 
@@ -52,7 +68,7 @@
         except BaseException:
             stream.close()
             raise
-        return cls(stream)
+        return cls(stream, watch_silence)
 
     @property
     def has_length(self) -> bool:
@@ -142,7 +158,10 @@
 
     async def _read(self) -> bytes:
         try:
-            return await self._stream.read_bytes(_READ_BYTES, partial=True)
+            reading = self._stream.read_bytes(_READ_BYTES, partial=True)
+            if self._watch_silence is not None:
+                await self._watch(asyncio.ensure_future(reading))
+            return await reading
         except iostream.StreamClosedError as error:
             if error.real_error is None:
                 return b""
@@ -151,6 +170,14 @@
                 is_abrupt=True,
             ) from error
 
+    async def _watch(self, reading: "asyncio.Future[bytes]") -> None:
+        began = clock.now_s()
+        pause_s = await self._watch_silence(0.0)
+        while not reading.done():
+            await asyncio.wait((reading,), timeout=pause_s)
+            if not reading.done():
+                pause_s = await self._watch_silence(clock.now_s() - began)
+
 
 def _has_length(response: h11.Response) -> bool:
     if response.status_code in (204, 304):
--- a/src/fireflyspur/gateway/pass_model.py
+++ b/src/fireflyspur/gateway/pass_model.py
@@ -6,6 +6,7 @@
 between the events of the streams on the same engine.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import math
 
@@ -31,15 +32,31 @@
     :param writers: requests that are generating
     :param context_tokens: tokens of their prompts and answers so far
     :param pending_ms: reading that is left of prompts sent before
+    :param urgent_ms: the share of it that goes before all other reading
     :param pending_chunks: chunks that are left of it
     """
 
     writers: int
     context_tokens: int
     pending_ms: float
+    urgent_ms: float
     pending_chunks: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentReading:
+    """Reading that was sent to an engine.
+
+    :param is_urgent: whether it goes before other reading, as the parts of
+        prompts that several engines read together do
+    :param own_ms: time that it takes alone
+    """
+
+    started_at_s: float
+    is_urgent: bool
+    own_ms: float
+
+
 def whole_prompt(tokens: int) -> Reading:
     """Return the reading of a whole prompt."""
     return Reading(tokens, tokens * (tokens + 1) / 2 / 1e6)
@@ -78,19 +95,54 @@
     return engine.stride_steps * step
 
 
+def remaining_ms(sent: Sequence[SentReading], now_s: float) -> list[float]:
+    """Return what is left of each reading.
+
+    :param sent: in the order of their start
+    """
+    left = [item.own_ms for item in sent]
+    order = sorted(range(len(sent)), key=lambda i: not sent[i].is_urgent)
+    for index, item in enumerate(sent):
+        end_s = now_s
+        if index + 1 < len(sent):
+            end_s = min(now_s, sent[index + 1].started_at_s)
+        time_ms = max(0.0, end_s - item.started_at_s) * 1000
+        for other in order:
+            if other <= index:
+                used_ms = min(left[other], time_ms)
+                left[other] -= used_ms
+                time_ms -= used_ms
+    return left
+
+
 def first_event_ms(
-    engine: routing_config.EngineSpec, state: EngineState, reading: Reading
+    engine: routing_config.EngineSpec,
+    state: EngineState,
+    reading: Reading,
+    *,
+    is_urgent: bool = False,
 ) -> float:
     """Return the time from sending a prompt to its first event."""
+    before_ms = state.urgent_ms if is_urgent else state.pending_ms
+    reading_ms = before_ms + read_ms(engine, reading)
+    if not state.writers:
+        return reading_ms + step_ms(engine, 1, reading.tokens)
     steps = pass_ms(engine, state)
-    own_ms = read_ms(engine, reading)
     chunks = state.pending_chunks + chunks_of(engine, reading.tokens)
     passes = max(1, math.ceil(chunks / engine.stride_steps))
-    if not state.writers:
-        return state.pending_ms + own_ms + steps
     # On average a prompt arrives in the middle of a pass.
-    waiting_ms = steps / 2
-    return waiting_ms + state.pending_ms + own_ms + passes * steps
+    return steps / 2 + reading_ms + passes * steps
+
+
+def whole_answer_s(
+    engine: routing_config.EngineSpec, prompt_tokens: int, output_tokens: int
+) -> float:
+    """Return the time of a whole answer on an engine with all slots used."""
+    context = prompt_tokens + output_tokens
+    writing_ms = output_tokens * step_ms(engine, engine.slots, context)
+    state = EngineState(engine.slots - 1, context, 0.0, 0.0, 0)
+    first_ms = first_event_ms(engine, state, whole_prompt(prompt_tokens))
+    return (first_ms + writing_ms) / 1000
 
 
 def longest_gap_ms(
--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/placement.py
@@ -15,6 +15,9 @@
 # Width of the range around a target within which a prediction may turn out
 # either way, as a share of the target.
 _UNCERTAINTY = 0.15
+# Share of the predictions that are disturbed, and by what factor.
+_DISTURBED_SHARE = 0.1
+_DISTURBED_FACTOR = 2.5
 # Cost of each fault that an endpoint had since it last worked, in shares of
 # the request's own weight.
 _FAULT_COST = 0.3
@@ -23,6 +26,9 @@
 # Cost of a second of predicted waiting, so that of two endpoints which are
 # both on time the faster one is taken.
 _WAIT_COST_PER_S = 0.1
+# Cost of a short prompt on an engine that runs no stream yet: it would take
+# an engine from the long prompts that come next.
+_IDLE_ENGINE_COST = 0.05
 # Engine memory that is left free for answers longer than announced.
 _MEMORY_SHARE = 0.95
 # Long prompts cost callers more when they are late, though less than in
@@ -31,6 +37,7 @@
 _WEIGHT_UNIT_TOKENS = 5_000
 # Engines that may read one prompt together.
 _GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
+_NOTHING = pass_model.Reading(0, 0.0)
 # Prompts below this gain nothing from being read in parts.
 _MIN_PART_TOKENS = 8_000
 
@@ -69,11 +76,13 @@
     :param helpers: endpoints that read parts of the prompt
     :param first_event_s: predicted time to the first event; None where no
         figures of the engine are known
+    :param works: requests known to be on the first endpoint
     """
 
     first: endpoints.Endpoint
     helpers: tuple[Helper, ...] = ()
     first_event_s: float | None = None
+    works: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,7 +146,7 @@
                 random.random(),  # noqa: S311
             ),
         )
-        return Placement(best)
+        return Placement(best, works=self._book.count(best.instance))
 
     def choose_engine(
         self,
@@ -199,21 +208,28 @@
     ) -> tuple[float, Placement]:
         members = group.members
         times = [
-            pass_model.first_event_ms(engine, c.outlook.state, reading) / 1000
-            for c in members
+            pass_model.first_event_ms(
+                engine, c.outlook.state, reading, is_urgent=index > 0
+            )
+            for index, c in enumerate(members)
         ]
-        first_s = max(times)
+        first_s = max(times) / 1000
         cost = demand.weight * (
             _lateness(first_s, demand.target_s)
             + _WAIT_COST_PER_S * first_s
             + sum(c.handicap for c in members)
         )
-        cost += sum(_harm(engine, c, reading) for c in members)
+        cost += sum(
+            _harm(engine, c, reading, is_urgent=index > 0)
+            for index, c in enumerate(members)
+        )
+        cost += _idle_cost(demand, members[0])
         helpers = zip(members[1:], group.helper_tokens, strict=True)
         placement = Placement(
             members[0].endpoint,
             tuple(Helper(c.endpoint, tokens) for c, tokens in helpers),
             first_s,
+            members[0].outlook.works,
         )
         return cost, placement
 
@@ -303,34 +319,66 @@
         + _WAIT_COST_PER_S * first_s
         + candidate.handicap
     )
-    return demand.weight * own + _harm(engine, candidate, reading)
+    harm = _harm(engine, candidate, reading)
+    return demand.weight * own + harm + _idle_cost(demand, candidate)
+
+
+def _idle_cost(demand: Demand, candidate: _Candidate) -> float:
+    is_short = demand.prompt_tokens < _MIN_PART_TOKENS * 2
+    return _IDLE_ENGINE_COST * (is_short and not candidate.outlook.streams)
 
 
 def _harm(
     engine: routing_config.EngineSpec,
     candidate: _Candidate,
     reading: pass_model.Reading,
+    *,
+    is_urgent: bool = False,
 ) -> float:
-    """Return the cost of the pauses that reading causes to others."""
-    state = candidate.outlook.state
-    if not candidate.outlook.gaps:
-        return 0.0
-    gap_s = pass_model.longest_gap_ms(engine, state, reading) / 1000
-    before_s = (
-        pass_model.longest_gap_ms(engine, state, pass_model.Reading(0, 0.0))
-        / 1000
-    )
-    return sum(
-        weight * (_lateness(gap_s, aim_s) - _lateness(before_s, aim_s))
-        for aim_s, weight in candidate.outlook.gaps
-    )
+    """Return the cost of the delays that reading causes to others."""
+    outlook = candidate.outlook
+    cost = 0.0
+    if outlook.streams:
+        gap_s = pass_model.longest_gap_ms(engine, outlook.state, reading) / 1e3
+        before_s = pass_model.longest_gap_ms(engine, outlook.state, _NOTHING)
+        before_s /= 1e3
+        cost += sum(
+            stream.weight
+            * (
+                _lateness(gap_s, stream.max_gap_s)
+                - _lateness(before_s, stream.max_gap_s)
+            )
+            for stream in outlook.streams
+        )
+    if is_urgent and outlook.waiting:
+        delay_s = pass_model.read_ms(engine, reading) / 1e3
+        cost += sum(
+            item.weight
+            * (
+                _lateness(item.first_event_s + delay_s, item.target_s)
+                - _lateness(item.first_event_s, item.target_s)
+            )
+            for item in outlook.waiting
+        )
+    return cost
 
 
 def _lateness(predicted_s: float, target_s: float) -> float:
-    """Return the chance that something comes after its target."""
-    excess = (predicted_s / target_s - 1) / _UNCERTAINTY
-    if excess > 30:
+    """Return the chance that something comes after its target.
+
+    Most predictions are good; some turn out too short by far, when an
+    endpoint fails or meets work that was not known.
+    """
+    ratio = predicted_s / target_s
+    usual = _step((ratio - 1) / _UNCERTAINTY)
+    disturbed = _step((ratio * _DISTURBED_FACTOR - 1) / _UNCERTAINTY)
+    return usual + _DISTURBED_SHARE * (disturbed - usual)
+
+
+def _step(excess: float) -> float:
+    """Return a smooth step from 0 to 1 around 0."""
+    if excess > 15:
         return 1.0
-    if excess < -30:
+    if excess < -15:
         return 0.0
-    return 1 / (1 + math.exp(-excess * 2))
+    return 1 / (1 + math.exp(-2 * excess))
--- a/src/fireflyspur/gateway/request_plan.py
+++ b/src/fireflyspur/gateway/request_plan.py
@@ -5,9 +5,12 @@
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import messages
+from fireflyspur.gateway import pass_model
 from fireflyspur.gateway import routing_config
 
 _MAX_PRIORITY = 9
+# Times the target within which nearly all plain answers come.
+_PLAIN_TARGETS = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,6 +38,18 @@
         """Name of the client account, if the request has one."""
         return self.account.name if self.account else None
 
+    def expected_s(self) -> float:
+        """Return the time that the whole answer takes on a busy endpoint."""
+        limit_s = self.route.timeout_s
+        if self.service.engine is None:
+            return min(limit_s, _PLAIN_TARGETS * self.route.target_latency_s)
+        answer_s = pass_model.whole_answer_s(
+            self.service.engine,
+            self.info.prompt_tokens,
+            self.info.max_output_tokens,
+        )
+        return min(limit_s, answer_s)
+
 
 class RequestPlanner:
     """Finds route, service, account and deadline of requests.
--- a/src/fireflyspur/gateway/work_book.py
+++ b/src/fireflyspur/gateway/work_book.py
@@ -1,6 +1,8 @@
 """The requests that are known to run on each endpoint."""
 
+from collections.abc import Iterable
 import dataclasses
+import math
 
 from fireflyspur.gateway import pass_model
 from fireflyspur.gateway import routing_config
@@ -8,6 +10,9 @@
 # A request of another node whose end is never told is forgotten this long
 # after it should have ended.
 _FORGET_AFTER_S = 2.0
+# A prompt that should have been read, but was not by the word of its node,
+# has at least this share left.
+_UNTOLD_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,7 +21,11 @@
 
     :param key: unique over all nodes
     :param reading: what the endpoint reads of the prompt
+    :param is_urgent: whether its reading goes before other reading
+    :param is_end_told: whether the end of its reading is made known
     :param memory_tokens: memory that it holds there at its end
+    :param target_s: time to the first event that is on time; None if it
+        generates nothing there
     :param max_gap_s: longest pause that is on time; None if it generates
         nothing there
     :param weight: cost of being late, relative to other work
@@ -26,7 +35,10 @@
     key: str
     instance: str
     reading: pass_model.Reading
+    is_urgent: bool
+    is_end_told: bool
     memory_tokens: int
+    target_s: float | None
     max_gap_s: float | None
     weight: float
     started_at_s: float
@@ -39,19 +51,45 @@
     is_read: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """A stream on an endpoint.
+
+    :param max_gap_s: longest pause that is on time
+    """
+
+    max_gap_s: float
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A prompt whose first event is still to come.
+
+    :param first_event_s: time from its start to its first event
+    :param target_s: time that is on time
+    """
+
+    first_event_s: float
+    target_s: float
+    weight: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outlook:
     """What a new request meets on an endpoint.
 
     :param works: requests there
     :param memory_tokens: memory that they take
-    :param gaps: pause that is on time and weight, of each stream there
+    :param streams: requests that generate there, now or later
+    :param waiting: prompts that urgent reading would delay
     """
 
     state: pass_model.EngineState
     works: int
     memory_tokens: int
-    gaps: tuple[tuple[float, float], ...]
+    streams: tuple[Stream, ...]
+    waiting: tuple[Waiting, ...]
 
 
 class WorkBook:
@@ -109,31 +147,65 @@
         self, instance: str, engine: routing_config.EngineSpec, now: float
     ) -> Outlook:
         """Return what a request that is sent now meets."""
-        writers = context = memory = 0
-        chunks = 0
-        read_until_s = 0.0
-        gaps = []
-        entries = self._entries.get(instance, {})
-        for entry in entries.values():
+        works = self._entries.get(instance, {}).values()
+        streams = []
+        waiting = []
+        writers = context = memory = chunks = 0
+        pending_ms = urgent_ms = 0.0
+        left_ms = self._left_ms(works, engine, now)
+        for entry in works:
             work = entry.work
             memory += work.memory_tokens
-            if not entry.is_read:
-                own_s = pass_model.read_ms(engine, work.reading) / 1000
-                begin_s = max(read_until_s, work.started_at_s)
-                read_until_s = begin_s + own_s
-                left = min(1.0, max(0.0, read_until_s - now) / own_s)
-                chunks += round(
-                    left * pass_model.chunks_of(engine, work.reading.tokens)
-                )
-            if work.max_gap_s is not None:
-                gaps.append((work.max_gap_s, work.weight))
-                if entry.is_read or read_until_s < now:
-                    writers += 1
-                    context += work.memory_tokens
+            left = left_ms.get(work.key, 0.0)
+            if left:
+                pending_ms += left
+                urgent_ms += left * work.is_urgent
+                chunks += _chunks(engine, work, left)
+            if work.max_gap_s is None or work.target_s is None:
+                continue
+            streams.append(Stream(work.max_gap_s, work.weight))
+            if not left:
+                writers += 1
+                context += work.memory_tokens
+            elif not work.is_urgent:
+                first_s = now - work.started_at_s + pending_ms / 1000
+                waiting.append(Waiting(first_s, work.target_s, work.weight))
         state = pass_model.EngineState(
-            writers=writers,
-            context_tokens=context,
-            pending_ms=max(0.0, read_until_s - now) * 1000,
-            pending_chunks=chunks,
+            writers, context, pending_ms, urgent_ms, chunks
         )
-        return Outlook(state, len(entries), memory, tuple(gaps))
+        return Outlook(
+            state, len(works), memory, tuple(streams), tuple(waiting)
+        )
+
+    def _left_ms(
+        self,
+        works: Iterable[_Entry],
+        engine: routing_config.EngineSpec,
+        now: float,
+    ) -> dict[str, float]:
+        """Return what is left of the reading of each work."""
+        unread = [entry.work for entry in works if not entry.is_read]
+        if not unread:
+            return {}
+        sent = [
+            pass_model.SentReading(
+                work.started_at_s,
+                work.is_urgent,
+                pass_model.read_ms(engine, work.reading),
+            )
+            for work in unread
+        ]
+        left = pass_model.remaining_ms(sent, now)
+        return {
+            work.key: max(ms, _UNTOLD_SHARE * item.own_ms * work.is_end_told)
+            for work, item, ms in zip(unread, sent, left, strict=True)
+        }
+
+
+def _chunks(
+    engine: routing_config.EngineSpec, work: Work, left_ms: float
+) -> int:
+    """Return the chunks that are left of a reading."""
+    whole_ms = pass_model.read_ms(engine, work.reading)
+    chunks = pass_model.chunks_of(engine, work.reading.tokens)
+    return math.ceil(chunks * min(1.0, left_ms / whole_ms))
--- a/src/fireflyspur/gateway/work_reporter.py
+++ b/src/fireflyspur/gateway/work_reporter.py
@@ -55,6 +55,7 @@
             parts=parts,
             memory_tokens=demand.prompt_tokens + demand.output_tokens,
             max_gap_ms=max(1, round(demand.max_gap_s * 1000)),
+            target_ms=max(1, round(demand.target_s * 1000)),
             lasts_ms=max(0, round(lasts_s * 1000)),
         )
         return self._track(started)
@@ -118,7 +119,10 @@
         key=_key(node, started.number),
         instance=started.instance,
         reading=pass_model.part_of(whole, parts),
+        is_urgent=parts > 1 and not is_first,
+        is_end_told=started.prompt_tokens >= _MIN_TOLD_TOKENS,
         memory_tokens=started.memory_tokens,
+        target_s=started.target_ms / 1000 if is_first else None,
         max_gap_s=started.max_gap_ms / 1000 if is_first else None,
         weight=placements.weight_of(started.prompt_tokens),
         started_at_s=now,
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -96,14 +96,14 @@
         async with gateway_fleet.GatewayFleet(desks=4) as fleet:
             first, second = await self.start_pair(fleet)
             for desk in fleet.desks:
-                desk.usual = workers.crash
+                desk.usual = workers.crash_process
             await first.request("/safe/", body=b"poison")
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.1)
             before = sum(len(d.arrivals) for d in fleet.desks)
-            for desk in fleet.desks:
-                desk.usual = workers.answer_plain
             reply = await second.request("/safe/", body=b"poison")
             after = sum(len(d.arrivals) for d in fleet.desks)
+            for desk in fleet.desks:
+                desk.usual = workers.answer_plain
             other = await second.request("/safe/", body=b"harmless")
         self.assertEqual(503, reply.status)
         self.assertEqual(before, after)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -301,3 +301,66 @@
             gap_s = loop.time() - first_at
             writer.close()
         self.assertGreater(gap_s, 0.3)
+
+
+class SilenceTest(testtools.TestCase):
+    """Guards against callers that wait for an answer that never comes."""
+
+    @async_tests.in_loop
+    async def test_stream_that_stays_silent_is_run_elsewhere(self):
+        async def first_silent(worker, arrival, stream):
+            if sum(len(e.arrivals) for e in fleet.engines) == 1:
+                await workers.never_answer(worker, arrival, stream)
+            await workers.answer_events()(worker, arrival, stream)
+
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.usual = first_silent
+            reply = await node.request("/chat/")
+        self.assertEqual(200, reply.status)
+        self.assertTrue(reply.is_whole)
+
+    @async_tests.in_loop
+    async def test_stream_that_stops_in_the_middle_goes_on_elsewhere(self):
+        async def stop_once(worker, arrival, stream):
+            if "last-event-id" not in arrival.headers:
+                text = workers.head(
+                    arrival, worker, "Transfer-Encoding: chunked"
+                )
+                await stream.write(text + workers.chunk(workers.event(1)))
+                await workers.never_answer(worker, arrival, stream)
+            await workers.answer_events(3)(worker, arrival, stream)
+
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.usual = stop_once
+            reply = await node.request("/chat/")
+        self.assertTrue(reply.is_whole)
+        self.assertEqual(
+            b"".join(workers.event(n) for n in (1, 2, 3)), reply.body
+        )
+
+    @async_tests.in_loop
+    async def test_unsafe_request_is_waited_for(self):
+        async def slow(worker, arrival, stream):
+            await asyncio.sleep(1.2)
+            await workers.answer_plain(worker, arrival, stream)
+
+        async with gateway_fleet.GatewayFleet(desks=2) as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks:
+                desk.usual = slow
+            reply = await node.request("/unsafe/")
+            count = len(arrivals(fleet))
+        self.assertEqual((200, 1), (reply.status, count))
+
+    @async_tests.in_loop
+    async def test_endpoints_that_take_no_connection_are_no_attempts(self):
+        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks[:3]:
+                desk.close()
+            replies = [await node.request("/unsafe/") for _ in range(3)]
+        self.assertEqual([200] * 3, [r.status for r in replies])
--- /dev/null
+++ b/tests/gateway/test_placement.py
@@ -0,0 +1,197 @@
+"""Which engines get which prompts; no network is needed.
+
+The load is that of a counter: many short quotes that stream, some long
+reviews, and now and then an archive beyond one engine's memory.
+"""
+
+import testtools
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import pass_model
+from fireflyspur.gateway import placement
+from fireflyspur.gateway import work_book
+from fireflyspur.platform import config_codec
+from tests.support import gateway_fleet
+from tests.support import platform_config
+
+_CONFIG = config_codec.decode(platform_config.encode(gateway_fleet.config()))
+SERVICE = _CONFIG.services["models"]
+ENGINE = SERVICE.engine
+
+
+def engine_endpoint(number):
+    return endpoints.Endpoint(
+        instance=f"engine-{number}",
+        service="models",
+        address=addresses.Address("10.0.0.1", 8000 + number),
+        failure_domain="zone-a",
+        state=endpoints.EndpointState.READY,
+        slots=8,
+        sequence=1,
+        born_ms=1,
+    )
+
+
+def demand(tokens, target_s, max_gap_s, output=1600):
+    return placement.Demand(
+        prompt_tokens=tokens,
+        output_tokens=output,
+        target_s=target_s,
+        max_gap_s=max_gap_s,
+        weight=placement.weight_of(tokens),
+    )
+
+
+QUOTE = demand(5_000, 0.3, 0.2)
+REVIEW = demand(45_000, 1.5, 0.5)
+ARCHIVE = demand(210_000, 3.0, 0.8)
+
+
+class PlacementTest(testtools.TestCase):
+    """Guards against reads that stretch the pauses of running streams."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
+        self.book = work_book.WorkBook()
+        self.placer = placement.Placer(self.directory, self.book, "zone-a")
+        self.keys = 0
+
+    def start_engines(self, count):
+        listed = tuple(engine_endpoint(n) for n in range(count))
+        self.directory.replace(endpoints.EndpointList(listed, clock.now_s()))
+
+    def choose(self, wanted):
+        return self.placer.choose_engine(SERVICE, wanted, frozenset())
+
+    def run_on(self, instance, wanted, *, is_read=True, parts=1, first=True):
+        self.keys += 1
+        whole = pass_model.whole_prompt(wanted.prompt_tokens)
+        work = work_book.Work(
+            key=f"k{self.keys}",
+            instance=instance,
+            reading=pass_model.part_of(whole, parts),
+            is_urgent=not first,
+            is_end_told=False,
+            memory_tokens=wanted.prompt_tokens + wanted.output_tokens,
+            target_s=wanted.target_s if first else None,
+            max_gap_s=wanted.max_gap_s if first else None,
+            weight=wanted.weight,
+            started_at_s=clock.now_s(),
+            until_s=clock.now_s() + 10,
+        )
+        self.book.add(work)
+        if is_read:
+            self.book.note_read(work.key)
+
+    def members(self, chosen):
+        return [
+            chosen.first.instance,
+            *(h.endpoint.instance for h in chosen.helpers),
+        ]
+
+    def test_archive_keeps_away_from_running_quotes(self):
+        self.start_engines(6)
+        for instance in ("engine-0", "engine-1", "engine-2"):
+            for _ in range(3):
+                self.run_on(instance, QUOTE)
+        chosen = self.members(self.choose(ARCHIVE))
+        busy = {"engine-0", "engine-1", "engine-2"}
+        self.assertEqual(set(), busy & set(chosen))
+
+    def test_quote_keeps_away_from_an_archive_that_is_read(self):
+        self.start_engines(4)
+        for number in range(3):
+            self.run_on(f"engine-{number}", ARCHIVE, is_read=False)
+        for _ in range(5):
+            chosen = self.choose(QUOTE)
+            self.assertEqual("engine-3", chosen.first.instance)
+            self.run_on(chosen.first.instance, QUOTE)
+
+    def test_quotes_share_engines_and_leave_others_idle(self):
+        self.start_engines(8)
+        used = set()
+        for _ in range(12):
+            chosen = self.choose(QUOTE)
+            used.add(chosen.first.instance)
+            self.run_on(chosen.first.instance, QUOTE)
+        self.assertLessEqual(len(used), 3)
+
+    def test_no_engine_gets_more_than_its_slots(self):
+        self.start_engines(2)
+        for _ in range(16):
+            chosen = self.choose(QUOTE)
+            self.run_on(chosen.first.instance, QUOTE)
+        counts = [self.book.count(f"engine-{n}") for n in range(2)]
+        self.assertEqual([8, 8], counts)
+        self.assertIsNone(self.choose(QUOTE))
+
+    def test_prompt_that_one_engine_reads_too_slowly_is_shared(self):
+        self.start_engines(6)
+        chosen = self.choose(ARCHIVE)
+        self.assertGreater(len(chosen.helpers), 0)
+        self.assertLess(chosen.first_event_s, ARCHIVE.target_s / 2)
+        self.assertEqual({0}, {h.tokens for h in chosen.helpers})
+
+    def test_prompt_beyond_one_engine_gets_the_memory_of_several(self):
+        self.start_engines(6)
+        wanted = demand(900_000, 3.0, 0.8)
+        chosen = self.choose(wanted)
+        held = sum(h.tokens for h in chosen.helpers)
+        self.assertLessEqual(wanted.prompt_tokens + 1600 - held, 450_000)
+        for helper in chosen.helpers:
+            self.assertLessEqual(helper.tokens, 450_000)
+
+    def test_prompt_beyond_all_memory_gets_nothing(self):
+        self.start_engines(2)
+        self.assertIsNone(self.choose(demand(2_000_000, 3.0, 0.8)))
+
+    def test_helpers_keep_away_from_reviews_that_wait(self):
+        self.start_engines(6)
+        for number in range(2):
+            for _ in range(4):
+                self.run_on(f"engine-{number}", REVIEW, is_read=False)
+        chosen = self.members(self.choose(ARCHIVE))
+        self.assertNotIn("engine-0", chosen)
+        self.assertNotIn("engine-1", chosen)
+
+
+class PassModelTest(testtools.TestCase):
+    """Guards against predictions that leave the published figures."""
+
+    def test_long_prompts(self):
+        # 3.9 s for the tokens and 45.9 s for the pairs of a million.
+        reading = pass_model.whole_prompt(1_000_000)
+        read_s = pass_model.read_ms(ENGINE, reading) / 1000
+        self.assertAlmostEqual(49.8, read_s, delta=0.1)
+
+    def test_parts_add_up(self):
+        whole = pass_model.whole_prompt(210_000)
+        part = pass_model.part_of(whole, 4)
+        self.assertAlmostEqual(
+            pass_model.read_ms(ENGINE, whole),
+            4 * pass_model.read_ms(ENGINE, part),
+            delta=0.1,
+        )
+
+    def test_urgent_reading_goes_first(self):
+        sent = [
+            pass_model.SentReading(0.0, False, 1000.0),
+            pass_model.SentReading(0.2, True, 500.0),
+        ]
+        left = pass_model.remaining_ms(sent, 0.6)
+        self.assertAlmostEqual(800.0, left[0])
+        self.assertAlmostEqual(100.0, left[1])
+
+    def test_reading_stretches_pauses(self):
+        state = pass_model.EngineState(4, 20_000, 0.0, 0.0, 0)
+        nothing = pass_model.Reading(0, 0.0)
+        usual = pass_model.longest_gap_ms(ENGINE, state, nothing)
+        review = pass_model.longest_gap_ms(
+            ENGINE, state, pass_model.whole_prompt(45_000)
+        )
+        self.assertLess(usual, 60)
+        self.assertGreater(review, 300)
--- /dev/null
+++ b/tests/gateway/test_stop.py
@@ -0,0 +1,65 @@
+"""What callers see when a node is told to stop."""
+
+import asyncio
+import os
+import signal
+
+import testtools
+
+from tests.support import async_tests
+from tests.support import gateway_fleet
+from tests.support import platform_worker as workers
+
+
+class StopTest(testtools.TestCase):
+    """Guards against requests that a planned stop cuts."""
+
+    @async_tests.in_loop
+    async def test_requests_in_progress_are_answered(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.usual = workers.answer_events(10, pause_s=0.15)
+            stream = asyncio.ensure_future(node.request("/once/"))
+            await asyncio.sleep(0.1)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            self.assertEqual(503, await node.health())
+            later = await node.request("/safe/")
+            self.assertEqual(200, later.status)
+            self.assertEqual("close", later.headers["connection"])
+            reply = await stream
+            self.assertTrue(reply.is_whole)
+            await node.task
+
+    @async_tests.in_loop
+    async def test_request_that_would_be_cut_is_refused_at_once(self):
+        tokens = ["X-Fireflyspur-Token-Count: 100000,1600"]
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node(grace_s=2.2)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(0.05)
+            refused = await node.request("/chat/", extra=tokens)
+            short = await node.request(
+                "/chat/", extra=["X-Fireflyspur-Token-Count: 1000,100"]
+            )
+            sent = sum(len(e.arrivals) for e in fleet.engines)
+            await node.task
+        self.assertEqual(503, refused.status)
+        self.assertIn("retry-after", refused.headers)
+        self.assertEqual(200, short.status)
+        self.assertEqual(1, sent)
+
+    @async_tests.in_loop
+    async def test_lost_answers_are_no_crashes(self):
+        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks:
+                desk.behaviours = [workers.crash] * 2
+            for _ in range(3):
+                await node.request("/safe/", body=b"unlucky")
+                await asyncio.sleep(0.05)
+            for desk in fleet.desks:
+                desk.behaviours = []
+            reply = await node.request("/safe/", body=b"unlucky")
+        self.assertEqual(200, reply.status)
--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -186,6 +186,11 @@
     await asyncio.Event().wait()
 
 
+async def crash_process(worker, arrival, stream):
+    """End the worker: it takes no connection any more."""
+    worker.close()
+
+
 async def crash(worker, arrival, stream):
     """Close the connection without an answer."""
     stream.close()
