Serve metrics, and test settings, records and the store's troubles

Cause: a node told nothing of its counters, and the translation of settings, entries and configurations had no test without the bench. Ruled out: statsd there, since the users fetch metrics as text.

--- a/src/fireflyspur/console/commands/platform.py
+++ b/src/fireflyspur/console/commands/platform.py
@@ -2,7 +2,7 @@
 
 import argparse
 import asyncio
-import pathlib
+from collections.abc import Callable
 
 from fireflyspur.console import command
 from fireflyspur.gateway import gateway
@@ -26,21 +26,31 @@
         parser.add_argument(
             "--check", action="store_true", help="check the settings and end"
         )
+        parser.add_argument(
+            "--metrics-port",
+            type=int,
+            help="port on which metrics are served, by default none",
+        )
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Run the node until it is told to stop."""
         path = settings_file.path()
-        settings = settings_file.load(path)
+
+        def load() -> gateway_settings.GatewaySettings:
+            return settings_file.load(path, arguments.metrics_port)
+
+        settings = load()
         if arguments.check:
             print("The settings are valid.")
             return command.ExitCode.DONE
         logs.configure_stdout("INFO", settings.node_name)
-        asyncio.run(_serve(settings, path))
+        asyncio.run(_serve(settings, load))
         return command.ExitCode.DONE
 
 
 async def _serve(
-    settings: gateway_settings.GatewaySettings, path: pathlib.Path
+    settings: gateway_settings.GatewaySettings,
+    load: Callable[[], gateway_settings.GatewaySettings],
 ) -> None:
     store = store_client.StoreClient(settings.store)
     node = gateway.Gateway(
@@ -48,6 +58,6 @@
         store_registry.StoreRegistry(store),
         header_codec.HeaderCodec(),
         order_client.OrderClient(),
-        lambda: settings_file.load(path),
+        load,
     )
     await node.run()
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -21,6 +21,7 @@
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_monitor
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import gateway_metrics
 from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
@@ -64,6 +65,7 @@
     is_draining: Callable[[], bool]
     ends_at_s: Callable[[], float | None]
     monitor: endpoint_monitor.EndpointMonitor
+    metrics: gateway_metrics.GatewayMetrics
 
 
 class Forwarder:
@@ -90,7 +92,17 @@
             self._check_time_left(plan)
             run = _RequestRun(self._parts, plan, relay)
         except base_exceptions.FireflyspurError as error:
-            _log.info("Request refused", code=error.code, path=request.path)
+            self._parts.metrics.count_refusal(error.code)
+            _log.info(
+                "Request refused",
+                request=self._parts.codec.decode_request(
+                    request.headers
+                ).attempt_id,
+                code=error.code,
+                reason=str(error),
+                path=request.path,
+                version=self._parts.planner.version,
+            )
             await self._answer_error(connection, error)
             return
         try:
@@ -198,6 +210,7 @@
         plan = self._plan
         first = self._first_part_s
         begin = plan.request.received_at_s
+        self._observe(status, error)
         _log.info(
             "Request ended",
             request=plan.info.attempt_id,
@@ -215,6 +228,20 @@
             **self._describe_placement(),
         )
 
+    def _observe(
+        self, status: int, error: base_exceptions.FireflyspurError | None
+    ) -> None:
+        plan, metrics = self._plan, self._parts.metrics
+        kind, tokens = plan.route.kind, plan.info.prompt_tokens
+        metrics.count_request(kind, status)
+        if error is not None:
+            metrics.count_refusal(error.code)
+        if self._first_part_s is not None:
+            first_s = self._first_part_s - plan.request.received_at_s
+            metrics.observe_first_part(kind, tokens, first_s)
+        if self._relay.last_event_id is not None:
+            metrics.observe_gap(tokens, self._relay.longest_gap_s)
+
     def _describe_placement(self) -> dict[str, Any]:
         """Return what the last placement was decided by."""
         placement = self._placement
@@ -315,6 +342,7 @@
             # Until the endpoint says otherwise: a timeout may come first.
             self._may_have_run = True
             result = await attempt.run(placement)
+            self._parts.metrics.count_attempt(type(result).__name__)
             match result:
                 case attempt_result.NotRun() | attempt_result.NotSent():
                     self._may_have_run = may_have_run
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -16,6 +16,7 @@
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
 from fireflyspur.gateway import forwarder
+from fireflyspur.gateway import gateway_metrics
 from fireflyspur.gateway import group_memory
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import placement
@@ -93,33 +94,15 @@
         self._memory = group_memory.GroupMemory(
             orders, lambda: self._settings.memory
         )
-        self._forwarder = forwarder.Forwarder(
-            forwarder.ForwarderParts(
-                planner=request_plan.RequestPlanner(self._holder, codec),
-                codec=codec,
-                directory=self._directory,
-                works=self._link.works,
-                placer=placement.Placer(
-                    self._directory, book, settings.failure_domain
-                ),
-                allowance=self._allowance,
-                crashes=self._link.crashes,
-                memory=self._memory,
-                is_draining=lambda: self._ends_at_s is not None,
-                ends_at_s=lambda: self._ends_at_s,
-                monitor=self._monitor,
-            )
-        )
-        self._callers = caller_server.CallerServer(
-            self._forwarder.serve,
-            self._forwarder.answer_error,
-            lambda: self._holder.limits,
-        )
-        self._health = caller_server.CallerServer(
-            self._answer_health,
-            self._forwarder.answer_error,
-            lambda: self._holder.limits,
+        self._metrics = gateway_metrics.GatewayMetrics(
+            in_progress=lambda: self._callers.in_progress,
+            config_age_s=self._holder.age_s,
+            endpoints_age_s=self._directory.age_s,
         )
+        self._forwarder = self._build_forwarder(codec, book)
+        self._callers = self._build_server(self._forwarder.serve)
+        self._health = self._build_server(self._answer_health)
+        self._metrics_server = self._build_server(self._answer_metrics)
 
     @property
     def settings(self) -> gateway_settings.GatewaySettings:
@@ -162,12 +145,44 @@
             await self._drain()
         _log.info("Stopped")
 
+    def _build_forwarder(
+        self, codec: messages.Codec, book: work_book.WorkBook
+    ) -> forwarder.Forwarder:
+        return forwarder.Forwarder(
+            forwarder.ForwarderParts(
+                planner=request_plan.RequestPlanner(self._holder, codec),
+                codec=codec,
+                directory=self._directory,
+                works=self._link.works,
+                placer=placement.Placer(
+                    self._directory, book, self._settings.failure_domain
+                ),
+                allowance=self._allowance,
+                crashes=self._link.crashes,
+                memory=self._memory,
+                is_draining=lambda: self._ends_at_s is not None,
+                ends_at_s=lambda: self._ends_at_s,
+                monitor=self._monitor,
+                metrics=self._metrics,
+            )
+        )
+
+    def _build_server(
+        self, serve: caller_server.Serve
+    ) -> caller_server.CallerServer:
+        return caller_server.CallerServer(
+            serve, self._forwarder.answer_error, lambda: self._holder.limits
+        )
+
     def _start(self) -> None:
         settings = self._settings
         for server, address in (
             (self._callers, settings.callers),
             (self._health, settings.health),
+            (self._metrics_server, settings.metrics),
         ):
+            if address is None:
+                continue
             server.listen(address.port, address.host, backlog=1024)
             self._stack.callback(server.close_connections)
             self._stack.callback(server.stop)
@@ -182,9 +197,7 @@
             task = asyncio.ensure_future(coroutine)
             task.add_done_callback(self._note_ended)
             self._stack.push_async_callback(_cancel, task)
-        _log.info(
-            "Started", node=settings.node_name, callers=str(settings.callers)
-        )
+        _log.info("Started", settings=dataclasses.asdict(settings))
 
     async def _watch_settings(self) -> None:
         """Notice a change of the settings that no signal tells."""
@@ -231,6 +244,14 @@
         status = 200 if self.is_ready else 503
         await connection.send_whole(status, [], b"")
 
+    async def _answer_metrics(
+        self,
+        connection: caller_connection.CallerConnection,
+        request: messages.CallerRequest,
+    ) -> None:
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await connection.send_whole(200, headers, self._metrics.render())
+
 
 async def _cancel(task: "asyncio.Future[None]") -> None:
     task.cancel()
--- /dev/null
+++ b/src/fireflyspur/gateway/gateway_metrics.py
@@ -0,0 +1,119 @@
+"""Counters and histograms that a node serves as text."""
+
+from collections.abc import Callable
+
+import prometheus_client
+
+from fireflyspur.gateway import routing_config
+from fireflyspur.observability import metrics as length_bins
+
+# Upper ends of the latency buckets in seconds: around the targets of short
+# prompts, and up to the longest time limits.
+_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 20.0)
+_PREFIX = "fireflyspur"
+
+
+class GatewayMetrics:
+    """Counts what a node does.
+
+    Labels have few values: kinds of routes, bins of prompt lengths, and
+    outcomes. Request ids and accounts are in the logs.
+
+    :param in_progress: returns the requests in progress
+    :param config_age_s: returns the age of the configuration
+    :param endpoints_age_s: returns the age of the list of endpoints
+    """
+
+    def __init__(
+        self,
+        in_progress: Callable[[], float],
+        config_age_s: Callable[[], float],
+        endpoints_age_s: Callable[[], float],
+    ) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = self._counter(
+            "requests",
+            "Finished requests by kind of route and status; 0 if the caller"
+            " left.",
+            ("kind", "status"),
+        )
+        self._refusals = self._counter(
+            "refusals", "Requests answered by the node itself.", ("code",)
+        )
+        self._attempts = self._counter(
+            "attempts", "Attempts on endpoints by their end.", ("result",)
+        )
+        self._first_part = self._histogram(
+            "first_part_seconds",
+            "Time from a request to the beginning of its answer.",
+            ("kind", "prompt"),
+        )
+        self._gap = self._histogram(
+            "longest_gap_seconds",
+            "Longest pause between the events of a stream.",
+            ("prompt",),
+        )
+        for name, read, text in (
+            ("requests_in_progress", in_progress, "Requests in progress."),
+            ("config_age_seconds", config_age_s, "Age of the configuration."),
+            (
+                "endpoints_age_seconds",
+                endpoints_age_s,
+                "Age of the list of endpoints.",
+            ),
+        ):
+            gauge = prometheus_client.Gauge(
+                f"{_PREFIX}_{name}", text, registry=self._registry
+            )
+            gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Return all values in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def count_request(
+        self, kind: routing_config.RouteKind, status: int
+    ) -> None:
+        """Count a finished request."""
+        self._requests.labels(kind.value, str(status)).inc()
+
+    def count_refusal(self, code: str) -> None:
+        """Count a request that the node answered itself."""
+        self._refusals.labels(code).inc()
+
+    def count_attempt(self, result: str) -> None:
+        """Count an attempt on an endpoint."""
+        self._attempts.labels(result).inc()
+
+    def observe_first_part(
+        self,
+        kind: routing_config.RouteKind,
+        prompt_tokens: int,
+        seconds: float,
+    ) -> None:
+        """Note when the answer to a request began."""
+        length = length_bins.length_bin(prompt_tokens)
+        self._first_part.labels(kind.value, length).observe(seconds)
+
+    def observe_gap(self, prompt_tokens: int, seconds: float) -> None:
+        """Note the longest pause of a stream."""
+        length = length_bins.length_bin(prompt_tokens)
+        self._gap.labels(length).observe(seconds)
+
+    def _counter(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"{_PREFIX}_{name}", text, labels, registry=self._registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"{_PREFIX}_{name}",
+            text,
+            labels,
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
--- a/src/fireflyspur/gateway/request_plan.py
+++ b/src/fireflyspur/gateway/request_plan.py
@@ -64,6 +64,11 @@
         self._holder = holder
         self._codec = codec
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+        return self._holder.version
+
     def plan(self, request: messages.CallerRequest) -> RequestPlan:
         """Decide what to do with a request.
 
--- a/src/fireflyspur/gateway/settings.py
+++ b/src/fireflyspur/gateway/settings.py
@@ -15,6 +15,7 @@
     :param health: address on which the balancer asks whether the node is
         ready
     :param peers: address on which other nodes send their news
+    :param metrics: address on which metrics are served; None for nowhere
     :param grace_s: time from the signal to stop until the process is killed
     :param drain_s: time after its notice in which a leaving endpoint still
         takes requests
@@ -26,6 +27,7 @@
     callers: addresses.Address
     health: addresses.Address
     peers: addresses.Address
+    metrics: addresses.Address | None
     store: addresses.Address
     grace_s: float
     drain_s: float
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -62,9 +62,12 @@
     return pathlib.Path(value)
 
 
-def load(file: pathlib.Path) -> gateway_settings.GatewaySettings:
+def load(
+    file: pathlib.Path, metrics_port: int | None = None
+) -> gateway_settings.GatewaySettings:
     """Read the settings file; keys that are not known are ignored.
 
+    :param metrics_port: port of the metrics, which the file does not name
     :raises InvalidSettingsError: if it cannot be read, or a field is
         missing or of another type
     """
@@ -72,12 +75,14 @@
         wire = msgspec.convert(
             tomllib.loads(file.read_text("utf-8")), _Settings
         )
-        return _translate(wire)
+        return _translate(wire, metrics_port)
     except (OSError, ValueError, msgspec.ValidationError) as error:
         raise exceptions.InvalidSettingsError(f"{file}: {error}") from error
 
 
-def _translate(wire: _Settings) -> gateway_settings.GatewaySettings:
+def _translate(
+    wire: _Settings, metrics_port: int | None
+) -> gateway_settings.GatewaySettings:
     bounds = wire.bounds
     return gateway_settings.GatewaySettings(
         node_name=wire.node_name,
@@ -85,6 +90,9 @@
         callers=addresses.parse(wire.listen.front),
         health=addresses.parse(wire.listen.ready),
         peers=addresses.Address(wire.ip, wire.internal_port_range[0]),
+        metrics=(
+            addresses.Address(wire.ip, metrics_port) if metrics_port else None
+        ),
         store=addresses.parse(wire.platform.address),
         grace_s=bounds.grace_s,
         drain_s=bounds.drain_ms / 1000,
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,35 @@
+"""What a node tells about itself."""
+
+import testtools
+
+from tests.support import async_tests
+from tests.support import gateway_fleet
+
+
+class MetricsTest(testtools.TestCase):
+    """Guards against failures that leave no trace in the metrics."""
+
+    @async_tests.in_loop
+    async def test_requests_are_counted(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            await node.request("/safe/")
+            await node.request("/safe/", key="other")
+            await node.request("/chat/")
+            text = await node.metrics()
+        for line in (
+            'fireflyspur_requests_total{kind="safe",status="200"} 1.0',
+            'fireflyspur_refusals_total{code="unknown_key"} 1.0',
+            'fireflyspur_attempts_total{result="Delivered"} 2.0',
+            'fireflyspur_first_part_seconds_count{kind="streaming",'
+            'prompt="up_to_4k"} 1.0',
+        ):
+            self.assertIn(line, text)
+
+    @async_tests.in_loop
+    async def test_ages_are_served(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            text = await node.metrics()
+        self.assertIn("fireflyspur_config_age_seconds", text)
+        self.assertIn("fireflyspur_endpoints_age_seconds", text)
--- /dev/null
+++ b/tests/gateway/test_store_troubles.py
@@ -0,0 +1,153 @@
+"""What the troubles of the store do to a node."""
+
+import asyncio
+
+import testtools
+
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from tests.support import async_tests
+from tests.support import gateway_fleet
+
+
+class StoreTroubleTest(testtools.TestCase):
+    """Guards against requests that suffer from the store's troubles."""
+
+    @async_tests.in_loop
+    async def test_requests_are_served_through_every_fault(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for fault in ("busy", "many", "silent", "reset", "lost"):
+                fleet.store.fault = fault
+                await asyncio.sleep(0.5)
+                reply = await node.request("/safe/")
+                self.assertEqual(200, reply.status, fault)
+                self.assertEqual(200, await node.health())
+
+    @async_tests.in_loop
+    async def test_change_is_in_force_after_an_outage(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            fleet.store.fault = "silent"
+            await asyncio.sleep(1.5)
+            fleet.publish(gateway_fleet.config(version=5))
+            fleet.store.fault = None
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 5, timeout_s=2.5
+            )
+
+    @async_tests.in_loop
+    async def test_records_that_were_dropped_are_read_anew(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            partition = fleet.store.partition("keyed.op")
+            for version in range(2, 6):
+                fleet.publish(gateway_fleet.config(version=version))
+                partition.trim(partition.end)
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 5, timeout_s=1.9
+            )
+
+    @async_tests.in_loop
+    async def test_version_never_goes_back(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            fleet.publish(gateway_fleet.config(version=9))
+            node = await fleet.start_node()
+            fleet.publish(gateway_fleet.config(version=8))
+            await asyncio.sleep(1.0)
+            self.assertEqual(9, node.gateway.config_version)
+
+    @async_tests.in_loop
+    async def test_configuration_that_cannot_be_read_changes_nothing(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for value in (b"\xff", b"{}", b"[]"):
+                fleet.store.put("keyed.op", "config", value)
+                await asyncio.sleep(0.3)
+            reply = await node.request("/safe/")
+            self.assertEqual(200, reply.status)
+            fleet.publish(gateway_fleet.config(version=4))
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 4, timeout_s=1.9
+            )
+
+    @async_tests.in_loop
+    async def test_foreign_entries_name_no_endpoint(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for key, value in (
+                ("x1", b"\xff\xfe"),
+                ("x2", {"service": "desk"}),
+                ("x3", fleet.desks[0].entry("desk", state="odd")),
+            ):
+                fleet.store.put("keyed.servers", key, value)
+            await asyncio.sleep(1.2)
+            known = {e.instance for e in node.gateway.directory.ready("desk")}
+            self.assertEqual({"desk-0", "desk-1"}, known)
+
+
+class DirectoryTest(testtools.TestCase):
+    """Guards against endpoints that are lost, or kept, after an outage."""
+
+    def item(self, name, **changes):
+        fields = {
+            "instance": name,
+            "service": "desk",
+            "address": None,
+            "failure_domain": "zone-a",
+            "state": endpoints.EndpointState.READY,
+            "slots": 1,
+            "sequence": 1,
+            "born_ms": 1,
+            **changes,
+        }
+        return endpoints.Endpoint(**fields)
+
+    def setUp(self):
+        super().setUp()
+        self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
+
+    def read(self, at_s, *names):
+        items = tuple(self.item(name) for name in names)
+        self.directory.replace(endpoints.EndpointList(items, at_s))
+
+    def ready(self):
+        return {e.instance for e in self.directory.ready("desk")}
+
+    def test_entries_that_lapsed_with_the_store_may_come_back(self):
+        self.read(100.0, "a", "b")
+        self.read(120.0, "a")
+        self.assertEqual({"a", "b"}, self.ready())
+        self.read(121.0, "a", "b")
+        self.read(123.0, "a", "b")
+        self.assertEqual({"a", "b"}, self.ready())
+
+    def test_entries_that_stay_away_are_gone(self):
+        self.read(100.0, "a", "b")
+        self.read(120.0, "a")
+        self.read(121.0, "a")
+        self.read(122.6, "a")
+        self.assertEqual({"a"}, self.ready())
+
+    def test_entry_that_goes_in_calm_times_is_gone_at_once(self):
+        self.read(100.0, "a", "b")
+        self.read(101.0, "a")
+        self.assertEqual({"a"}, self.ready())
+
+    def test_older_list_changes_nothing(self):
+        self.read(100.0, "a", "b")
+        self.read(99.0, "a")
+        self.assertEqual({"a", "b"}, self.ready())
+
+    def test_endpoint_that_left_by_its_own_word_stays_out(self):
+        self.read(100.0, "a", "b")
+        self.directory.note_left("a", "told")
+        self.read(101.0, "a", "b")
+        self.assertEqual({"b"}, self.ready())
+
+    def test_pause_grows_with_faults_and_ends_with_success(self):
+        self.read(100.0, "a")
+        self.directory.note_fault("a", "no connection")
+        self.assertTrue(self.directory.is_paused("a"))
+        self.directory.note_success("a")
+        self.assertFalse(self.directory.is_paused("a"))
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,131 @@
+"""Translation of what the platform's operators and workers write."""
+
+import json
+
+import testtools
+
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import routing_config
+from fireflyspur.platform import config_codec
+from fireflyspur.platform import endpoint_codec
+from fireflyspur.platform import header_codec
+from tests.support import gateway_fleet
+from tests.support import platform_config
+
+_ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 17,
+    "new_field": [],
+}
+
+
+class EndpointCodecTest(testtools.TestCase):
+    """Guards against requests to endpoints that no valid entry names."""
+
+    def decode(self, **changes):
+        entry = {**_ENTRY, **changes}
+        entry = {k: v for k, v in entry.items() if v is not None}
+        return endpoint_codec.decode("i-1", json.dumps(entry).encode())
+
+    def test_valid_entry(self):
+        item = self.decode()
+        self.assertEqual("10.0.0.1:80", str(item.address))
+        self.assertIs(endpoints.EndpointState.READY, item.state)
+        self.assertIs(
+            endpoints.EndpointState.LEAVING,
+            self.decode(state="draining").state,
+        )
+
+    def test_entries_that_name_no_endpoint(self):
+        for changes in (
+            {"state": "sleeping"},
+            {"state": None},
+            {"address": "10.0.0.1"},
+            {"address": 7},
+            {"address": "10.0.0.1:99999"},
+            {"service": None},
+            {"slots": "eight"},
+        ):
+            self.assertRaises(
+                exceptions.RecordInvalidError, self.decode, **changes
+            )
+        for value in (b"", b"\xff\xfe", b"[]", b'"text"', b"{"):
+            self.assertRaises(
+                exceptions.RecordInvalidError,
+                endpoint_codec.decode,
+                "i-1",
+                value,
+            )
+
+
+class ConfigCodecTest(testtools.TestCase):
+    """Guards against configurations that are half understood."""
+
+    def decode(self, wanted):
+        return config_codec.decode(platform_config.encode(wanted))
+
+    def test_kinds_decide_what_may_be_repeated(self):
+        config = self.decode(gateway_fleet.config())
+        may_repeat = {r.name: r.may_repeat for r in config.routes}
+        self.assertEqual(
+            {
+                "safe": True,
+                "unsafe": False,
+                "chat": True,
+                "once": False,
+                "open": True,
+            },
+            may_repeat,
+        )
+
+    def test_without_accounts_no_key_is_needed(self):
+        wanted = gateway_fleet.config()
+        del wanted["tenants"]
+        self.assertFalse(self.decode(wanted).needs_keys)
+
+    def test_invalid_configurations(self):
+        for change in (
+            {"version": "seven"},
+            {"routes": {}},
+            {"routes": [{"name": "r"}]},
+            {"routes": [gateway_fleet.route("r", "sometimes", "desk")]},
+            {"limits": None},
+        ):
+            self.assertRaises(
+                exceptions.RecordInvalidError,
+                self.decode,
+                {**gateway_fleet.config(), **change},
+            )
+
+    def test_unknown_kind_is_not_taken_for_another(self):
+        self.assertRaises(ValueError, routing_config.RouteKind, "keyed")
+
+
+class HeaderCodecTest(testtools.TestCase):
+    """Guards against values that a caller garbles."""
+
+    def decode(self, *headers):
+        return header_codec.HeaderCodec().decode_request(list(headers))
+
+    def test_values_that_are_no_numbers_count_as_missing(self):
+        info = self.decode(
+            (b"X-Fireflyspur-Deadline-Ms", b"soon"),
+            (b"X-Fireflyspur-Token-Count", b"many,-3"),
+        )
+        self.assertIsNone(info.patience_s)
+        self.assertEqual(0, info.prompt_tokens)
+        self.assertEqual(0, info.max_output_tokens)
+
+    def test_other_scheme_is_no_key(self):
+        info = self.decode((b"Authorization", b"Bearer abc"))
+        self.assertIsNone(info.api_key)
+        info = self.decode((b"authorization", b"Token abc"))
+        self.assertEqual("abc", info.api_key)
--- /dev/null
+++ b/tests/platform/test_settings_file.py
@@ -0,0 +1,87 @@
+"""Reading of the platform's settings file."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from fireflyspur.console import application
+from fireflyspur.gateway import exceptions
+from fireflyspur.platform import settings_file
+from tests.support import console
+
+_VALID = """
+node_name = "front-1"
+zone = "zone-a"
+ip = "10.1.0.40"
+internal_port_range = [7340, 7355]
+heartbeat_ms = 1200
+a_new_field = 7
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+grace_s = 8
+drain_ms = 2000
+config_apply_ms = 2000
+retry_budget_ratio = 0.2
+retry_budget_extra = 104
+budget_window_s = 10
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+class SettingsFileTest(testtools.TestCase):
+    """Guards against nodes that run with settings they misread."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "node.toml"
+
+    def load(self, text):
+        self.path.write_text(text)
+        return settings_file.load(self.path, 9464)
+
+    def test_valid_file(self):
+        settings = self.load(_VALID)
+        self.assertEqual("10.1.0.40:8227", str(settings.callers))
+        self.assertEqual("10.1.0.40:7340", str(settings.peers))
+        self.assertEqual("10.1.0.40:9464", str(settings.metrics))
+        self.assertEqual(2.0, settings.drain_s)
+        self.assertEqual(4.0, settings.memory.free_s)
+
+    def test_missing_and_wrong_fields_are_named(self):
+        for before, after, expected in (
+            ('zone = "zone-a"', "", "zone"),
+            ("heartbeat_ms = 1200", 'heartbeat_ms = "x"', "heartbeat_ms"),
+            ('front = "10.1.0.40:8227"', 'front = "nowhere"', "HOST:PORT"),
+            ("[platform]", "[platform", "line"),
+        ):
+            text = _VALID.replace(before, after)
+            error = self.assertRaises(
+                exceptions.InvalidSettingsError, self.load, text
+            )
+            self.assertIn(expected, str(error))
+            self.assertIn(str(self.path), str(error))
+
+    def test_command_ends_with_a_clear_error(self):
+        self.path.write_text("node_name = 1")
+        environment = {"FIREFLYSPUR_SETTINGS": str(self.path)}
+        with console.environment(environment):
+            code, _, error = console.run("platform", "--check")
+        self.assertEqual(3, code)
+        self.assertIn("invalid_settings", error)
+
+    def test_command_needs_the_variable(self):
+        with console.environment({"FIREFLYSPUR_SETTINGS": ""}):
+            code, _, error = console.run("platform", "--check")
+        self.assertEqual(3, code)
+        self.assertIn("FIREFLYSPUR_SETTINGS", error)
+
+    def test_every_command_is_in_the_help(self):
+        text = application.build_parser().format_help()
+        for name in ("platform", "node", "load", "record"):
+            self.assertIn(name, text)
--- a/tests/support/console.py
+++ b/tests/support/console.py
@@ -3,10 +3,25 @@
 import contextlib
 import io
 import json
+import os
 
 from fireflyspur.console import application
 
 
+@contextlib.contextmanager
+def environment(values):
+    """Set variables of the process's environment for a while."""
+    before = {name: os.environ.get(name) for name in values}
+    os.environ.update(values)
+    try:
+        yield
+    finally:
+        for name, value in before.items():
+            os.environ.pop(name)
+            if value is not None:
+                os.environ[name] = value
+
+
 def run(*arguments):
     """Run a command; returns exit code, standard output and error."""
     out, err = io.StringIO(), io.StringIO()
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -154,6 +154,7 @@
                 "callers": local("127.0.0.1", port()),
                 "health": local("127.0.0.1", port()),
                 "peers": local("127.0.0.1", port()),
+                "metrics": local("127.0.0.1", port()),
                 "store": self.store.address,
                 "grace_s": 8.0,
                 "drain_s": 2.0,
@@ -225,6 +226,14 @@
         address = address or self.settings.callers
         return await asyncio.open_connection(address.host, address.port)
 
+    async def metrics(self):
+        """Return the metrics as text."""
+        reader, writer = await self.connect(self.settings.metrics)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+        reply = await read_reply(reader)
+        writer.close()
+        return reply.body.decode()
+
     async def health(self):
         """Return the status that the balancer gets."""
         reader, writer = await self.connect(self.settings.health)
