--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -142,6 +142,7 @@
                 f"status {head.status}",
                 is_full=head.status in (429, 503),
                 is_gone=head.status == _OTHER_INSTANCE,
+                blamed=info.blamed,
             )
         if not head.is_success:
             return await self._read_failure(exchange, head)
--- a/src/fireflyspur/gateway/attempt_result.py
+++ b/src/fireflyspur/gateway/attempt_result.py
@@ -32,11 +32,14 @@
 
     :param is_full: whether it had no room, so that it is not at fault
     :param is_gone: whether another instance is at the address
+    :param blamed: instance or address of another member of the group that
+        is at fault
     """
 
     reason: str
     is_full: bool = False
     is_gone: bool = False
+    blamed: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoint_directory.py
@@ -62,6 +62,15 @@
         """Return a known endpoint."""
         return self._endpoints.get(instance)
 
+    def find_named(self, name: str) -> endpoints.Endpoint | None:
+        """Return a known endpoint by its instance or its address."""
+        if name in self._endpoints:
+            return self._endpoints[name]
+        for item in self._endpoints.values():
+            if str(item.address) == name:
+                return item
+        return None
+
     def replace(self, read: endpoints.EndpointList) -> None:
         """Take over a newer list."""
         if self._read_at_s is not None and read.read_at_s <= self._read_at_s:
--- a/src/fireflyspur/gateway/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoint_monitor.py
@@ -64,9 +64,13 @@
 
     def note_unreachable(self, instance: str) -> None:
         """Note that an endpoint takes no connection."""
+        self.note_failed(instance, "no connection")
+
+    def note_failed(self, instance: str, reason: str) -> None:
+        """Note that an endpoint can't serve, and tell the other nodes."""
         if not self._directory.is_paused(instance):
             self._tell(instance, fleet_news.FAILED)
-        self._directory.note_fault(instance, "no connection")
+        self._directory.note_fault(instance, reason)
 
     def note_left(self, instance: str, reason: str) -> None:
         """Note that an endpoint is gone by its own or its heir's word."""
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -287,7 +287,9 @@
                         break
                 case attempt_result.NotRun(why):
                     reason = why
-                    self._note_not_run(placement, result)
+                    blamed = self._note_not_run(placement, result)
+                    if blamed is not None:
+                        refused.append(blamed)
                 case attempt_result.Broken(why):
                     reason = why
                     self._note_broken(placement, result)
@@ -396,20 +398,30 @@
         self,
         placement: placements.Placement,
         result: attempt_result.NotRun,
-    ) -> None:
+    ) -> str | None:
+        """Note who is at fault.
+
+        :returns: another member of the group that is at fault, if there is
+        """
         instance = placement.first.instance
+        blamed = None
+        if result.blamed is not None:
+            blamed = self._parts.directory.find_named(result.blamed)
         _log.info(
             "Endpoint did not run request",
             request=self._plan.info.attempt_id,
             instance=instance,
             reason=result.reason,
+            blamed=result.blamed,
         )
-        if result.is_full:
-            return
+        if blamed is not None and blamed.instance != instance:
+            self._parts.monitor.note_failed(blamed.instance, result.reason)
+            return blamed.instance
         if result.is_gone:
             self._parts.monitor.note_left(instance, result.reason)
-        else:
+        elif not result.is_full:
             self._parts.directory.note_fault(instance, result.reason)
+        return None
 
     def _note_broken(
         self,
--- a/src/fireflyspur/gateway/gateway_metrics.py
+++ b/src/fireflyspur/gateway/gateway_metrics.py
@@ -5,7 +5,7 @@
 import prometheus_client
 
 from fireflyspur.gateway import routing_config
-from fireflyspur.observability import metrics as length_bins
+from fireflyspur.observability import length_bins
 
 # Upper ends of the latency buckets in seconds: around the targets of short
 # prompts, and up to the longest time limits.
--- a/src/fireflyspur/gateway/messages.py
+++ b/src/fireflyspur/gateway/messages.py
@@ -108,6 +108,8 @@
         will not run the request
     :param attempt_id: the attempt that it answers, if named
     :param instance: instance that answered, if named
+    :param blamed: instance or address of the member of a group that made
+        it fail, if named
     :param is_encoded: whether the body is not the endpoint's own bytes
     """
 
@@ -115,6 +117,7 @@
     is_not_run: bool
     attempt_id: str | None
     instance: str | None
+    blamed: str | None
     is_encoded: bool
 
 
--- a/src/fireflyspur/observability/metrics.py
+++ b/src/fireflyspur/observability/metrics.py
@@ -7,13 +7,7 @@
 
 from fireflyspur.errors import exceptions
 from fireflyspur.generated import settings
-
-_LENGTH_BINS = (
-    (4_000, "up_to_4k"),
-    (32_000, "up_to_32k"),
-    (100_000, "up_to_100k"),
-)
-_LAST_BIN = "above_100k"
+from fireflyspur.observability import length_bins
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,13 +119,7 @@
     def observe_first_token(self, prompt_tokens: int, seconds: float) -> None:
         """Report the time to the first token of a prompt."""
         if self._client is not None:
-            name = f"time_to_first_token.{length_bin(prompt_tokens)}"
+            name = (
+                f"time_to_first_token.{length_bins.length_bin(prompt_tokens)}"
+            )
             self._client.timing(name, seconds * 1000)
-
-
-def length_bin(prompt_tokens: int) -> str:
-    """Return the bin of a prompt's length."""
-    for limit, name in _LENGTH_BINS:
-        if prompt_tokens <= limit:
-            return name
-    return _LAST_BIN
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -68,6 +68,7 @@
             is_not_run=names.NOT_EXECUTED.lower() in values,
             attempt_id=values.get(names.ATTEMPT_ID.lower()),
             instance=values.get(names.INSTANCE_ID.lower()),
+            blamed=values.get(names.AT_SERVER.lower()),
             is_encoded=names.CONTENT_ENCODING.lower() in values,
         )
 
--- a/src/fireflyspur/platform/headers.py
+++ b/src/fireflyspur/platform/headers.py
@@ -15,3 +15,5 @@
 PRIORITY = b"X-Fireflyspur-Request-Priority"
 HELPERS = b"X-Fireflyspur-Helpers"
 CONTENT_ENCODING = b"Content-Encoding"
+# Names the worker at fault, when a group can't serve.
+AT_SERVER = b"At-Server"
--- a/tests/gateway/test_group_memory.py
+++ b/tests/gateway/test_group_memory.py
@@ -141,3 +141,33 @@
             self.assertEqual(
                 [], [a for e in fleet.engines for a in e.arrivals]
             )
+
+
+class BlamedHelperTest(testtools.TestCase):
+    """Guards against groups that fail again by the same member."""
+
+    @async_tests.in_loop
+    async def test_helper_at_fault_is_left_out(self):
+        tokens = ["X-Fireflyspur-Token-Count: 200000,100"]
+        async with gateway_fleet.GatewayFleet(engines=5) as fleet:
+            node = await fleet.start_node()
+
+            async def refuse_once(worker, arrival, stream):
+                if not refused:
+                    helpers = arrival.headers["x-fireflyspur-helpers"]
+                    refused.append(helpers.split(",")[0])
+                    await workers.answer_status(
+                        "503 Busy",
+                        "X-Fireflyspur-Not-Executed: 1",
+                        f"At-Server: {refused[0]}",
+                    )(worker, arrival, stream)
+                    return
+                sent.append(arrival.headers.get("x-fireflyspur-helpers", ""))
+                await workers.answer_events()(worker, arrival, stream)
+
+            refused, sent = [], []
+            for engine in fleet.engines:
+                engine.usual = refuse_once
+            reply = await node.request("/once/", extra=tokens)
+        self.assertEqual(200, reply.status)
+        self.assertNotIn(refused[0], sent[0].split(","))
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -6,6 +6,7 @@
 
 from fireflyspur.errors import exceptions
 from fireflyspur.generated import settings
+from fireflyspur.observability import length_bins
 from fireflyspur.observability import metrics
 from tests.support import single_node
 
@@ -26,7 +27,7 @@
 
     def test_length_bins(self):
         found = [
-            metrics.length_bin(n)
+            length_bins.length_bin(n)
             for n in (4_000, 4_001, 32_000, 100_000, 100_001)
         ]
         expected = ["up_to_4k", "up_to_32k", "up_to_32k", "up_to_100k"]
