--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -135,6 +135,7 @@
         while True:
             await asyncio.sleep(_BEACON_S)
             self._book.expire(clock.now_s())
+            self._peers.note_silence()
             self._beacon()
 
     def _beacon(self) -> None:
--- a/src/fireflyspur/gateway/peer_table.py
+++ b/src/fireflyspur/gateway/peer_table.py
@@ -61,6 +61,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._peers: dict[str, Peer] = {}
+        self._silent: set[str] = set()
 
     def learn(self, name: str, address: addresses.Address) -> None:
         """Take over the address of a node."""
@@ -97,6 +98,7 @@
             number=number,
             is_stopping=is_stopping,
         )
+        self._silent.discard(name)
         if not was_live:
             _log.info("Peer heard", peer=name, address=str(address))
         return Heard(
@@ -104,6 +106,21 @@
             is_restarted=known is not None and not is_same,
         )
 
+    def note_silence(self) -> None:
+        """Log the nodes that have fallen silent."""
+        now = clock.now_s()
+        for peer in self._peers.values():
+            if peer.heard_at_s is None or self._is_live(peer, now):
+                continue
+            if peer.name not in self._silent:
+                self._silent.add(peer.name)
+                _log.warning(
+                    "Peer silent",
+                    peer=peer.name,
+                    silent_s=round(now - peer.heard_at_s, 1),
+                    is_stopping=peer.is_stopping,
+                )
+
     def live_names(self) -> list[str]:
         """Return this node and those that were heard lately."""
         now = clock.now_s()
