--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -1,80 +1,34 @@
 """Serving of one request of a caller."""
 
 import asyncio
-from collections.abc import Callable
-import contextlib
-import dataclasses
 import json
-from typing import Any
 
 import h11
 from tornado import iostream
 
 from fireflyspur.errors import exceptions as base_exceptions
-from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway import answer_relay
-from fireflyspur.gateway import attempt as attempts
-from fireflyspur.gateway import attempt_result
 from fireflyspur.gateway import caller_connection
 from fireflyspur.gateway import clock
-from fireflyspur.gateway import crash_list
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import endpoint_monitor
 from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import gateway_metrics
-from fireflyspur.gateway import group_memory
-from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
-from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import retry_allowance
-from fireflyspur.gateway import work_reporter
+from fireflyspur.gateway import request_run
 from fireflyspur.observability import logs
 
-# An endpoint ends its work at the deadline and says so; this is the time
-# for its word to arrive.
-_LAST_WORD_S = 0.1
-_RETRY_AFTER_S = 0.25
 # Another node takes the request at once.
 _RETRY_ELSEWHERE_S = 0.02
-_SERVER_ERROR = 500
-# Endpoints that took no connection, or had less memory than expected, after
-# which a request is refused.
-_MAX_NOT_SENT = 5
 
 _log = logs.log_for("requests")
 
 
-@dataclasses.dataclass(frozen=True)
-class ForwarderParts:
-    """What a forwarder works with.
-
-    :param is_draining: returns whether the node is stopping
-    :param ends_at_s: returns when the process ends; None while no stop has
-        begun
-    """
-
-    planner: request_plan.RequestPlanner
-    codec: messages.Codec
-    directory: endpoint_directory.EndpointDirectory
-    works: work_reporter.WorkReporter
-    placer: placements.Placer
-    allowance: retry_allowance.RetryAllowance
-    crashes: crash_list.CrashList
-    memory: group_memory.GroupMemory
-    is_draining: Callable[[], bool]
-    ends_at_s: Callable[[], float | None]
-    monitor: endpoint_monitor.EndpointMonitor
-    metrics: gateway_metrics.GatewayMetrics
-
-
 class Forwarder:
     """Serves requests, one call each.
 
     :param parts: what it works with
     """
 
-    def __init__(self, parts: ForwarderParts) -> None:
+    def __init__(self, parts: request_run.RequestParts) -> None:
         self._parts = parts
 
     async def serve(
@@ -90,7 +44,7 @@
         try:
             plan = self._parts.planner.plan(request)
             self._check_time_left(plan)
-            run = _RequestRun(self._parts, plan, relay)
+            run = request_run.RequestRun(self._parts, plan, relay)
         except base_exceptions.FireflyspurError as error:
             self._parts.metrics.count_refusal(error.code)
             _log.info(
@@ -164,315 +118,3 @@
             json.dumps(content).encode(),
             is_last=is_last or self._parts.is_draining(),
         )
-
-
-class _RequestRun:
-    """The attempts at one request."""
-
-    def __init__(
-        self,
-        parts: ForwarderParts,
-        plan: request_plan.RequestPlan,
-        relay: answer_relay.AnswerRelay,
-    ) -> None:
-        self._parts = parts
-        self._plan = plan
-        self._relay = relay
-        self._fingerprint = crash_list.fingerprint_of(
-            plan.request, plan.account_name or plan.info.api_key or ""
-        )
-        self._tried: list[str] = []
-        self._may_have_run = False
-        self._first_part_s: float | None = None
-        self._placement: placements.Placement | None = None
-
-    async def run(self) -> None:
-        """Try endpoints until one answers or no more may be tried.
-
-        :raises FireflyspurError: if the caller does not get an answer
-        """
-        self._parts.allowance.note_request(self._plan.service.name)
-        last_word_s = self._plan.deadline_s + _LAST_WORD_S - clock.now_s()
-        try:
-            async with asyncio.timeout(last_word_s):
-                await self._try_endpoints()
-        except TimeoutError as error:
-            if self._may_have_run:
-                raise exceptions.ServiceTimeoutError(
-                    "the time limit passed"
-                ) from error
-            raise self._refusal("no endpoint took it in time") from error
-
-    def log_end(
-        self, status: int, error: base_exceptions.FireflyspurError | None
-    ) -> None:
-        """Write the line on the end of the request."""
-        plan = self._plan
-        first = self._first_part_s
-        begin = plan.request.received_at_s
-        self._observe(status, error)
-        _log.info(
-            "Request ended",
-            request=plan.info.attempt_id,
-            route=plan.route.name,
-            account=plan.account_name,
-            version=plan.version,
-            tokens=plan.info.prompt_tokens,
-            tried=self._tried,
-            status=status,
-            code=error.code if error else None,
-            reason=str(error) if error else None,
-            first_ms=None if first is None else _ms(first - begin),
-            gap_ms=_ms(self._relay.longest_gap_s),
-            total_ms=_ms(clock.now_s() - begin),
-            **self._describe_placement(),
-        )
-
-    def _observe(
-        self, status: int, error: base_exceptions.FireflyspurError | None
-    ) -> None:
-        plan, metrics = self._plan, self._parts.metrics
-        kind, tokens = plan.route.kind, plan.info.prompt_tokens
-        metrics.count_request(kind, status)
-        if error is not None:
-            metrics.count_refusal(error.code)
-        if self._first_part_s is not None:
-            first_s = self._first_part_s - plan.request.received_at_s
-            metrics.observe_first_part(kind, tokens, first_s)
-        if self._relay.last_event_id is not None:
-            metrics.observe_gap(tokens, self._relay.longest_gap_s)
-
-    def _describe_placement(self) -> dict[str, Any]:
-        """Return what the last placement was decided by."""
-        placement = self._placement
-        if placement is None:
-            return {}
-        predicted_s = placement.first_event_s
-        return {
-            "helpers": len(placement.helpers),
-            "predicted_ms": None if predicted_s is None else _ms(predicted_s),
-            "busy": placement.works,
-            "endpoints_age_ms": _ms(self._parts.directory.age_s()),
-        }
-
-    async def _try_endpoints(self) -> None:
-        plan = self._plan
-        reason = "no endpoint is ready"
-        refused: list[str] = []
-        while len(self._tried) < plan.route.max_attempts:
-            if self._parts.crashes.is_refused(self._fingerprint):
-                raise self._crashing()
-            if self._tried and not self._parts.allowance.try_take(
-                plan.service.name
-            ):
-                reason = f"{reason}; no retry is left"
-                break
-            placement = self._place(refused)
-            if placement is None:
-                break
-            result = await self._attempt(placement)
-            match result:
-                case attempt_result.Delivered(status):
-                    self._parts.directory.note_success(
-                        placement.first.instance
-                    )
-                    self.log_end(status, None)
-                    return
-                case attempt_result.NotSent(why, instance):
-                    reason = why
-                    refused.append(instance)
-                    self._tried.pop()
-                    self._note_not_sent(result)
-                    if len(refused) >= _MAX_NOT_SENT:
-                        break
-                case attempt_result.NotRun(why):
-                    reason = why
-                    blamed = self._note_not_run(placement, result)
-                    if blamed is not None:
-                        refused.append(blamed)
-                case attempt_result.Broken(why):
-                    reason = why
-                    self._note_broken(placement, result)
-                    if not plan.route.may_repeat:
-                        raise exceptions.AnswerBrokenError(why)
-                case attempt_result.Rejected(head, body):
-                    self._may_have_run = True
-                    if not self._may_try_again(head):
-                        await self._deliver_failure(head, body)
-                        return
-                    reason = f"status {head.status}"
-        if self._may_have_run:
-            raise exceptions.AnswerBrokenError(reason)
-        raise self._refusal(reason)
-
-    def _place(self, refused: list[str]) -> placements.Placement | None:
-        plan = self._plan
-        excluded = frozenset((*self._tried, *refused))
-        if plan.service.engine is None:
-            return self._parts.placer.choose_plain(plan.service.name, excluded)
-        return self._parts.placer.choose_engine(
-            plan.service, self._demand(), excluded
-        )
-
-    def _demand(self) -> placements.Demand:
-        info, route = self._plan.info, self._plan.route
-        elapsed_s = clock.now_s() - self._plan.request.received_at_s
-        return placements.Demand(
-            prompt_tokens=info.prompt_tokens,
-            output_tokens=info.max_output_tokens,
-            target_s=max(0.01, route.target_latency_s - elapsed_s),
-            max_gap_s=route.max_gap_s or route.target_latency_s,
-            weight=placements.weight_of(info.prompt_tokens),
-        )
-
-    async def _attempt(
-        self, placement: placements.Placement
-    ) -> attempt_result.AttemptResult:
-        self._tried.append(placement.first.instance)
-        self._placement = placement
-        with contextlib.ExitStack() as stack:
-            on_first_part = self._track(stack, placement)
-            attempt = attempts.Attempt(
-                self._plan,
-                self._parts.codec,
-                self._relay,
-                self._parts.memory,
-                on_first_part,
-                self._watch_silence,
-            )
-            may_have_run = self._may_have_run
-            # Until the endpoint says otherwise: a timeout may come first.
-            self._may_have_run = True
-            result = await attempt.run(placement)
-            self._parts.metrics.count_attempt(type(result).__name__)
-            match result:
-                case attempt_result.NotRun() | attempt_result.NotSent():
-                    self._may_have_run = may_have_run
-            return result
-
-    def _track(
-        self, stack: contextlib.ExitStack, placement: placements.Placement
-    ) -> Callable[[], None]:
-        """Count the request as running where it is sent.
-
-        :returns: to be called when its answer begins
-        """
-        demand = self._demand()
-        parts = 1 + len(placement.helpers)
-        lasts_s = self._plan.deadline_s - clock.now_s()
-        tracker = self._parts.works
-        reading = stack.enter_context(contextlib.ExitStack())
-        numbers = [
-            stack.enter_context(
-                tracker.track_first(placement.first, demand, parts, lasts_s)
-            )
-        ]
-        for helper in placement.helpers:
-            # A helper that keeps a part of the prompt stays in use.
-            holder = stack if helper.tokens else reading
-            number = holder.enter_context(
-                tracker.track_helper(helper, demand, parts, lasts_s)
-            )
-            numbers.append(number)
-
-        def note_first_part() -> None:
-            if self._first_part_s is None:
-                self._first_part_s = clock.now_s()
-            reading.close()
-            for number in numbers:
-                tracker.note_read(number, demand)
-
-        return note_first_part
-
-    def _note_not_sent(self, result: attempt_result.NotSent) -> None:
-        _log.info(
-            "Request not sent",
-            request=self._plan.info.attempt_id,
-            instance=result.instance,
-            reason=result.reason,
-        )
-        if result.is_unreachable:
-            self._parts.monitor.note_unreachable(result.instance)
-
-    def _note_not_run(
-        self,
-        placement: placements.Placement,
-        result: attempt_result.NotRun,
-    ) -> str | None:
-        """Note who is at fault.
-
-        :returns: another member of the group that is at fault, if there is
-        """
-        instance = placement.first.instance
-        blamed = None
-        if result.blamed is not None:
-            blamed = self._parts.directory.find_named(result.blamed)
-        _log.info(
-            "Endpoint did not run request",
-            request=self._plan.info.attempt_id,
-            instance=instance,
-            reason=result.reason,
-            blamed=result.blamed,
-        )
-        if blamed is not None and blamed.instance != instance:
-            self._parts.monitor.note_failed(blamed.instance, result.reason)
-            return blamed.instance
-        if result.is_gone:
-            self._parts.monitor.note_left(instance, result.reason)
-        elif not result.is_full:
-            self._parts.directory.note_fault(instance, result.reason)
-        return None
-
-    def _note_broken(
-        self,
-        placement: placements.Placement,
-        result: attempt_result.Broken,
-    ) -> None:
-        instance = placement.first.instance
-        _log.warning(
-            "Answer of endpoint broken",
-            request=self._plan.info.attempt_id,
-            instance=instance,
-            reason=result.reason,
-            event=self._relay.last_event_id,
-        )
-        self._parts.directory.note_fault(instance, result.reason)
-        if result.is_abrupt:
-            self._parts.monitor.check_crash(placement.first, self._fingerprint)
-
-    def _watch_silence(
-        self, placement: placements.Placement
-    ) -> http_exchange.WatchSilence:
-        engine = self._plan.service.engine
-        members = [placement.first, *(h.endpoint for h in placement.helpers)]
-        return self._parts.monitor.silence_watch(
-            members, engine, self._plan.route.may_repeat
-        )
-
-    def _may_try_again(self, head: messages.AnswerHead) -> bool:
-        if head.status < _SERVER_ERROR or not self._plan.route.may_repeat:
-            return False
-        return len(self._tried) < self._plan.route.max_attempts
-
-    async def _deliver_failure(
-        self, head: messages.AnswerHead, body: bytes
-    ) -> None:
-        if self._relay.is_started:
-            raise exceptions.AnswerBrokenError(f"status {head.status}")
-        await self._relay.send_failure(head, body)
-        self.log_end(head.status, None)
-
-    def _refusal(self, reason: str) -> exceptions.NoCapacityError:
-        return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
-
-    def _crashing(self) -> base_exceptions.FireflyspurError:
-        message = "the request broke several endpoints"
-        if self._may_have_run:
-            return exceptions.AnswerBrokenError(message)
-        return exceptions.CrashingRequestError(
-            message, verdict=verdicts.Verdict.NOT_RUN
-        )
-
-
-def _ms(seconds: float) -> int:
-    return round(seconds * 1000)
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -22,6 +22,7 @@
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import request_plan
+from fireflyspur.gateway import request_run
 from fireflyspur.gateway import retry_allowance
 from fireflyspur.gateway import settings as gateway_settings
 from fireflyspur.gateway import store_follower
@@ -149,7 +150,7 @@
         self, codec: messages.Codec, book: work_book.WorkBook
     ) -> forwarder.Forwarder:
         return forwarder.Forwarder(
-            forwarder.ForwarderParts(
+            request_run.RequestParts(
                 planner=request_plan.RequestPlanner(self._holder, codec),
                 codec=codec,
                 directory=self._directory,
--- a/src/fireflyspur/gateway/news_channel.py
+++ b/src/fireflyspur/gateway/news_channel.py
@@ -43,7 +43,7 @@
         self._address = address
         self._peers = peers
         self._receive = receive
-        self._incarnation = random.getrandbits(32)  # noqa: S311
+        self._incarnation = random.getrandbits(32)
         self._number = 0
         self._draft = fleet_news.FleetNews()
         self._is_flush_due = False
--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/placement.py
@@ -38,6 +38,9 @@
 # Engines that may read one prompt together.
 _GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
 _NOTHING = pass_model.Reading(0, 0.0)
+# Engines that are compared for one prompt. The best of so many is nearly as
+# good as the best of all, and the time of a choice stays bounded.
+_MAX_COMPARED = 32
 # Prompts below this gain nothing from being read in parts.
 _MIN_PART_TOKENS = 8_000
 
@@ -143,7 +146,7 @@
             key=lambda item: (
                 self._book.count(item.instance) / max(1, item.slots)
                 + self._handicap(item),
-                random.random(),  # noqa: S311
+                random.random(),
             ),
         )
         return Placement(best, works=self._book.count(best.instance))
@@ -165,7 +168,7 @@
                 self._book.outlook(item.instance, engine, now),
                 self._handicap(item),
             )
-            for item in self._candidates(service.name, excluded)
+            for item in self._sample(service.name, excluded)
         ]
         candidates = [c for c in candidates if _has_slot(engine, c)]
         if not candidates:
@@ -191,7 +194,7 @@
                 candidates,
                 key=lambda c: (
                     _cost(engine, demand, c, reading),
-                    random.random(),  # noqa: S311
+                    random.random(),
                 ),
             )
             group = _group(engine, demand, ranked, size)
@@ -246,6 +249,14 @@
         # When all are paused, a paused one is better than none.
         return usable or [e for e in ready if e.instance not in excluded]
 
+    def _sample(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        candidates = self._candidates(service, excluded)
+        if len(candidates) <= _MAX_COMPARED:
+            return candidates
+        return random.sample(candidates, _MAX_COMPARED)
+
     def _handicap(self, item: endpoints.Endpoint) -> float:
         faults = self._directory.fault_count(item.instance)
         is_remote = item.failure_domain != self._failure_domain
--- a/src/fireflyspur/gateway/route_table.py
+++ b/src/fireflyspur/gateway/route_table.py
@@ -57,4 +57,4 @@
         weights = [share.weight for share in route.shares]
         if not any(weights):
             return names[0]
-        return random.choices(names, weights)[0]  # noqa: S311
+        return random.choices(names, weights)[0]
--- a/src/fireflyspur/load/plan.py
+++ b/src/fireflyspur/load/plan.py
@@ -37,7 +37,7 @@
 
 def make_plan(mix: load_mix.LoadMix, seed: int) -> list[Arrival]:
     """Return the arrivals of the warm-up and the measured part, in order."""
-    source = random.Random(seed)  # noqa: S311
+    source = random.Random(seed)
     numbers = itertools.count(1)
     return [
         _draw(mix, source, next(numbers), at_s, is_peak)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -4,6 +4,8 @@
 reviews, and now and then an archive beyond one engine's memory.
 """
 
+import time
+
 import testtools
 
 from fireflyspur.gateway import address as addresses
@@ -158,6 +160,14 @@
         self.assertNotIn("engine-0", chosen)
         self.assertNotIn("engine-1", chosen)
 
+    def test_choice_takes_bounded_time_with_many_engines(self):
+        self.start_engines(800)
+        began = time.process_time()
+        for _ in range(20):
+            self.assertIsNotNone(self.choose(ARCHIVE))
+        # 20 ms is a tenth of the shortest pause that is on time.
+        self.assertLess((time.process_time() - began) / 20, 0.02)
+
 
 class PassModelTest(testtools.TestCase):
     """Guards against predictions that leave the published figures."""
--- /dev/null
+++ b/tools/measure_gateway.py
@@ -0,0 +1,160 @@
+"""Measure the parts of the gateway that grow with the fleet."""
+
+from collections.abc import Callable
+import json
+import time
+
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import pass_model
+from fireflyspur.gateway import placement
+from fireflyspur.gateway import route_table
+from fireflyspur.gateway import routing_config
+from fireflyspur.gateway import work_book
+from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.observability import logs
+from fireflyspur.platform import config_codec
+
+_REPEATS = 50
+_ENGINE = routing_config.EngineSpec(
+    slots=8,
+    kv_tokens=450_000,
+    step_ms=0.925,
+    per_sequence_ms=0.00966,
+    context_ms_per_1k=0.00254,
+    read_tokens_per_s=256_000.0,
+    pairs_ms_per_m=0.0917,
+    chunk_tokens=2_048,
+    stride_steps=46,
+    report_lag_s=0.2,
+)
+_SERVICE = routing_config.Service("models", "/health", 300, _ENGINE)
+
+
+def main() -> None:
+    """Print a line for each part and size."""
+    logs.configure("ERROR")
+    for count in (21, 69, 800):
+        placer = _loaded_placer(count)
+        for tokens in (5_000, 210_000):
+            wanted = _demand(tokens)
+            ms = _time_ms(
+                lambda placer=placer, wanted=wanted: placer.choose_engine(
+                    _SERVICE, wanted, frozenset()
+                )
+            )
+            print(f"placement, {count} engines, {tokens} tokens: {ms:.2f} ms")
+    data = _news().SerializeToString()
+    ms = _time_ms(lambda: fleet_news.FleetNews().ParseFromString(data))
+    print(f"news of one request: {len(data)} bytes, parsed in {ms:.4f} ms")
+    for accounts in (10, 1_000, 5_200):
+        value = _config(accounts)
+        ms = _time_ms(
+            lambda value=value: route_table.RouteTable(
+                config_codec.decode(value)
+            )
+        )
+        print(
+            f"configuration, {accounts} accounts: {len(value)} bytes,"
+            f" in force in {ms:.1f} ms"
+        )
+
+
+def _time_ms(action: Callable[[], object]) -> float:
+    began = time.process_time()
+    for _ in range(_REPEATS):
+        action()
+    return (time.process_time() - began) / _REPEATS * 1000
+
+
+def _demand(tokens: int) -> placement.Demand:
+    return placement.Demand(
+        tokens, 1_600, 3.0, 0.8, placement.weight_of(tokens)
+    )
+
+
+def _loaded_placer(count: int) -> placement.Placer:
+    directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
+    listed = tuple(_endpoint(number) for number in range(count))
+    directory.replace(endpoints.EndpointList(listed, clock.now_s()))
+    book = work_book.WorkBook()
+    for item in listed:
+        for number in range(4):
+            book.add(_work(item.instance, number))
+            book.note_read(f"{item.instance}/{number}")
+    return placement.Placer(directory, book, "zone-a")
+
+
+def _endpoint(number: int) -> endpoints.Endpoint:
+    return endpoints.Endpoint(
+        instance=f"i-{number}",
+        service="models",
+        address=addresses.Address("10.0.0.1", 1_000 + number),
+        failure_domain="zone-a",
+        state=endpoints.EndpointState.READY,
+        slots=8,
+        sequence=1,
+        born_ms=1,
+    )
+
+
+def _work(instance: str, number: int) -> work_book.Work:
+    now = clock.now_s()
+    return work_book.Work(
+        key=f"{instance}/{number}",
+        instance=instance,
+        reading=pass_model.whole_prompt(5_000),
+        is_urgent=False,
+        is_end_told=False,
+        memory_tokens=6_600,
+        target_s=0.3,
+        max_gap_s=0.2,
+        weight=1.0,
+        started_at_s=now,
+        until_s=now + 60,
+    )
+
+
+def _news() -> fleet_news.FleetNews:
+    started = fleet_news.WorkStarted(
+        number=1_000,
+        instance="i-7f3a91c2",
+        prompt_tokens=5_000,
+        parts=1,
+        memory_tokens=6_600,
+        max_gap_ms=200,
+        lasts_ms=10_000,
+        target_ms=300,
+    )
+    return fleet_news.FleetNews(
+        node="front-a-1", incarnation=2**31, number=5_000, started=[started]
+    )
+
+
+def _config(accounts: int) -> bytes:
+    config = {
+        "version": 1,
+        "routes": [],
+        "services": [],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [
+            {
+                "name": f"account-{number}",
+                "api_keys": [f"key-{number}-a", f"key-{number}-b"],
+                "priority": 1,
+            }
+            for number in range(accounts)
+        ],
+    }
+    return json.dumps(config).encode()
+
+
+if __name__ == "__main__":
+    main()
