Log a fault of the program, and end only its connection

Cause: an exception that no code expects was written by the HTTP library in its own format and without the node's name. Change: it is logged as a structured line with the end of its trace; the connection ends and the node goes on. Measured: the new test; a planner that fails costs one request. Ruled out: an answer of 500, since what has run is not known.

--- a/src/fireflyspur/gateway/caller_server.py
+++ b/src/fireflyspur/gateway/caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import traceback
 
 from tornado import iostream
 from tornado import tcpserver
@@ -14,6 +15,9 @@
 from fireflyspur.gateway import socket_options
 from fireflyspur.observability import logs
 
+# The end of a trace, which names the place.
+_TRACE_CHARACTERS = 2_000
+
 _log = logs.log_for("callers")
 
 Serve = Callable[
@@ -70,6 +74,13 @@
             return
         except (iostream.StreamClosedError, OSError):
             return
+        except Exception as error:
+            # A fault of the program: the connection ends, the node goes on.
+            _log.error(
+                "Connection failed",
+                reason=repr(error),
+                trace=traceback.format_exc()[-_TRACE_CHARACTERS:],
+            )
         finally:
             self._streams.discard(stream)
             stream.set_close_callback(None)
--- a/src/fireflyspur/gateway/placement_cost.py
+++ b/src/fireflyspur/gateway/placement_cost.py
@@ -46,6 +46,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
+    """An endpoint that may serve a prompt.
+
+    :param outlook: what the prompt would meet there
+    :param handicap: share of the prompt's weight that counts against it
+    """
+
     endpoint: endpoints.Endpoint
     outlook: work_book.Outlook
     handicap: float
@@ -100,6 +106,7 @@
 
 
 def idle_cost(demand: Demand, candidate: Candidate) -> float:
+    """Return the cost of a short prompt on an engine without streams."""
     is_short = demand.prompt_tokens < _SHORT_TOKENS
     return _IDLE_ENGINE_COST * (is_short and not candidate.outlook.streams)
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -364,3 +364,18 @@
                 desk.close()
             replies = [await node.request("/unsafe/") for _ in range(3)]
         self.assertEqual([200] * 3, [r.status for r in replies])
+
+
+class ProgramFaultTest(testtools.TestCase):
+    """Guards against one faulty request that harms others."""
+
+    @async_tests.in_loop
+    async def test_fault_of_the_program_ends_one_connection_only(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            planner = node.gateway._forwarder._parts.planner
+            plan, planner.plan = planner.plan, None
+            reply = await node.request("/safe/")
+            planner.plan = plan
+            later = await node.request("/safe/")
+        self.assertEqual((0, 200), (reply.status, later.status))
