--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -183,7 +183,10 @@
         if is_configured:
             if "config" not in self.store.partition("keyed.op").newest:
                 self.publish(config())
-            await wait_until(lambda: node.is_ready)
+            await wait_until(lambda: task.done() or node.is_ready)
+            if task.done():
+                # Shows why the node has not started.
+                await task
         await asyncio.sleep(0)
         started.gateway = node
         started.task = task
