Take a retry only for what is sent, and say when all slots are taken

Change: one retry for each attempt that is sent; the reason tells the two apart; the loop over endpoints is split into short steps. The test of endpoints without a connection passed by chance without its mechanism and is now drawn twelve times. Measured: both new tests failed before, [1, 0, 0, 1] != [1, 0, 0, 0] and the old reason; the repeated test fails when such endpoints count as attempts. Ruled out: taking the retry after the send, which could exceed the bound.

--- a/src/fireflyspur/gateway/request_run.py
+++ b/src/fireflyspur/gateway/request_run.py
@@ -32,9 +32,11 @@
 _LAST_WORD_S = 0.1
 _RETRY_AFTER_S = 0.25
 _SERVER_ERROR = 500
-# Endpoints that took no connection, or had less memory than expected, after
-# which a request is refused.
-_MAX_NOT_SENT = 5
+# Endpoints that took no connection, had less memory than expected or were
+# blamed by another, after which a request is refused.
+_MAX_LEFT_OUT = 5
+_NONE_READY = "no endpoint is ready"
+_NO_ROOM = "no endpoint has room"
 
 _log = logs.log_for("requests")
 
@@ -83,6 +85,9 @@
             plan.request, plan.account_name or plan.info.api_key or ""
         )
         self._tried: list[str] = []
+        self._left_out: list[str] = []
+        self._retries = 0
+        self._reason = _NONE_READY
         self._may_have_run = False
         self._first_part_s: float | None = None
         self._placement: placements.Placement | None = None
@@ -157,63 +162,92 @@
         }
 
     async def _try_endpoints(self) -> None:
-        plan = self._plan
-        reason = "no endpoint is ready"
-        refused: list[str] = []
-        while len(self._tried) < plan.route.max_attempts:
-            if self._parts.crashes.is_refused(self._fingerprint):
-                raise self._crashing()
-            if self._tried and not self._parts.allowance.try_take(
-                plan.service.name
-            ):
-                reason = f"{reason}; no retry is left"
-                break
-            placement = self._place(refused)
+        while self._may_try():
+            placement = self._place()
             if placement is None:
                 break
             result = await self._attempt(placement)
-            match result:
-                case attempt_result.Delivered(status):
-                    self._parts.directory.note_success(
-                        placement.first.instance
-                    )
-                    self.log_end(status, None)
-                    return
-                case attempt_result.NotSent(why, instance):
-                    reason = why
-                    refused.append(instance)
-                    self._tried.pop()
-                    self._note_not_sent(result)
-                    if len(refused) >= _MAX_NOT_SENT:
-                        break
-                case attempt_result.NotRun(why):
-                    reason = why
-                    blamed = self._note_not_run(placement, result)
-                    if blamed is not None:
-                        refused.append(blamed)
-                case attempt_result.Broken(why):
-                    reason = why
-                    self._note_broken(placement, result)
-                    if not plan.route.may_repeat:
-                        raise exceptions.AnswerBrokenError(why)
-                case attempt_result.Rejected(head, body):
-                    self._may_have_run = True
-                    if not self._may_try_again(head):
-                        await self._deliver_failure(head, body)
-                        return
-                    reason = f"status {head.status}"
+            if await self._is_answered(placement, result):
+                return
         if self._may_have_run:
-            raise exceptions.AnswerBrokenError(reason)
-        raise self._refusal(reason)
+            raise exceptions.AnswerBrokenError(self._reason)
+        raise self._refusal(self._reason)
+
+    def _may_try(self) -> bool:
+        """Whether another endpoint may be tried.
+
+        :raises FireflyspurError: if the request crashes endpoints
+        """
+        if len(self._tried) >= self._plan.route.max_attempts:
+            return False
+        if len(self._left_out) >= _MAX_LEFT_OUT:
+            return False
+        if self._parts.crashes.is_refused(self._fingerprint):
+            raise self._crashing()
+        return self._take_retry()
+
+    def _take_retry(self) -> bool:
+        """Take a retry from the allowance, one for each that is sent."""
+        if self._retries == len(self._tried):
+            return True
+        if not self._parts.allowance.try_take(self._plan.service.name):
+            self._reason = f"{self._reason}; no retry is left"
+            return False
+        self._retries += 1
+        return True
 
-    def _place(self, refused: list[str]) -> placements.Placement | None:
+    def _place(self) -> placements.Placement | None:
         plan = self._plan
-        excluded = frozenset((*self._tried, *refused))
+        excluded = frozenset((*self._tried, *self._left_out))
         if plan.service.engine is None:
-            return self._parts.placer.choose_plain(plan.service.name, excluded)
-        return self._parts.placer.choose_engine(
-            plan.service, self._demand(), excluded
-        )
+            placement = self._parts.placer.choose_plain(
+                plan.service.name, excluded
+            )
+        else:
+            placement = self._parts.placer.choose_engine(
+                plan.service, self._demand(), excluded
+            )
+        if placement is None and not excluded:
+            is_any = self._parts.directory.ready(plan.service.name)
+            self._reason = _NO_ROOM if is_any else _NONE_READY
+        return placement
+
+    async def _is_answered(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.AttemptResult,
+    ) -> bool:
+        """Take the result of an attempt; False to try another endpoint.
+
+        :raises FireflyspurError: if no other may be tried
+        """
+        match result:
+            case attempt_result.Delivered(status):
+                self._parts.directory.note_success(placement.first.instance)
+                self.log_end(status, None)
+                return True
+            case attempt_result.NotSent(why, instance):
+                self._reason = why
+                self._left_out.append(instance)
+                self._tried.pop()
+                self._note_not_sent(result)
+            case attempt_result.NotRun(why):
+                self._reason = why
+                blamed = self._note_not_run(placement, result)
+                if blamed is not None:
+                    self._left_out.append(blamed)
+            case attempt_result.Broken(why):
+                self._reason = why
+                self._note_broken(placement, result)
+                if not self._plan.route.may_repeat:
+                    raise exceptions.AnswerBrokenError(why)
+            case attempt_result.Rejected(head, body):
+                self._reason = f"status {head.status}"
+                self._may_have_run = True
+                if not self._may_try_again(head):
+                    await self._deliver_failure(head, body)
+                    return True
+        return False
 
     def _demand(self) -> placement_cost.Demand:
         info, route = self._plan.info, self._plan.route
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from fireflyspur.gateway import retry_allowance
 from tests.support import async_tests
 from tests.support import gateway_fleet
 from tests.support import platform_worker as workers
@@ -214,6 +215,26 @@
             reply = await node.request("/unsafe/")
         self.assertEqual(503, reply.status)
         self.assertGreater(float(reply.headers["retry-after"]), 0)
+        self.assertIn(b"no endpoint is ready", reply.body)
+
+    @async_tests.in_loop
+    async def test_engines_without_a_free_slot_are_named_as_the_reason(self):
+        async with gateway_fleet.GatewayFleet(engines=1) as fleet:
+            node = await fleet.start_node()
+            engine = fleet.engines[0]
+            engine.usual = workers.never_answer
+            streams = [
+                asyncio.ensure_future(
+                    node.request("/once/", body=bytes((number,)))
+                )
+                for number in range(8)
+            ]
+            await gateway_fleet.wait_until(lambda: len(engine.arrivals) == 8)
+            reply = await node.request("/once/")
+            for stream in streams:
+                stream.cancel()
+        self.assertEqual(503, reply.status)
+        self.assertIn(b"no endpoint has room", reply.body)
 
 
 class StreamTest(testtools.TestCase):
@@ -358,12 +379,47 @@
 
     @async_tests.in_loop
     async def test_endpoints_that_take_no_connection_are_no_attempts(self):
-        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
+        # Which endpoint is tried first is drawn at random: with each one
+        # counted as an attempt, a round would fail more often than not.
+        rounds = 12
+        async with gateway_fleet.GatewayFleet(desks=5) as fleet:
             node = await fleet.start_node()
-            for desk in fleet.desks[:3]:
+            for desk in fleet.desks[:4]:
                 desk.close()
-            replies = [await node.request("/unsafe/") for _ in range(3)]
-        self.assertEqual([200] * 3, [r.status for r in replies])
+            statuses = []
+            for _ in range(rounds):
+                for desk in fleet.desks:
+                    node.gateway.directory.note_success(desk.instance)
+                reply = await node.request("/unsafe/")
+                statuses.append(reply.status)
+        self.assertEqual([200] * rounds, statuses)
+
+    @async_tests.in_loop
+    async def test_send_that_did_not_happen_uses_no_retry(self):
+        # Exactly one retry is allowed.
+        limits = retry_allowance.RetryLimits(0.0, 1.3, 10.0)
+        failure = workers.answer_status("500 Error", seal=True)
+        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
+            node = await fleet.start_node(retries=limits)
+            first, *closed, last = fleet.desks
+            for desk in closed:
+                desk.close()
+                fleet.register(desk, "desk", zone="zone-b")
+            first.usual = last.usual = failure
+            # The order is: the near one, the far ones without a connection,
+            # and the one that had a fault.
+            directory = node.gateway.directory
+            directory.note_fault(last.instance, "test")
+            await gateway_fleet.wait_until(
+                lambda: (
+                    directory.find_named(closed[0].instance).failure_domain
+                    == "zone-b"
+                    and not directory.is_paused(last.instance)
+                )
+            )
+            await node.request("/safe/")
+            counts = [len(desk.arrivals) for desk in fleet.desks]
+        self.assertEqual([1, 0, 0, 1], counts)
 
 
 class ProgramFaultTest(testtools.TestCase):
