Import the module hypothesis in the test of the splitter

Cause: the style check found a name imported instead of its module. Change: the import. Ruled out: an exception in the check.

--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/test_event_splitter.py
@@ -1,6 +1,6 @@
 """Where a stream may be continued."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies
 import testtools
 
@@ -14,7 +14,7 @@
 class EventSplitterTest(testtools.TestCase):
     """Guards against events that are cut or counted twice."""
 
-    @given(strategies.lists(strategies.integers(0, len(_STREAM))))
+    @hypothesis.given(strategies.lists(strategies.integers(0, len(_STREAM))))
     def test_cuts_anywhere_lose_nothing(self, cuts):
         splitter = event_splitter.EventSplitter()
         places = [0, *sorted(cuts), len(_STREAM)]
