Wait for the first configuration instead of asking for it

Cause: until the first configuration exists, each node read the newest records every 0.2 s, five calls a second for each node. Change: a node reads once and then waits up to 1 s for a new record. Ruled out: a longer pause between reads; the node would be ready later.

--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -15,7 +15,7 @@
 
 # Longest wait of the reader for a new configuration. A connection that has
 # gone silent is noticed after this time.
-_CONFIG_WAIT_S = 1.0
+CONFIG_WAIT_S = 1.0
 # Shares of the bounds after which the first reader reads, and by which each
 # next reader waits longer. All have read before the bound is over.
 _READ_SHARE = 0.38
@@ -56,6 +56,7 @@
         self._config_bound_s = config_bound_s
         self._endpoints_bound_s = endpoints_bound_s
         self._lost: set[str] = set()
+        self._is_config_read = False
         self._sought_version = 0
         self._woken = {
             what: asyncio.Event() for what in ("config", "endpoints")
@@ -88,17 +89,14 @@
                 await asyncio.sleep(_RETRY_S)
 
     async def _follow_config(self) -> None:
-        if self._holder.table is None:
-            read = await self._registry.read_config()
-            self._take_config(read)
-            if read.config is None:
-                await asyncio.sleep(_RETRY_S)
+        if not self._is_config_read:
+            self._take_config(await self._registry.read_config())
         elif self._is_config_behind():
             self._sought_version = self._link.told_version
             self._take_config(await self._registry.wait_config(0))
             await asyncio.sleep(_CHANGE_PAUSE_S)
-        elif self._rank("config") == 0:
-            read = await self._registry.wait_config(_CONFIG_WAIT_S)
+        elif self._holder.table is None or self._rank("config") == 0:
+            read = await self._registry.wait_config(CONFIG_WAIT_S)
             self._take_config(read)
             if read.config is not None:
                 await asyncio.sleep(_CHANGE_PAUSE_S)
@@ -117,6 +115,7 @@
         self._note_regained("endpoints")
 
     def _take_config(self, read: registries.ConfigRead) -> None:
+        self._is_config_read = True
         if read.config is not None:
             self._holder.apply(read.config)
         self._holder.confirm(read.read_at_s)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -65,6 +65,24 @@
         self.assertLessEqual(calls, 0.5 * len(nodes) * seconds)
         self.assertLess(max(ages), 2.0)
 
+    @async_tests.in_loop
+    async def test_nodes_wait_for_the_first_configuration(self):
+        seconds = 4.0
+        async with gateway_fleet.GatewayFleet() as fleet:
+            nodes = [
+                await fleet.start_node(False, node_name=f"node-{number}")
+                for number in range(8)
+            ]
+            await asyncio.sleep(seconds)
+            calls = sum(fleet.store.calls.values())
+            fleet.publish(gateway_fleet.config())
+            await gateway_fleet.wait_until(
+                lambda: all(n.gateway.is_ready for n in nodes), timeout_s=1.0
+            )
+        # The start itself takes four calls: to register, and to read nodes,
+        # endpoints and configuration. Then a node may wait for a second.
+        self.assertLessEqual(calls, len(nodes) * (4 + seconds) + 8)
+
     @async_tests.in_loop
     async def test_change_reaches_all_nodes_in_time(self):
         async with gateway_fleet.GatewayFleet() as fleet:
