Let the second reader read only when the first is late

Cause: an unanswered long poll of 1 s confirmed the configuration as of its begin, so the others held it to be 1.0 s old when the word reached them, and the second rank, due after 0.92 s, read each time beside the first. Change: a wait that ends without a record confirms its end; the shares of the bound for configuration and endpoints differ, and a wait is at most half of the bound. Ruled out: a longer wait; a silent connection would be noticed later than the bound allows.

--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -13,14 +13,17 @@
 from fireflyspur.gateway import registry as registries
 from fireflyspur.observability import logs
 
-# Longest wait of the reader for a new configuration. A connection that has
-# gone silent is noticed after this time.
+# Longest wait of the reader for a new configuration, and as a share of the
+# bound. A connection that has gone silent is noticed after this time.
 CONFIG_WAIT_S = 1.0
-# Shares of the bounds after which the first reader reads, and by which each
-# next reader waits longer. All have read before the bound is over.
-_READ_SHARE = 0.38
+_WAIT_SHARE = 0.5
+# Shares of the bounds after which a node reads by itself, by which each next
+# rank waits longer, and after which all have read. The wait of the reader of
+# the configuration is over before the next rank's share is.
+_ENDPOINTS_SHARE = 0.38
+_CONFIG_SHARE = 0.55
 _RANK_SHARE = 0.08
-_LAST_SHARE = 0.7
+_LAST_SHARE = 0.75
 # Versions that follow one another faster are read together.
 _CHANGE_PAUSE_S = 0.15
 _RETRY_S = 0.2
@@ -96,7 +99,8 @@
             self._take_config(await self._registry.wait_config(0))
             await asyncio.sleep(_CHANGE_PAUSE_S)
         elif self._holder.table is None or self._rank("config") == 0:
-            read = await self._registry.wait_config(CONFIG_WAIT_S)
+            wait_s = min(CONFIG_WAIT_S, _WAIT_SHARE * self._config_bound_s)
+            read = await self._registry.wait_config(wait_s)
             self._take_config(read)
             if read.config is not None:
                 await asyncio.sleep(_CHANGE_PAUSE_S)
@@ -125,10 +129,11 @@
 
     def _left_s(self, what: str) -> float:
         """Return the time until this node must read by itself."""
-        share = _READ_SHARE + _RANK_SHARE * self._rank(what)
-        share = min(share, _LAST_SHARE)
+        later = _RANK_SHARE * self._rank(what)
         if what == "config":
+            share = min(_CONFIG_SHARE + later, _LAST_SHARE)
             return share * self._config_bound_s - self._holder.age_s()
+        share = min(_ENDPOINTS_SHARE + later, _LAST_SHARE)
         return share * self._endpoints_bound_s - self._directory.age_s()
 
     def _is_config_behind(self) -> bool:
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -43,7 +43,7 @@
 
     async def wait_config(self, wait_s: float) -> registry.ConfigRead:
         """Wait for a configuration newer than the last one."""
-        read_at_s = clock.now_s()
+        began_s = clock.now_s()
         read = await self._store.read_log(
             _OPERATOR_TOPIC, self._config_end, wait_s
         )
@@ -52,8 +52,10 @@
         self._config_end += len(read.records)
         values = [r.value for r in read.records if r.key == _CONFIG_KEY]
         if not values:
+            # The store answers without a record only after the whole wait.
+            read_at_s = min(began_s + wait_s, clock.now_s())
             return registry.ConfigRead(None, read_at_s)
-        return registry.ConfigRead(config_codec.decode(values[-1]), read_at_s)
+        return registry.ConfigRead(config_codec.decode(values[-1]), began_s)
 
     async def read_endpoints(self) -> endpoints.EndpointList:
         """Read the registered endpoints."""
