Remove what the gateway no longer uses

Cause: a newcomer's read found methods and fields without a caller: the instance lookup of directory and work book, the idle state of a caller's connection, the framing flag of an exchange, the end of patience, and of the configuration the report's lag, health path and connection bound. Change: they are removed, also from the decoder. Ruled out: keeping the decoded fields for later use; unused, nothing tests that they are right.

--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -38,25 +38,11 @@
         )
         self._fold_scan = b""
 
-    @property
-    def is_answer_started(self) -> bool:
-        """Whether a byte of the current answer was sent."""
-        return self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
-
     @property
     def may_answer(self) -> bool:
         """Whether a whole answer can still be sent."""
         return self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no byte of a request is waiting for its answer."""
-        return (
-            self._connection.our_state is h11.IDLE
-            and self._connection.their_state is h11.IDLE
-            and not self._connection.trailing_data[0]
-        )
-
     def close(self) -> None:
         """Close the connection at once."""
         self._stream.close()
--- a/src/fireflyspur/gateway/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoint_directory.py
@@ -58,10 +58,6 @@
             return float("inf")
         return clock.now_s() - self._read_at_s
 
-    def find(self, instance: str) -> endpoints.Endpoint | None:
-        """Return a known endpoint."""
-        return self._endpoints.get(instance)
-
     def find_named(self, name: str) -> endpoints.Endpoint | None:
         """Return a known endpoint by its instance or its address."""
         if name in self._endpoints:
--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -42,7 +42,6 @@
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
-        self._has_length = True
 
     @classmethod
     async def connect(
@@ -70,11 +69,6 @@
             raise
         return cls(stream, watch_silence)
 
-    @property
-    def has_length(self) -> bool:
-        """Whether the end of the answer can be told from a broken one."""
-        return self._has_length
-
     def close(self) -> None:
         """Close the connection; the server drops what it still does."""
         self._stream.close()
@@ -110,7 +104,6 @@
                     "the connection ended without an answer", is_abrupt=True
                 )
             headers = list(event.headers.raw_items())
-            self._has_length = _has_length(event)
             return messages.AnswerHead(event.status_code, headers)
 
     async def read_part(self) -> bytes | None:
@@ -179,13 +172,6 @@
                 pause_s = await self._watch_silence(clock.now_s() - began)
 
 
-def _has_length(response: h11.Response) -> bool:
-    if response.status_code in (204, 304):
-        return True
-    names = {name for name, _ in response.headers}
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
 def _reason(error: Exception) -> str:
     match error:
         case TimeoutError():
--- a/src/fireflyspur/gateway/request_plan.py
+++ b/src/fireflyspur/gateway/request_plan.py
@@ -19,7 +19,6 @@
 
     :param version: version of the configuration that decided
     :param deadline_s: clock time at which it gets its last answer
-    :param patience_ends_s: clock time until which the caller waits
     :param priority: 0 is the most urgent
     """
 
@@ -30,7 +29,6 @@
     service: routing_config.Service
     account: routing_config.ClientAccount | None
     deadline_s: float
-    patience_ends_s: float
     priority: int
 
     @property
@@ -105,7 +103,6 @@
             service=service,
             account=account,
             deadline_s=begin_s + min(patience_s, route.timeout_s),
-            patience_ends_s=begin_s + patience_s,
             priority=_priority(route, account),
         )
 
--- a/src/fireflyspur/gateway/routing_config.py
+++ b/src/fireflyspur/gateway/routing_config.py
@@ -73,7 +73,6 @@
     :param pairs_ms_per_m: prefill time of a million token pairs
     :param chunk_tokens: prompt tokens read beside one step
     :param stride_steps: decode steps in one pass, which make one event
-    :param report_lag_s: age of the values that an engine reports
     """
 
     slots: int
@@ -85,21 +84,16 @@
     pairs_ms_per_m: float
     chunk_tokens: int
     stride_steps: int
-    report_lag_s: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A service that endpoints offer.
 
-    :param max_connections: connections that one endpoint takes from all
-        callers together
     :param engine: figures of its engines, or None for a plain service
     """
 
     name: str
-    health_path: str
-    max_connections: int
     engine: EngineSpec | None
 
 
--- a/src/fireflyspur/gateway/work_book.py
+++ b/src/fireflyspur/gateway/work_book.py
@@ -127,11 +127,6 @@
         for key in [k for k in self._instances if k.startswith(prefix)]:
             self.remove(key)
 
-    def remove_instance(self, instance: str) -> None:
-        """Forget the requests on an endpoint that is gone."""
-        for key in list(self._entries.get(instance, ())):
-            self.remove(key)
-
     def count(self, instance: str) -> int:
         """Return the requests on an endpoint."""
         return len(self._entries.get(instance, ()))
@@ -167,7 +162,7 @@
             if not left:
                 writers += 1
                 context += work.memory_tokens
-            elif not work.is_urgent:
+            else:
                 first_s = now - work.started_at_s + pending_ms / 1000
                 waiting.append(Waiting(first_s, work.target_s, work.weight))
         state = pass_model.EngineState(
--- a/src/fireflyspur/platform/config_codec.py
+++ b/src/fireflyspur/platform/config_codec.py
@@ -38,14 +38,10 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     pairs_per_m: float = 0.0
-    report_lag_ms: float = 0.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    # Path of the health check.
-    health_check: str = "/health"
-    max_connections: int = 100
     engine: _Engine | None = None
 
 
@@ -123,8 +119,6 @@
 def _service(wire: _Service) -> routing_config.Service:
     return routing_config.Service(
         name=wire.name,
-        health_path=wire.health_check,
-        max_connections=wire.max_connections,
         engine=_engine(wire.engine) if wire.engine else None,
     )
 
@@ -140,7 +134,6 @@
         pairs_ms_per_m=wire.pairs_per_m,
         chunk_tokens=wire.chunk,
         stride_steps=wire.stride,
-        report_lag_s=wire.report_lag_ms / 1000,
     )
 
 
