Take a retry only once another endpoint is chosen

Cause: the retry was taken before the choice, so a request without another endpoint used up a retry that nothing was sent for. Change: the choice comes first. Measured: test_request_without_another_endpoint_uses_no_retry, red before. Ruled out: giving the retry back; another request could be refused between.

--- a/src/fireflyspur/gateway/request_run.py
+++ b/src/fireflyspur/gateway/request_run.py
@@ -164,7 +164,7 @@
     async def _try_endpoints(self) -> None:
         while self._may_try():
             placement = self._place()
-            if placement is None:
+            if placement is None or not self._take_retry():
                 break
             result = await self._attempt(placement)
             if await self._is_answered(placement, result):
@@ -184,7 +184,7 @@
             return False
         if self._parts.crashes.is_refused(self._fingerprint):
             raise self._crashing()
-        return self._take_retry()
+        return True
 
     def _take_retry(self) -> bool:
         """Take a retry from the allowance, one for each that is sent."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -421,6 +421,29 @@
             counts = [len(desk.arrivals) for desk in fleet.desks]
         self.assertEqual([1, 0, 0, 1], counts)
 
+    @async_tests.in_loop
+    async def test_request_without_another_endpoint_uses_no_retry(self):
+        # Exactly one retry is allowed.
+        limits = retry_allowance.RetryLimits(0.0, 1.3, 10.0)
+        failure = workers.answer_status("500 Error", seal=True)
+        async with gateway_fleet.GatewayFleet(desks=2) as fleet:
+            node = await fleet.start_node(retries=limits)
+            directory = node.gateway.directory
+            first, second = fleet.desks
+            first.usual = second.usual = failure
+            fleet.register(second, "desk", state="draining")
+            await gateway_fleet.wait_until(
+                lambda: len(directory.ready("desk")) == 1
+            )
+            await node.request("/safe/")
+            fleet.register(second, "desk")
+            await gateway_fleet.wait_until(
+                lambda: len(directory.ready("desk")) == 2
+            )
+            await node.request("/safe/")
+        self.assertEqual(2, len(first.arrivals))
+        self.assertEqual(1, len(second.arrivals))
+
 
 class ProgramFaultTest(testtools.TestCase):
     """Guards against one faulty request that harms others."""
