Deliver an endpoint's own failure where no other may be tried

Cause: an answer of 500 for a request that may be repeated was dropped, and when no other endpoint or retry was left the caller got 502 in its place. Change: the last failure that an endpoint answered with is kept and delivered. The test was red before, with 502. Ruled out: delivering the first failure at once; a repeat may still succeed.

--- a/src/fireflyspur/gateway/request_run.py
+++ b/src/fireflyspur/gateway/request_run.py
@@ -91,6 +91,7 @@
         self._may_have_run = False
         self._first_part_s: float | None = None
         self._placement: placements.Placement | None = None
+        self._rejected: attempt_result.Rejected | None = None
 
     async def run(self) -> None:
         """Try endpoints until one answers or no more may be tried.
@@ -169,9 +170,12 @@
             result = await self._attempt(placement)
             if await self._is_answered(placement, result):
                 return
-        if self._may_have_run:
+        if self._rejected is not None:
+            await self._deliver_failure(self._rejected)
+        elif self._may_have_run:
             raise exceptions.AnswerBrokenError(self._reason)
-        raise self._refusal(self._reason)
+        else:
+            raise self._refusal(self._reason)
 
     def _may_try(self) -> bool:
         """Whether another endpoint may be tried.
@@ -241,11 +245,12 @@
                 self._note_broken(placement, result)
                 if not self._plan.route.may_repeat:
                     raise exceptions.AnswerBrokenError(why)
-            case attempt_result.Rejected(head, body):
+            case attempt_result.Rejected(head):
                 self._reason = f"status {head.status}"
                 self._may_have_run = True
+                self._rejected = result
                 if not self._may_try_again(head):
-                    await self._deliver_failure(head, body)
+                    await self._deliver_failure(result)
                     return True
         return False
 
@@ -389,13 +394,13 @@
             return False
         return len(self._tried) < self._plan.route.max_attempts
 
-    async def _deliver_failure(
-        self, head: messages.AnswerHead, body: bytes
-    ) -> None:
+    async def _deliver_failure(self, result: attempt_result.Rejected) -> None:
+        """Deliver the last failure that an endpoint answered with."""
+        status = result.head.status
         if self._relay.is_started:
-            raise exceptions.AnswerBrokenError(f"status {head.status}")
-        await self._relay.send_failure(head, body)
-        self.log_end(head.status, None)
+            raise exceptions.AnswerBrokenError(f"status {status}")
+        await self._relay.send_failure(result.head, result.body)
+        self.log_end(status, None)
 
     def _refusal(self, reason: str) -> exceptions.NoCapacityError:
         return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -435,7 +435,7 @@
             await gateway_fleet.wait_until(
                 lambda: len(directory.ready("desk")) == 1
             )
-            await node.request("/safe/")
+            reply = await node.request("/safe/")
             fleet.register(second, "desk")
             await gateway_fleet.wait_until(
                 lambda: len(directory.ready("desk")) == 2
@@ -443,6 +443,8 @@
             await node.request("/safe/")
         self.assertEqual(2, len(first.arrivals))
         self.assertEqual(1, len(second.arrivals))
+        # The endpoint's own word is delivered where no other can be tried.
+        self.assertEqual((500, b"failed"), (reply.status, reply.body))
 
 
 class ProgramFaultTest(testtools.TestCase):
