--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -1,8 +1,10 @@
 """Measure the parts of the gateway that grow with the fleet."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import time
+import tracemalloc
 
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
@@ -29,15 +31,14 @@
     pairs_ms_per_m=0.0917,
     chunk_tokens=2_048,
     stride_steps=46,
-    report_lag_s=0.2,
 )
-_SERVICE = routing_config.Service("models", "/health", 300, _ENGINE)
+_SERVICE = routing_config.Service("models", _ENGINE)
 
 
-def main() -> None:
+def main(engine_counts: Sequence[int] = (21, 69, 800)) -> None:
     """Print a line for each part and size."""
     logs.configure("ERROR")
-    for count in (21, 69, 800):
+    for count in engine_counts:
         placer = _loaded_placer(count)
         for tokens in (5_000, 210_000):
             wanted = _demand(tokens)
@@ -59,7 +60,7 @@
         )
         print(
             f"configuration, {accounts} accounts: {len(value)} bytes,"
-            f" in force in {ms:.1f} ms"
+            f" in force in {ms:.1f} ms, {_memory_kb(value):.0f} KB"
         )
 
 
@@ -70,6 +71,16 @@
     return (time.process_time() - began) / _REPEATS * 1000
 
 
+def _memory_kb(value: bytes) -> float:
+    """Return the memory that a configuration in force takes."""
+    tracemalloc.start()
+    table = route_table.RouteTable(config_codec.decode(value))
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del table
+    return kept / 1000
+
+
 def _demand(tokens: int) -> placement_cost.Demand:
     return placement_cost.Demand(
         tokens, 1_600, 3.0, 0.8, placement_cost.weight_of(tokens)
