Count the prompts that an engine helps with apart from its slots

Cause: an engine counted as full when its requests and the parts that it reads for other engines' prompts together reached its slots; only requests that it answers take slots, parts have a bound of their own. Change: each of the two is held against the number of slots. The test was red before.

--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/placement.py
@@ -195,4 +195,7 @@
 def _has_slot(
     engine: routing_config.EngineSpec, candidate: placement_cost.Candidate
 ) -> bool:
-    return candidate.outlook.works < engine.slots
+    """Whether an engine may take a prompt; those it helps count apart."""
+    serving = len(candidate.outlook.streams)
+    helping = candidate.outlook.works - serving
+    return max(serving, helping) < engine.slots
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -73,13 +73,14 @@
     def run_on(self, instance, wanted, *, is_read=True, parts=1, first=True):
         self.keys += 1
         whole = pass_model.whole_prompt(wanted.prompt_tokens)
+        memory = wanted.prompt_tokens + wanted.output_tokens
         work = work_book.Work(
             key=f"k{self.keys}",
             instance=instance,
             reading=pass_model.part_of(whole, parts),
             is_urgent=not first,
             is_end_told=False,
-            memory_tokens=wanted.prompt_tokens + wanted.output_tokens,
+            memory_tokens=memory if first else 0,
             target_s=wanted.target_s if first else None,
             max_gap_s=wanted.max_gap_s if first else None,
             weight=wanted.weight,
@@ -114,6 +115,25 @@
             self.assertEqual("engine-3", chosen.first.instance)
             self.run_on(chosen.first.instance, QUOTE)
 
+    def test_parts_of_other_prompts_take_no_slot(self):
+        self.start_engines(1)
+        for _ in range(4):
+            self.run_on("engine-0", QUOTE)
+        for _ in range(5):
+            self.run_on("engine-0", ARCHIVE, parts=16, first=False)
+        # Four of eight slots are taken; prompts that are only helped with
+        # are counted apart.
+        self.assertIsNotNone(self.choose(QUOTE))
+        for _ in range(4):
+            self.run_on("engine-0", QUOTE)
+        self.assertIsNone(self.choose(QUOTE))
+
+    def test_engine_helps_with_as_many_prompts_as_it_has_slots(self):
+        self.start_engines(1)
+        for _ in range(8):
+            self.run_on("engine-0", ARCHIVE, parts=16, first=False)
+        self.assertIsNone(self.choose(QUOTE))
+
     def test_quotes_share_engines_and_leave_others_idle(self):
         self.start_engines(8)
         used = set()
