Give the store's stand-in the calls of groups

Cause: the stand-in knew only the joining of a group, without generations, moves, times or commits. Ruled out: reassignments without a request; nothing here would see them.

--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import json
+import time
 import urllib.parse
 
 from tornado import iostream
@@ -12,6 +13,7 @@
 from fireflyspur.gateway import caller_server
 from fireflyspur.gateway import routing_config
 from tests.support import loopback
+from tests.support import platform_groups
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +83,7 @@
         self.late_s = 0.0
         self.calls = collections.Counter()
         self.reads_left = None
+        self.ttl_min_ms = 10
 
     def start(self):
         self.address = loopback.listen(self._server)
@@ -147,6 +150,12 @@
                 return _json(200)
             case "/api/log-join":
                 return self._join(json.loads(body))
+            case "/api/log-leave":
+                return self._leave(json.loads(body))
+            case "/api/log-commit":
+                return self._commit(json.loads(body))
+            case "/api/log-owners":
+                return _json(200, rows=self._group(query["group"]).rows())
             case _:
                 return _json(404)
 
@@ -225,9 +234,31 @@
         partition.sequences[producer] = sequence
         return None
 
+    def _group(self, name):
+        group = self._groups.setdefault(name, platform_groups.Group())
+        group.expire(time.monotonic())
+        return group
+
     def _join(self, wanted):
-        members = self._groups.setdefault(wanted["group"], {})
-        members[wanted["member"]] = wanted["topics"]
-        generation = len(members)
-        parts = [[topic, 0, 0] for topic in wanted["topics"]]
-        return _json(200, generation=generation, parts=parts)
+        if wanted["ttl_ms"] < self.ttl_min_ms:
+            return _json(400)
+        group = self._group(wanted["group"])
+        parts = group.join(
+            wanted["member"],
+            wanted["topics"],
+            wanted["ttl_ms"] / 1000,
+            wanted["generation"],
+            time.monotonic(),
+        )
+        return _json(200, generation=group.generation, parts=parts)
+
+    def _leave(self, wanted):
+        self._group(wanted["group"]).leave(wanted["member"])
+        return _json(200)
+
+    def _commit(self, wanted):
+        key = wanted["topic"], wanted["part"]
+        is_done = self._group(wanted["group"]).commit(
+            wanted["member"], wanted["generation"], key, wanted["offset"]
+        )
+        return _json(200 if is_done else 409)
