Test the gateway on engines that read and write in passes

Cause: the engine stand-in of the socket tests streamed events without passes, so a placement that stops the streams beside a long prompt passed. Ruled out: using it for all tests; most need answers at a given moment.

--- /dev/null
+++ b/tests/gateway/test_modelled_engines.py
@@ -0,0 +1,95 @@
+"""Prompts on engines that read and write like the platform's."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+
+import testtools
+
+from fireflyspur.platform import config_codec
+from tests.support import async_tests
+from tests.support import gateway_fleet
+from tests.support import modelled_engines
+from tests.support import platform_config
+
+# Ten times as fast as the fleet's usual engine, so that long prompts are
+# read within a test.
+_ENGINE = {
+    **gateway_fleet.ENGINE,
+    "read_per_s": 2_560_000.0,
+    "pairs_per_m": 0.00917,
+}
+_ROUTE = gateway_fleet.route(
+    "chat",
+    "streaming",
+    "models",
+    stream_resume=True,
+    gap_aim_ms=200,
+    target_latency_ms=4_000,
+    timeout_ms=10_000,
+)
+_SERVICES = [{"name": "models", "health_check": "/health", "engine": _ENGINE}]
+_CONFIG = gateway_fleet.config(routes=[_ROUTE], services=_SERVICES)
+
+
+def prompt(tokens, output):
+    return [f"X-Fireflyspur-Token-Count: {tokens},{output}"]
+
+
+class ModelledEnginesTest(testtools.TestCase):
+    """Guards against placements that only stand-ins without passes bear."""
+
+    async def start(self, stack, engines):
+        fleet = await stack.enter_async_context(
+            gateway_fleet.GatewayFleet(engines=engines)
+        )
+        decoded = config_codec.decode(platform_config.encode(_CONFIG))
+        spec = decoded.services["models"].engine
+        model = modelled_engines.ModelledEngines(fleet, spec)
+        stack.push_async_callback(model.close)
+        fleet.publish(_CONFIG)
+        node = await fleet.start_node()
+        return node, model
+
+    @async_tests.in_loop
+    async def test_archive_beside_a_quote_does_not_stretch_its_pauses(self):
+        async with contextlib.AsyncExitStack() as stack:
+            node, model = await self.start(stack, engines=2)
+            arrivals = []
+
+            async def follow_quote():
+                reader, writer = await node.connect()
+                stack.callback(writer.close)
+                writer.write(
+                    gateway_fleet.request_bytes(
+                        "/chat/",
+                        attempt_id="quote",
+                        extra=prompt(5_000, 900),
+                    )
+                )
+                while data := await reader.read(4_096):
+                    arrivals.append(time.monotonic())
+                    if data.endswith(b"0\r\n\r\n"):
+                        return
+
+            quote = asyncio.ensure_future(follow_quote())
+            await gateway_fleet.wait_until(lambda: len(arrivals) > 2)
+            # Read beside the quote it would stop it for 0.4 s.
+            reply = await node.request("/chat/", extra=prompt(300_000, 100))
+            await quote
+        self.assertEqual((200, True), (reply.status, reply.is_whole))
+        pauses = [b - a for a, b in itertools.pairwise(arrivals)]
+        self.assertLess(max(pauses), 0.2)
+
+    @async_tests.in_loop
+    async def test_prompt_beyond_one_engine_is_read_by_several(self):
+        async with contextlib.AsyncExitStack() as stack:
+            node, model = await self.start(stack, engines=3)
+            reply = await node.request("/chat/", extra=prompt(600_000, 100))
+            self.assertEqual((200, True), (reply.status, reply.is_whole))
+            # One event for the first token, and one for each stride.
+            self.assertEqual(1 + 3, reply.body.count(b"id: "))
+            await gateway_fleet.wait_until(
+                lambda: set(model.free_tokens()) == {450_000}
+            )
