Count from logs why requests were late, refused or failed

Change: the command causes reads the lines on the ends of requests and counts causes by length of prompt, against aims that are given.

--- a/src/fireflyspur/console/application.py
+++ b/src/fireflyspur/console/application.py
@@ -23,6 +23,7 @@
     "settings": "SettingsCommand",
     "standin": "StandinCommand",
     "experiment": "ExperimentCommand",
+    "causes": "CausesCommand",
 }
 
 
