--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -162,7 +162,7 @@
             exceptions.AnswerBrokenError,
         ) as error:
             raise exceptions.StoreUnavailableError(
-                f"{path}: {error or 'no answer in time'}"
+                f"{path}: {str(error) or 'no answer in time'}"
             ) from error
         if head.status != 200 and head.status not in accepted:
             raise exceptions.StoreUnavailableError(
