Say that a connection ended instead of naming a state of its parser

Cause: when an endpoint or the store closed the connection before its answer was whole, the reason in the log was a message of the HTTP library. Change: the reason says what happened; whether it counts as abrupt is as before. Ruled out: a looser test.

--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -141,9 +141,12 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
+                is_closed = self._stream.closed()
+                reason = f"not a valid answer: {error}"
+                if is_closed:
+                    reason = "the connection ended within the answer"
                 raise exceptions.AnswerBrokenError(
-                    f"not a valid answer: {error}",
-                    is_abrupt=self._stream.closed(),
+                    reason, is_abrupt=is_closed
                 ) from error
             if event is not h11.NEED_DATA:
                 return event
