Give the decision about a silent answer a class of its own

Cause: it was a closure with two variables that outlived its calls, hard to read, within a class that is about endpoints. Change: SilenceWatch holds the state of one answer; EndpointMonitor keeps what it knows and asks about endpoints. A plain figure became a named constant. Ruled out: nothing.

--- a/src/fireflyspur/gateway/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoint_monitor.py
@@ -1,7 +1,6 @@
 """Finding out what has become of an endpoint."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Sequence
 
 from fireflyspur.gateway import address as addresses
@@ -24,9 +23,6 @@
 # errors, and a time for the network and the node itself.
 _MODEL_SHARE = 2.0
 _SLACK_S = 0.35
-# How often a group is checked for members that are lost: often against the
-# seconds that its prompt takes, and rarely against the work of a check.
-_GROUP_CHECK_S = 0.25
 # Silence of a plain service says little: its work takes as long as it does.
 _PLAIN_SILENCE_S = 0.5
 
@@ -81,59 +77,7 @@
         self._directory.note_left(instance, reason)
         self._tell(instance, fleet_news.LEFT)
 
-    def silence_watch(
-        self,
-        members: Sequence[endpoints.Endpoint],
-        engine: routing_config.EngineSpec | None,
-        may_repeat: bool,
-        may_be_on_time: Callable[[], bool],
-    ) -> http_exchange.WatchSilence:
-        """Return what decides how long a silent answer is waited for.
-
-        An endpoint that is silent for longer than the known work on it
-        explains is asked for a connection. Without one its answer is given
-        up at once, and with one after as much time again, if the request
-        may be repeated elsewhere. A group of which a member takes no
-        connection is given up at once while the answer may still be on time;
-        later, a repeat would only delay what can be.
-
-        :param members: the endpoint that answers, and its helpers
-        """
-        probed = False
-        due_s = 0.0
-
-        async def watch(silent_s: float) -> float:
-            nonlocal probed, due_s
-            is_checked = may_repeat and len(members) > 1 and may_be_on_time()
-            if is_checked and silent_s:
-                await self._check_helpers(members[1:])
-            if not is_checked or not silent_s or silent_s >= due_s:
-                due_s = self._explained_s(members, engine)
-            explained_s = due_s
-            if silent_s < explained_s:
-                pause_s = explained_s - silent_s
-                return min(pause_s, _GROUP_CHECK_S) if is_checked else pause_s
-            if not probed:
-                probed = True
-                await self._probe(members[0], silent_s)
-            if not may_repeat or engine is None:
-                return max(explained_s, _PLAIN_SILENCE_S)
-            if silent_s > 2 * explained_s:
-                raise exceptions.AnswerBrokenError(
-                    f"silent for {silent_s:.1f} s,"
-                    f" {explained_s:.1f} s were explained"
-                )
-            return max(0.05, 2 * explained_s - silent_s)
-
-        return watch
-
-    async def close(self) -> None:
-        """End the checks that run."""
-        for check in self._checks:
-            check.cancel()
-        await asyncio.gather(*self._checks, return_exceptions=True)
-
-    def _explained_s(
+    def explained_s(
         self,
         members: Sequence[endpoints.Endpoint],
         engine: routing_config.EngineSpec | None,
@@ -149,7 +93,11 @@
             longest_ms = max(longest_ms, ms)
         return _SLACK_S + _MODEL_SHARE * longest_ms / 1000
 
-    async def _probe(self, item: endpoints.Endpoint, silent_s: float) -> None:
+    async def probe(self, item: endpoints.Endpoint, silent_s: float) -> None:
+        """Ask a silent endpoint for a connection.
+
+        :raises AnswerBrokenError: if it takes none
+        """
         is_reachable = await _is_reachable(item.address)
         _log.info(
             "Endpoint silent",
@@ -164,12 +112,14 @@
                 is_abrupt=True,
             )
 
-    async def _check_helpers(
+    async def check_helpers(
         self, helpers: Sequence[endpoints.Endpoint]
     ) -> None:
         """Give a group's answer up if a member is lost.
 
         Only members against which something is known are asked.
+
+        :raises AnswerBrokenError: if one of them takes no connection
         """
         suspects = [
             item
@@ -187,6 +137,12 @@
                     blamed=item.instance,
                 )
 
+    async def close(self) -> None:
+        """End the checks that run."""
+        for check in self._checks:
+            check.cancel()
+        await asyncio.gather(*self._checks, return_exceptions=True)
+
     async def _check(self, item: endpoints.Endpoint, fingerprint: str) -> None:
         if not await _is_reachable(item.address):
             self.note_unreachable(item.instance)
--- a/src/fireflyspur/gateway/request_run.py
+++ b/src/fireflyspur/gateway/request_run.py
@@ -24,6 +24,7 @@
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import retry_allowance
+from fireflyspur.gateway import silence_watch
 from fireflyspur.gateway import work_reporter
 from fireflyspur.observability import logs
 
@@ -388,8 +389,12 @@
     ) -> http_exchange.WatchSilence:
         engine = self._plan.service.engine
         members = [placement.first, *(h.endpoint for h in placement.helpers)]
-        return self._parts.monitor.silence_watch(
-            members, engine, self._plan.route.may_repeat, self._may_be_on_time
+        return silence_watch.SilenceWatch(
+            self._parts.monitor,
+            members,
+            engine,
+            self._plan.route.may_repeat,
+            self._may_be_on_time,
         )
 
     def _may_be_on_time(self) -> bool:
--- /dev/null
+++ b/src/fireflyspur/gateway/silence_watch.py
@@ -0,0 +1,86 @@
+"""How long a silent answer is waited for."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_monitor
+from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import routing_config
+
+# How often a group is checked for members that are lost: often against the
+# seconds that its prompt takes, and rarely against the work of a check.
+_GROUP_CHECK_S = 0.25
+# Times the explained silence after which an answer is given up.
+_GIVE_UP_FACTOR = 2
+# Shortest time between two questions, so that rounding makes no busy loop.
+_MIN_PAUSE_S = 0.05
+
+
+class SilenceWatch:
+    """Decides about the silence of one answer.
+
+    An endpoint that is silent for longer than the known work on it explains
+    is asked for a connection. Without one its answer is given up at once,
+    and with one after as much time again, if the request may be repeated
+    elsewhere. A group of which a member takes no connection is given up at
+    once while the answer may still be on time; later, a repeat would only
+    delay what can be.
+
+    :param members: the endpoint that answers, and its helpers
+    :param engine: figures of the engines, or None for a plain service
+    :param may_repeat: whether the request may be run elsewhere
+    :param may_be_on_time: returns whether the answer may still be on time
+    """
+
+    def __init__(
+        self,
+        monitor: endpoint_monitor.EndpointMonitor,
+        members: Sequence[endpoints.Endpoint],
+        engine: routing_config.EngineSpec | None,
+        may_repeat: bool,
+        may_be_on_time: Callable[[], bool],
+    ) -> None:
+        self._monitor = monitor
+        self._members = members
+        self._engine = engine
+        self._may_repeat = may_repeat
+        self._may_be_on_time = may_be_on_time
+        self._is_probed = False
+        self._explained_s = 0.0
+
+    async def __call__(self, silent_s: float) -> float:
+        """Return the seconds after which to ask again.
+
+        :param silent_s: time since the last part of the answer
+        :raises AnswerBrokenError: to give the answer up
+        """
+        is_checked = self._is_group_checked()
+        if is_checked and silent_s:
+            await self._monitor.check_helpers(self._members[1:])
+        if not (is_checked and 0 < silent_s < self._explained_s):
+            self._explained_s = self._monitor.explained_s(
+                self._members, self._engine
+            )
+        if silent_s < self._explained_s:
+            pause_s = self._explained_s - silent_s
+            return min(pause_s, _GROUP_CHECK_S) if is_checked else pause_s
+        await self._probe_once(silent_s)
+        if not self._may_repeat or self._engine is None:
+            return self._explained_s
+        left_s = _GIVE_UP_FACTOR * self._explained_s - silent_s
+        if left_s < 0:
+            raise exceptions.AnswerBrokenError(
+                f"silent for {silent_s:.1f} s,"
+                f" {self._explained_s:.1f} s were explained"
+            )
+        return max(_MIN_PAUSE_S, left_s)
+
+    def _is_group_checked(self) -> bool:
+        is_group = len(self._members) > 1
+        return is_group and self._may_repeat and self._may_be_on_time()
+
+    async def _probe_once(self, silent_s: float) -> None:
+        if not self._is_probed:
+            self._is_probed = True
+            await self._monitor.probe(self._members[0], silent_s)
