Say what the reporter of works needs of the channel

Cause: the reporter asked for a whole channel of datagrams and used only the news that leave shortly; experiments gave it something else under that type. Change: a protocol with that one property. Measured: tests of gateway and experiments pass. Ruled out: nothing.

--- a/src/fireflyspur/gateway/work_reporter.py
+++ b/src/fireflyspur/gateway/work_reporter.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 import contextlib
 import itertools
+from typing import Protocol
 
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import news_channel
 from fireflyspur.gateway import pass_model
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import placement_cost
@@ -18,19 +18,27 @@
 _MIN_TOLD_TOKENS = 16_000
 
 
+class NewsDraft(Protocol):
+    """Takes news for the other nodes."""
+
+    @property
+    def draft(self) -> fleet_news.FleetNews:
+        """News that leave shortly; for adding to."""
+
+
 class WorkReporter:
     """Enters this node's requests in the book and tells the other nodes.
 
     :param node_name: name of this node
     :param book: what runs where
-    :param channel: sends the news
+    :param channel: takes the news that leave shortly
     """
 
     def __init__(
         self,
         node_name: str,
         book: work_book.WorkBook,
-        channel: news_channel.NewsChannel,
+        channel: NewsDraft,
     ) -> None:
         self._node_name = node_name
         self._book = book
