--- a/src/fireflyspur/observability/cause_table.py
+++ b/src/fireflyspur/observability/cause_table.py
@@ -1,5 +1,6 @@
 """Why requests were late, refused or failed, from the log of nodes."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -85,12 +86,11 @@
     requests: Iterable[EndedRequest], aims: Sequence[Aim]
 ) -> tuple[CauseCount, ...]:
     """Count the causes, the most frequent first."""
-    counts: dict[tuple[str, int], int] = {}
+    counts: collections.Counter[tuple[str, int]] = collections.Counter()
     ordered = sorted(aims, key=lambda aim: aim.max_tokens)
     for request in requests:
         aim = _aim_of(request, ordered)
-        key = cause_of(request, aim), aim.max_tokens
-        counts[key] = counts.get(key, 0) + 1
+        counts[cause_of(request, aim), aim.max_tokens] += 1
     found = [CauseCount(*key, number) for key, number in counts.items()]
     return tuple(
         sorted(
