Move the report on a request's end out of its attempts

Cause: the module of attempts was the largest of the gateway, and a fifth of it described the end for log and metrics. Change: a module of its own, with a type for what became of a request. Measured: tests of the gateway pass, among them those that read the line. Ruled out: nothing.

--- a/src/fireflyspur/gateway/request_run.py
+++ b/src/fireflyspur/gateway/request_run.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-from typing import Any
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
@@ -23,6 +22,7 @@
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import request_plan
+from fireflyspur.gateway import request_report
 from fireflyspur.gateway import retry_allowance
 from fireflyspur.gateway import silence_watch
 from fireflyspur.gateway import work_reporter
@@ -115,53 +115,17 @@
         self, status: int, error: base_exceptions.FireflyspurError | None
     ) -> None:
         """Write the line on the end of the request."""
-        plan = self._plan
-        first = self._first_part_s
-        begin = plan.request.received_at_s
-        self._observe(status, error)
-        _log.info(
-            "Request ended",
-            request=plan.info.attempt_id,
-            route=plan.route.name,
-            account=plan.account_name,
-            version=plan.version,
-            tokens=plan.info.prompt_tokens,
-            tried=self._tried,
+        end = request_report.RequestEnd(
             status=status,
-            code=error.code if error else None,
-            reason=str(error) if error else None,
-            first_ms=None if first is None else _ms(first - begin),
-            gap_ms=_ms(self._relay.longest_gap_s),
-            total_ms=_ms(clock.now_s() - begin),
-            **self._describe_placement(),
+            error=error,
+            tried=self._tried,
+            first_part_s=self._first_part_s,
+            placement=self._placement,
+            endpoints_age_s=self._parts.directory.age_s(),
+        )
+        request_report.report(
+            self._plan, self._relay, self._parts.metrics, end
         )
-
-    def _observe(
-        self, status: int, error: base_exceptions.FireflyspurError | None
-    ) -> None:
-        plan, metrics = self._plan, self._parts.metrics
-        kind, tokens = plan.route.kind, plan.info.prompt_tokens
-        metrics.count_request(kind, status)
-        if error is not None:
-            metrics.count_refusal(error.code)
-        if self._first_part_s is not None:
-            first_s = self._first_part_s - plan.request.received_at_s
-            metrics.observe_first_part(kind, tokens, first_s)
-        if self._relay.last_event_id is not None:
-            metrics.observe_gap(tokens, self._relay.longest_gap_s)
-
-    def _describe_placement(self) -> dict[str, Any]:
-        """Return what the last placement was decided by."""
-        placement = self._placement
-        if placement is None:
-            return {}
-        predicted_s = placement.first_event_s
-        return {
-            "helpers": [h.endpoint.instance for h in placement.helpers],
-            "predicted_ms": None if predicted_s is None else _ms(predicted_s),
-            "busy": placement.works,
-            "endpoints_age_ms": _ms(self._parts.directory.age_s()),
-        }
 
     async def _try_endpoints(self) -> None:
         while self._may_try():
@@ -425,7 +389,3 @@
         return exceptions.CrashingRequestError(
             message, verdict=verdicts.Verdict.NOT_RUN
         )
-
-
-def _ms(seconds: float) -> int:
-    return round(seconds * 1000)
