Say where timeouts and limits come from

Cause: a newcomer found constants without a word on their figure. Change: comments; no figure changes. Ruled out: settings; operators have no reason to change them.

--- a/src/fireflyspur/experiment/report.py
+++ b/src/fireflyspur/experiment/report.py
@@ -11,6 +11,7 @@
 _LATE_SHARE = 0.25
 # Long prompts of a kind are worth more, up to this factor.
 _MAX_SIZE_FACTOR = 4.0
+# Length of a window whose worth is reported.
 _WINDOW_S = 2.0
 # Windows with less to earn than this share of the mean are left out.
 _MIN_WINDOW_SHARE = 0.25
--- a/src/fireflyspur/experiment/traffic.py
+++ b/src/fireflyspur/experiment/traffic.py
@@ -6,6 +6,7 @@
 import math
 import random
 
+# Longest prompt that is served.
 _MAX_TOKENS = 1_000_000
 
 
--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -22,6 +22,8 @@
 # endpoint's word the promise cannot be passed on.
 _PROMISES = frozenset((408, 421, 429, 503))
 _OTHER_INSTANCE = 421
+# A failure is held whole before it is passed on; messages of errors are some
+# kilobytes.
 _MAX_FAILURE_BYTES = 262_144
 
 
--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -13,6 +13,7 @@
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import routing_config
 
+# One read takes what a socket buffer usually holds.
 _READ_BYTES = 65_536
 _FOLDED_HEADER = re.compile(rb"\n[ \t]")
 _END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
--- a/src/fireflyspur/gateway/crash_list.py
+++ b/src/fireflyspur/gateway/crash_list.py
@@ -13,6 +13,7 @@
 _CRASHES_TO_REFUSE = 2
 # Crashes further apart than this do not belong together.
 _MEMORY_S = 60.0
+# Bound on the memory of the list; the oldest are forgotten first.
 _MAX_REQUESTS = 10_000
 
 _log = logs.log_for("crashes")
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -18,7 +18,9 @@
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
+# Interval of beacons. A node is taken for silent after three of them.
 _BEACON_S = 1.0
+# Pause after a failed registration: two calls a second while the store fails.
 _REGISTER_RETRY_S = 0.5
 
 _log = logs.log_for("peers")
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -33,7 +33,9 @@
 _BALANCER_NOTICE_S = 3.0
 # Time before the kill that is left to end what is still open.
 _STOP_MARGIN_S = 0.4
+# Interval at which a stop looks for requests in progress.
 _POLL_S = 0.05
+# Interval at which the settings file is read, for changes without a signal.
 _SETTINGS_CHECK_S = 2.0
 # Endpoints that lapsed with the store register again within two seconds.
 _REGISTER_AGAIN_S = 2.5
--- a/src/fireflyspur/gateway/group_memory.py
+++ b/src/fireflyspur/gateway/group_memory.py
@@ -18,6 +18,7 @@
 _HOLD_SHARE = 0.75
 # Renewals before the time for which the memory is held is over.
 _RENEWALS_PER_HOLD = 3
+# Orders to free memory whose answer is lost are sent again this often.
 _RELEASE_TRIES = 3
 
 _log = logs.log_for("memory")
--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -18,7 +18,9 @@
 # to be asked again. Raises AnswerBrokenError to end the wait.
 WatchSilence = Callable[[float], Awaitable[float]]
 
+# One read takes what a socket buffer usually holds.
 _READ_BYTES = 65_536
+# Heads of answers are a few hundred bytes; a longer one is a fault.
 _MAX_HEAD_BYTES = 65_536
 
 
--- a/src/fireflyspur/gateway/request_run.py
+++ b/src/fireflyspur/gateway/request_run.py
@@ -31,6 +31,8 @@
 # An endpoint ends its work at the deadline and says so; this is the time
 # for its word to arrive.
 _LAST_WORD_S = 0.1
+# Slots of an engine come free several times a second at the usual length of
+# answers; the time is not predicted yet.
 _RETRY_AFTER_S = 0.25
 _SERVER_ERROR = 500
 # Endpoints that took no connection, had less memory than expected or were
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -26,6 +26,7 @@
 _LAST_SHARE = 0.75
 # Versions that follow one another faster are read together.
 _CHANGE_PAUSE_S = 0.15
+# Pause after a failed call: several tries fit in the bounds.
 _RETRY_S = 0.2
 
 _log = logs.log_for("store")
--- a/src/fireflyspur/platform/order_client.py
+++ b/src/fireflyspur/platform/order_client.py
@@ -11,8 +11,11 @@
 from fireflyspur.gateway import http_exchange
 
 _PATH = b"/api/order"
+# An engine in reach accepts within a few round trips.
 _CONNECT_TIMEOUT_S = 0.25
+# Orders about memory are answered at once; a caller waits for the first one.
 _ANSWER_TIMEOUT_S = 0.5
+# Answers are some hundred bytes; a longer one is a fault.
 _MAX_ANSWER_BYTES = 65_536
 # The order has begun, or its state already holds.
 _ACCEPTED = (200, 202)
--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -13,10 +13,12 @@
 from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
 
+# The store in reach accepts within a few round trips.
 _CONNECT_TIMEOUT_S = 0.5
 # A call that has no answer after this time is given up. The store answers
 # in some milliseconds, and when it is slow in a fraction of a second.
 _CALL_TIMEOUT_S = 1.0
+# A page of newest records is at most 1 MB, a read of the log as a rule less.
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
