Keep the figures of an example engine once

Cause: the command for experiments and the measuring tool each listed them. Change: a module of the experiments, which both use. Measured: tests of both pass. Ruled out: nothing.

--- a/src/fireflyspur/console/commands/experiment.py
+++ b/src/fireflyspur/console/commands/experiment.py
@@ -8,27 +8,14 @@
 from loguru import logger
 
 from fireflyspur.console import command
+from fireflyspur.experiment import example_engine
 from fireflyspur.experiment import fleet_run
 from fireflyspur.experiment import plots
 from fireflyspur.experiment import policies
 from fireflyspur.experiment import report
 from fireflyspur.experiment import traffic
-from fireflyspur.gateway import routing_config
 from fireflyspur.load import libraries
 
-# An engine like those for which the platform's pages publish figures.
-_SPEC = routing_config.EngineSpec(
-    slots=8,
-    kv_tokens=450_000,
-    step_ms=0.9,
-    per_sequence_ms=0.01,
-    context_ms_per_1k=0.0025,
-    read_tokens_per_s=256_000.0,
-    pairs_ms_per_m=0.09,
-    chunk_tokens=2_048,
-    stride_steps=46,
-)
-
 
 class ExperimentCommand(command.Command):
     """``fireflyspur experiment``."""
@@ -93,7 +80,7 @@
     arguments: argparse.Namespace, pattern: str, policy: str, seed: int
 ) -> report.RunResult:
     setup = fleet_run.Setup(
-        _SPEC,
+        example_engine.SPEC,
         arguments.engines,
         arguments.nodes,
         arguments.seconds,
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -6,6 +6,7 @@
 import time
 import tracemalloc
 
+from fireflyspur.experiment import example_engine
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
@@ -21,18 +22,7 @@
 from fireflyspur.platform import config_codec
 
 _REPEATS = 50
-_ENGINE = routing_config.EngineSpec(
-    slots=8,
-    kv_tokens=450_000,
-    step_ms=0.925,
-    per_sequence_ms=0.00966,
-    context_ms_per_1k=0.00254,
-    read_tokens_per_s=256_000.0,
-    pairs_ms_per_m=0.0917,
-    chunk_tokens=2_048,
-    stride_steps=46,
-)
-_SERVICE = routing_config.Service("models", _ENGINE)
+_SERVICE = routing_config.Service("models", example_engine.SPEC)
 
 
 def main(engine_counts: Sequence[int] = (21, 69, 800)) -> None:
