Confirm a list of endpoints without building it again

Change: a word of the same list only makes it newer, unless endpoints that lapsed in an outage may have to go.

--- a/src/fireflyspur/gateway/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoint_directory.py
@@ -85,6 +85,19 @@
         }
         self._index()
 
+    def confirm(self, read_at_s: float) -> bool:
+        """Note that the list was the same at a later moment.
+
+        :returns: False if the list has to be taken over again, since the
+            endpoints that lapsed in an outage may have to go
+        """
+        if self._read_at_s is None or self._returned_at_s is not None:
+            return False
+        if self._had_outage(read_at_s):
+            return False
+        self._read_at_s = max(self._read_at_s, read_at_s)
+        return True
+
     def note_left(self, instance: str, reason: str) -> None:
         """Take an endpoint out that said itself that it leaves or is gone."""
         known = self._endpoints.get(instance)
--- a/src/fireflyspur/gateway/endpoint_feed.py
+++ b/src/fireflyspur/gateway/endpoint_feed.py
@@ -68,7 +68,11 @@
         if newest is not None and read_at_s <= newest:
             return
         if seen.digest == self._digest:
-            self._replace(tuple(self._entries.values()), read_at_s)
+            # Most words confirm the list that is there; taking it over each
+            # time would cost the more, the more nodes and endpoints there are.
+            self._is_behind = False
+            if not self._directory.confirm(read_at_s):
+                self._replace(tuple(self._entries.values()), read_at_s)
         elif seen.base_digest == self._digest and newest is not None:
             entries = dict(self._entries)
             for instance in seen.gone:
