Build the endpoints of experiments, tool and tests in one place

Cause: three places built the same example endpoint by hand. Change: it stands beside the figures of the example engine. Ruled out: nothing.

--- a/src/fireflyspur/experiment/example_engine.py
+++ b/src/fireflyspur/experiment/example_engine.py
@@ -1,7 +1,13 @@
-"""Figures of an engine for experiments and measurements."""
+"""An engine for experiments, measurements and tests."""
 
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import routing_config
 
+SERVICE = "models"
+FAILURE_DOMAIN = "zone-a"
+_FIRST_PORT = 8_000
+
 # An engine like those for which the platform's pages publish figures.
 SPEC = routing_config.EngineSpec(
     slots=8,
@@ -14,3 +20,17 @@
     chunk_tokens=2_048,
     stride_steps=46,
 )
+
+
+def endpoint(number: int) -> endpoints.Endpoint:
+    """Return one of the service's endpoints; nothing listens there."""
+    return endpoints.Endpoint(
+        instance=f"engine-{number}",
+        service=SERVICE,
+        address=addresses.Address("10.0.0.1", _FIRST_PORT + number),
+        failure_domain=FAILURE_DOMAIN,
+        state=endpoints.EndpointState.READY,
+        slots=SPEC.slots,
+        sequence=1,
+        born_ms=1,
+    )
--- a/src/fireflyspur/experiment/fleet_run.py
+++ b/src/fireflyspur/experiment/fleet_run.py
@@ -5,11 +5,11 @@
 import random
 
 from fireflyspur.experiment import engine_model
+from fireflyspur.experiment import example_engine
 from fireflyspur.experiment import node_model
 from fireflyspur.experiment import prompt_run
 from fireflyspur.experiment import traffic
 from fireflyspur.experiment import virtual_time
-from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import pass_model
@@ -17,8 +17,6 @@
 from fireflyspur.gateway import routing_config
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
-_SERVICE = "models"
-_FAILURE_DOMAIN = ""
 # A refused caller comes back after this time.
 _RETRY_AFTER_S = 0.25
 # Silence of a lost engine, until its requests are taken elsewhere, and until
@@ -69,7 +67,7 @@
         self._time = virtual_time.VirtualTime()
         self._engines = {
             item.instance: _Engine(item)
-            for item in map(_endpoint, range(setup.engines))
+            for item in map(example_engine.endpoint, range(setup.engines))
         }
         for engine in self._engines.values():
             engine.model = engine_model.EngineModel(setup.spec)
@@ -77,7 +75,9 @@
             node_model.NodeModel(f"node-{n}", policy, self._time, self._spread)
             for n in range(setup.nodes)
         ]
-        self._service = routing_config.Service(_SERVICE, setup.spec)
+        self._service = routing_config.Service(
+            example_engine.SERVICE, setup.spec
+        )
         self._runs: dict[str, prompt_run.PromptRun] = {}
 
     def run(self) -> tuple[prompt_run.PromptRun, ...]:
@@ -286,16 +286,3 @@
         for helper in placement.helpers
     ]
     return [first, *others]
-
-
-def _endpoint(number: int) -> endpoints.Endpoint:
-    return endpoints.Endpoint(
-        instance=f"engine-{number:03}",
-        service=_SERVICE,
-        address=addresses.Address("127.0.0.1", 1 + number),
-        failure_domain=_FAILURE_DOMAIN,
-        state=endpoints.EndpointState.READY,
-        slots=1,
-        sequence=1,
-        born_ms=None,
-    )
--- a/src/fireflyspur/experiment/policies.py
+++ b/src/fireflyspur/experiment/policies.py
@@ -3,6 +3,7 @@
 import random
 from typing import Protocol
 
+from fireflyspur.experiment import example_engine
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import placement_cost
@@ -66,7 +67,9 @@
     """Return a policy of a node."""
     match name:
         case "predicted":
-            return placement.Placer(directory, book, "")
+            return placement.Placer(
+                directory, book, example_engine.FAILURE_DOMAIN
+            )
         case "least_loaded":
             return LeastLoadedPolicy(directory, book)
         case _:
--- a/tests/gateway/test_endpoint_feed.py
+++ b/tests/gateway/test_endpoint_feed.py
@@ -2,11 +2,11 @@
 
 import testtools
 
+from fireflyspur.experiment import example_engine
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_feed
-from tests.gateway import test_placement
 
 _OUTAGE_S = 3.6
 _RETURN_S = 2.5
@@ -27,9 +27,7 @@
         self.feed = endpoint_feed.EndpointFeed(self.directory)
 
     def read(self, count):
-        listed = tuple(
-            test_placement.engine_endpoint(number) for number in range(count)
-        )
+        listed = tuple(map(example_engine.endpoint, range(count)))
         return self.feed.take_read(endpoints.EndpointList(listed, self.now_s))
 
     def confirm(self, age_ms=0):
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from fireflyspur.gateway import address as addresses
+from fireflyspur.experiment import example_engine
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
@@ -25,19 +25,6 @@
 ENGINE = SERVICE.engine
 
 
-def engine_endpoint(number):
-    return endpoints.Endpoint(
-        instance=f"engine-{number}",
-        service="models",
-        address=addresses.Address("10.0.0.1", 8000 + number),
-        failure_domain="zone-a",
-        state=endpoints.EndpointState.READY,
-        slots=8,
-        sequence=1,
-        born_ms=1,
-    )
-
-
 def demand(tokens, target_s, max_gap_s, output=1600):
     return placement_cost.Demand(
         prompt_tokens=tokens,
@@ -64,7 +51,7 @@
         self.keys = 0
 
     def start_engines(self, count):
-        listed = tuple(engine_endpoint(n) for n in range(count))
+        listed = tuple(map(example_engine.endpoint, range(count)))
         self.directory.replace(endpoints.EndpointList(listed, clock.now_s()))
 
     def choose(self, wanted):
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -7,7 +7,6 @@
 import tracemalloc
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
@@ -22,7 +21,7 @@
 from fireflyspur.platform import config_codec
 
 _REPEATS = 50
-_SERVICE = routing_config.Service("models", example_engine.SPEC)
+_SERVICE = routing_config.Service(example_engine.SERVICE, example_engine.SPEC)
 
 
 def main(engine_counts: Sequence[int] = (21, 69, 800)) -> None:
@@ -79,27 +78,14 @@
 
 def _loaded_placer(count: int) -> placement.Placer:
     directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
-    listed = tuple(_endpoint(number) for number in range(count))
+    listed = tuple(map(example_engine.endpoint, range(count)))
     directory.replace(endpoints.EndpointList(listed, clock.now_s()))
     book = work_book.WorkBook()
     for item in listed:
         for number in range(4):
             book.add(_work(item.instance, number))
             book.note_read(f"{item.instance}/{number}")
-    return placement.Placer(directory, book, "zone-a")
-
-
-def _endpoint(number: int) -> endpoints.Endpoint:
-    return endpoints.Endpoint(
-        instance=f"i-{number}",
-        service="models",
-        address=addresses.Address("10.0.0.1", 1_000 + number),
-        failure_domain="zone-a",
-        state=endpoints.EndpointState.READY,
-        slots=8,
-        sequence=1,
-        born_ms=1,
-    )
+    return placement.Placer(directory, book, example_engine.FAILURE_DOMAIN)
 
 
 def _work(instance: str, number: int) -> work_book.Work:
