Bound what endpoints may send and yield while it is read

Cause: nothing bounded the number of interim responses, the size of an event or of a whole response, and data that had already arrived was read without ever giving way to other tasks. A stream whose event never ends grew the remainder without a bound and copied it for each part.

Silence is now counted since the last progress, which the reader records: a head, a part of a plain body, an event that holds more than comments. A stream that ends with its connection in the middle of an event is broken, not complete.

--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -14,14 +14,21 @@
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import socket_options
 
-# Called with the seconds without data so far. Returns the seconds until the
-# next call, or raises BrokenResponseError to end the wait.
+# Called with the seconds without progress so far. Returns the seconds until
+# the next call, or raises BrokenResponseError to end the wait.
 SilenceCallback = Callable[[float], Awaitable[float]]
 
 # A read takes up to the usual size of a socket buffer.
 _READ_BYTES = 65_536
 # Response heads are a few hundred bytes; a longer one is invalid.
 _MAX_HEAD_BYTES = 65_536
+# Servers send one or two interim responses, if any, before the final one.
+_MAX_INTERIM_RESPONSES = 16
+# Data that has already arrived is read without waiting. Other tasks run after
+# this many bytes or parts of it.
+_MAX_UNINTERRUPTED_BYTES = 262_144
+_MAX_UNINTERRUPTED_PARTS = 64
+_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class HttpExchange:
@@ -31,7 +38,8 @@
     a faulty server sends after a response would be read as the next one.
 
     :param stream: a connected stream, which the exchange owns
-    :param on_silence: called while no data arrives; None to wait forever
+    :param on_silence: called while the response makes no progress; None to
+        wait forever
     """
 
     def __init__(
@@ -44,6 +52,15 @@
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
+        self._progress_at_s = clock.now_s()
+        self._ends_with_connection = False
+        self._uninterrupted_bytes = 0
+        self._uninterrupted_parts = 0
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        return self._ends_with_connection
 
     @classmethod
     async def connect(
@@ -97,7 +114,7 @@
 
         :raises BrokenResponseError: if no valid response is received
         """
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -106,8 +123,21 @@
                     "the connection was closed before the response",
                     is_connection_lost=True,
                 )
+            self.record_progress()
+            names = {name for name, _ in event.headers}
+            self._ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
             headers = list(event.headers.raw_items())
             return messages.ResponseHead(event.status_code, headers)
+        raise exceptions.BrokenResponseError(
+            f"more than {_MAX_INTERIM_RESPONSES} interim responses"
+        )
+
+    def record_progress(self) -> None:
+        """Record that the response advances, which ends a silence.
+
+        The reader decides what counts: bytes that complete nothing don't.
+        """
+        self._progress_at_s = clock.now_s()
 
     async def read_chunk(self) -> bytes | None:
         """Read the next chunk of the body; None at its end.
@@ -133,6 +163,7 @@
         """
         body = bytearray()
         while (chunk := await self.read_chunk()) is not None:
+            self.record_progress()
             body += chunk
             if len(body) > max_bytes:
                 raise exceptions.BrokenResponseError(
@@ -153,8 +184,22 @@
                     reason, is_connection_lost=is_closed
                 ) from error
             if event is not h11.NEED_DATA:
+                await self._let_others_run()
                 return event
-            self._connection.receive_data(await self._read())
+            data = await self._read()
+            self._uninterrupted_bytes += len(data)
+            self._connection.receive_data(data)
+
+    async def _let_others_run(self) -> None:
+        """Let other tasks run if much has been read without waiting."""
+        self._uninterrupted_parts += 1
+        if (
+            self._uninterrupted_bytes >= _MAX_UNINTERRUPTED_BYTES
+            or self._uninterrupted_parts >= _MAX_UNINTERRUPTED_PARTS
+        ):
+            await asyncio.sleep(0)
+            self._uninterrupted_bytes = 0
+            self._uninterrupted_parts = 0
 
     async def _read(self) -> bytes:
         try:
@@ -171,14 +216,14 @@
             ) from error
 
     async def _wait_for_data(self, reading: "asyncio.Future[bytes]") -> None:
-        started_at_s = clock.now_s()
-        interval_s = await self._on_silence(0.0)
+        interval_s = await self._on_silence(self._silent_s())
         while not reading.done():
             await asyncio.wait((reading,), timeout=interval_s)
             if not reading.done():
-                interval_s = await self._on_silence(
-                    clock.now_s() - started_at_s
-                )
+                interval_s = await self._on_silence(self._silent_s())
+
+    def _silent_s(self) -> float:
+        return clock.now_s() - self._progress_at_s
 
 
 def _describe(error: Exception) -> str:
--- a/src/fireflyspur/gateway/response_relay.py
+++ b/src/fireflyspur/gateway/response_relay.py
@@ -5,12 +5,17 @@
 from fireflyspur.gateway import caller_connection
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import event_splitter
+from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import messages
 
 # A response without events of up to this size is relayed only when it is
 # complete, so that another endpoint can be tried if it breaks off.
 _MAX_BUFFERED_BYTES = 262_144
+# An event holds some tokens.
+_MAX_EVENT_BYTES = 1_048_576
+# A response of a million tokens has a few megabytes.
+_MAX_RESPONSE_BYTES = 64 * 1_048_576
 
 
 class ResponseRelay:
@@ -31,6 +36,8 @@
         self._is_started = False
         self._last_event_s: float | None = None
         self._longest_gap_s = 0.0
+        # Bytes of all endpoints' responses to this request.
+        self._size = 0
 
     @property
     def longest_gap_s(self) -> float:
@@ -53,10 +60,11 @@
         """Relay a response without events.
 
         :returns: size of the body in bytes
-        :raises BrokenResponseError: if the response breaks off
+        :raises BrokenResponseError: if the response breaks off or is too long
         """
         buffered = bytearray()
-        while (part := await exchange.read_chunk()) is not None:
+        while (part := await self._read_part(exchange)) is not None:
+            exchange.record_progress()
             buffered += part
             if len(buffered) > _MAX_BUFFERED_BYTES:
                 return await self._relay_long(exchange, head, bytes(buffered))
@@ -71,16 +79,24 @@
     ) -> None:
         """Relay a stream, event by event.
 
-        :raises BrokenResponseError: if the stream breaks off; it can be
-            resumed after ``last_event_id``
+        :raises BrokenResponseError: if the stream breaks off or is too long;
+            it can be resumed after ``last_event_id``
         """
         self._splitter.drop_tail()
-        while (part := await exchange.read_chunk()) is not None:
+        while (part := await self._read_part(exchange)) is not None:
             events = self._splitter.feed(part)
-            if events:
+            if self._splitter.tail_size > _MAX_EVENT_BYTES:
+                raise exceptions.BrokenResponseError(
+                    f"an event is longer than {_MAX_EVENT_BYTES} bytes"
+                )
+            if not events:
+                continue
+            if event_splitter.has_content(events):
+                exchange.record_progress()
                 self._record_event()
-                await self._send_head_once(head)
-                await self._connection.send_body(events)
+            await self._send_head_once(head)
+            await self._connection.send_body(events)
+        self._check_end(exchange)
         await self._send_head_once(head)
         if self._splitter.tail:
             await self._connection.send_body(self._splitter.tail)
@@ -95,6 +111,28 @@
             head.status, head.headers, body, is_last=self._is_last()
         )
 
+    async def _read_part(
+        self, exchange: http_exchange.HttpExchange
+    ) -> bytes | None:
+        part = await exchange.read_chunk()
+        self._size += len(part or b"")
+        if self._size > _MAX_RESPONSE_BYTES:
+            raise exceptions.BrokenResponseError(
+                f"the response is longer than {_MAX_RESPONSE_BYTES} bytes"
+            )
+        return part
+
+    def _check_end(self, exchange: http_exchange.HttpExchange) -> None:
+        """Check that the end of a connection did not cut off an event.
+
+        :raises BrokenResponseError: if it did
+        """
+        if exchange.ends_with_connection and self._splitter.tail.strip():
+            raise exceptions.BrokenResponseError(
+                "the connection was closed in the middle of an event",
+                is_connection_lost=True,
+            )
+
     def _record_event(self) -> None:
         now = clock.now_s()
         if self._last_event_s is not None:
@@ -118,7 +156,8 @@
         await self._send_head_once(head)
         await self._connection.send_body(buffered)
         size = len(buffered)
-        while (part := await exchange.read_chunk()) is not None:
+        while (part := await self._read_part(exchange)) is not None:
+            exchange.record_progress()
             await self._connection.send_body(part)
             size += len(part)
         await self._connection.finish()
