Keep slow streams, and let broken ones look broken to every caller

Cause: a resumable stream was abandoned after twice the expected silence also when no other endpoint, attempt or retry was left, so that slow but sound engines were cut off. A caller of HTTP/1.0, which knows no chunks, took the close after a broken stream for its end.

Change: a silent response is abandoned only if the request can move to another endpoint now. A response that only the end of its connection would end is reset when it breaks.

--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 import re
+import socket
+import struct
 
 import h11
 from tornado import iostream
@@ -18,6 +20,8 @@
 _FOLDED_HEADER = re.compile(rb"\n[ \t]")
 _END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
 _STATUSES_WITHOUT_BODY = (204, 304)
+# SO_LINGER with a time of zero: a close sends a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CallerConnection:
@@ -38,6 +42,7 @@
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
         )
         self._raw_head = b""
+        self._is_close_delimited = False
 
     @property
     def can_respond(self) -> bool:
@@ -48,6 +53,18 @@
         """Close the connection at once."""
         self._stream.close()
 
+    def abort(self) -> None:
+        """Close the connection so that its response looks incomplete.
+
+        A caller that knows no chunks takes a plain close for the end of the
+        response.
+        """
+        if self._is_close_delimited and not self._stream.closed():
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._stream.close()
+
     async def read_request(self) -> messages.CallerRequest | None:
         """Read the next request; None if the caller has disconnected.
 
@@ -95,6 +112,9 @@
             response_headers.append((b"Content-Length", str(length).encode()))
         if is_last:
             response_headers.append((b"Connection", b"close"))
+        self._is_close_delimited = (
+            length is None and self._connection.their_http_version == b"1.0"
+        )
         response = h11.Response(
             status_code=status, headers=response_headers, reason=b""
         )
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -67,7 +67,7 @@
         except base_exceptions.FireflyspurError as error:
             runner.log_end(error.http_status, error)
             if relay.is_started:
-                connection.close()
+                connection.abort()
             else:
                 await self._send_error(connection, error)
         except asyncio.CancelledError:
@@ -78,7 +78,7 @@
             # bytes than its headers announce; the response can't be completed.
             _log.warning("Response not relayed", reason=repr(error))
             runner.log_end(0, None)
-            connection.close()
+            connection.abort()
 
     def _check_remaining_time(self, plan: request_plan.RequestPlan) -> None:
         """Refuse a request that the end of this process would interrupt.
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/request_runner.py
@@ -378,10 +378,24 @@
             self._deps.monitor,
             members,
             engine,
-            self._plan.route.may_repeat,
+            self._may_move,
             self._may_meet_target,
         )
 
+    def _may_move(self) -> bool:
+        """Return whether another endpoint could take over the request now."""
+        route, service = self._plan.route, self._plan.service.name
+        if not route.may_repeat or len(self._tried) >= route.max_attempts:
+            return False
+        if not self._deps.retries.is_available(service):
+            return False
+        excluded = {*self._tried, *self._excluded}
+        return any(
+            endpoint.instance not in excluded
+            and self._deps.directory.is_available(endpoint.instance)
+            for endpoint in self._deps.directory.ready(service)
+        )
+
     def _may_meet_target(self) -> bool:
         target_s = self._plan.route.target_latency_s
         elapsed_s = clock.now_s() - self._plan.request.received_at_s
--- a/src/fireflyspur/gateway/retry_budget.py
+++ b/src/fireflyspur/gateway/retry_budget.py
@@ -56,14 +56,18 @@
 
         :returns: False if the share of this node is used up
         """
+        if not self.is_available(service):
+            return False
+        self._window(self._retries, service).append(clock.now_s())
+        return True
+
+    def is_available(self, service: str) -> bool:
+        """Return whether a retry could be acquired now."""
         retries = self._window(self._retries, service)
         requests = self._window(self._requests, service)
         extra = self._limits.extra / max(1, self._node_count())
         allowed = self._limits.ratio * len(requests) + extra
-        if len(retries) + 1 > allowed * self._USED_SHARE:
-            return False
-        retries.append(clock.now_s())
-        return True
+        return len(retries) + 1 <= allowed * self._USED_SHARE
 
     def _window(
         self, counts: dict[str, collections.deque[float]], service: str
--- a/src/fireflyspur/gateway/stall_detector.py
+++ b/src/fireflyspur/gateway/stall_detector.py
@@ -23,14 +23,14 @@
     An endpoint that is silent for longer than its in-flight requests explain
     is probed with a new connection. If it accepts none, the response is
     abandoned at once. Otherwise, the response is abandoned after the same
-    time again if the request may be repeated elsewhere. The response of a
-    group is abandoned at once if a member accepts no connection and the
-    response may still meet its target. After that, a repeat would only delay
-    requests that can still meet theirs.
+    time again if the request can move to another endpoint; a slow response is
+    better than none. The response of a group is abandoned at once if a member
+    accepts no connection and the response may still meet its target. After
+    that, a repeat would only delay requests that can still meet theirs.
 
     :param members: the endpoint that responds, and its helpers
     :param engine: figures of the engines, or None for a plain service
-    :param may_repeat: whether the request may be run elsewhere
+    :param may_move: returns whether the request can now be run elsewhere
     :param may_meet_target: returns whether the response may still meet its
         latency target
     """
@@ -40,13 +40,13 @@
         monitor: endpoint_monitor.EndpointMonitor,
         members: Sequence[endpoints.Endpoint],
         engine: routing_config.EngineSpec | None,
-        may_repeat: bool,
+        may_move: Callable[[], bool],
         may_meet_target: Callable[[], bool],
     ) -> None:
         self._monitor = monitor
         self._members = members
         self._engine = engine
-        self._may_repeat = may_repeat
+        self._may_move = may_move
         self._may_meet_target = may_meet_target
         self._probed = False
         self._expected_silence_s = 0.0
@@ -68,7 +68,7 @@
             pause_s = self._expected_silence_s - silent_s
             return min(pause_s, _GROUP_CHECK_S) if is_checked else pause_s
         await self._probe_once(silent_s)
-        if not self._may_repeat or self._engine is None:
+        if self._engine is None or not self._may_move():
             return self._expected_silence_s
         remaining_s = _GIVE_UP_FACTOR * self._expected_silence_s - silent_s
         if remaining_s < 0:
@@ -80,7 +80,7 @@
 
     def _is_group_checked(self) -> bool:
         is_group = len(self._members) > 1
-        return is_group and self._may_repeat and self._may_meet_target()
+        return is_group and self._may_move() and self._may_meet_target()
 
     async def _probe_once(self, silent_s: float) -> None:
         if not self._probed:
