Answer requests that a stop ends, and read anew after a suspension

Cause: a stop counted only requests that had been read whole, so one of which a part had arrived was cut off; one that outlasted the stop was closed without an answer.

Change: a part of a request counts as in progress; a node is idle only after a whole interval, then stops listening and answers what has arrived; requests that outlast the stop end with 504, or 503 if they were not sent. A detector notices a suspension, and a request then waits up to 0.5 s for a read of the store, unless the bounds still hold. During an outage, the last configuration stays in force as before.

--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -43,6 +43,12 @@
         )
         self._raw_head = b""
         self._is_close_delimited = False
+        self._is_receiving = False
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        return self._is_receiving
 
     @property
     def can_respond(self) -> bool:
@@ -71,11 +77,14 @@
         :raises MalformedRequestError: if the request is malformed, too large
             or too slow
         """
-        event = await self._read_head()
-        if event is None:
-            return None
-        self._check_framing(event)
-        body = await self._read_body()
+        try:
+            event = await self._read_head()
+            if event is None:
+                return None
+            self._check_framing(event)
+            body = await self._read_body()
+        finally:
+            self._is_receiving = False
         return messages.CallerRequest(
             method=event.method,
             target=event.target,
@@ -92,6 +101,7 @@
             return False
         self._connection.start_next_cycle()
         self._raw_head = self._connection.trailing_data[0]
+        self._is_receiving = bool(self._raw_head)
         return True
 
     async def send_head(
@@ -234,6 +244,7 @@
             data = await self._stream.read_bytes(_READ_BYTES, partial=True)
         except iostream.StreamClosedError:
             return False
+        self._is_receiving = True
         if self._connection.their_state is h11.IDLE:
             self._raw_head += data
         self._connection.receive_data(data)
--- a/src/fireflyspur/gateway/caller_server.py
+++ b/src/fireflyspur/gateway/caller_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import traceback
 
 from tornado import iostream
@@ -53,11 +55,13 @@
         self._limits = limits
         self._in_progress = 0
         self._streams: set[iostream.IOStream] = set()
+        self._connections: set[caller_connection.CallerConnection] = set()
 
     @property
     def in_progress(self) -> int:
-        """Number of requests in progress."""
-        return self._in_progress
+        """Number of requests in progress, or of which a part has arrived."""
+        receiving = sum(c.is_receiving for c in self._connections)
+        return self._in_progress + receiving
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[str, int]
@@ -93,6 +97,22 @@
 
     async def _serve_connection(self, stream: iostream.IOStream) -> None:
         connection = caller_connection.CallerConnection(stream, self._limits)
+        with self._registered(connection):
+            await self._serve_requests(connection)
+
+    @contextlib.contextmanager
+    def _registered(
+        self, connection: caller_connection.CallerConnection
+    ) -> Iterator[None]:
+        self._connections.add(connection)
+        try:
+            yield
+        finally:
+            self._connections.discard(connection)
+
+    async def _serve_requests(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         while True:
             try:
                 request = await connection.read_request()
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -14,12 +14,13 @@
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import quarantine
 from fireflyspur.gateway import registry as registries
+from fireflyspur.gateway import suspension
 from fireflyspur.gateway import update_channel
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
 # A node counts as silent after three missed heartbeats.
-_HEARTBEAT_S = 1.0
+HEARTBEAT_S = 1.0
 # Pause after a failed registration, which limits the load on a failing store
 # to two calls a second.
 _REGISTER_RETRY_S = 0.5
@@ -36,6 +37,7 @@
     :param holder: current configuration of this node
     :param directory: endpoints that this node knows
     :param table: in-flight requests of all nodes
+    :param detector: is told at each heartbeat that this process runs
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         holder: config_holder.ConfigHolder,
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
+        detector: suspension.SuspensionDetector,
     ) -> None:
         self._name = name
         self._address = address
@@ -53,6 +56,7 @@
         self._holder = holder
         self._directory = directory
         self._in_flight_table = table
+        self._detector = detector
         self._peers = peer_table.PeerTable(name)
         self._channel = update_channel.UpdateChannel(
             name, address, self._peers, self._handle_update
@@ -141,7 +145,8 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            await asyncio.sleep(_HEARTBEAT_S)
+            await asyncio.sleep(HEARTBEAT_S)
+            self._detector.tick()
             self._in_flight_table.expire(clock.now_s())
             self._peers.log_silent_peers()
             self._send_heartbeat()
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -44,6 +44,7 @@
         relay = response_relay.ResponseRelay(
             connection, self._deps.is_draining
         )
+        await self._deps.wait_until_current()
         try:
             plan = self._deps.planner.plan(request)
             self._check_remaining_time(plan)
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -24,9 +24,11 @@
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import request_runner
+from fireflyspur.gateway import request_timeouts
 from fireflyspur.gateway import retry_budget
 from fireflyspur.gateway import settings as gateway_settings
 from fireflyspur.gateway import store_follower
+from fireflyspur.gateway import suspension
 from fireflyspur.observability import logs
 
 # The balancer checks the health of a node every second and removes it after
@@ -36,6 +38,8 @@
 _STOP_MARGIN_S = 0.4
 # Interval at which a draining node checks for requests in progress.
 _DRAIN_POLL_S = 0.05
+# Part of that time in which requests that a stop has ended are answered.
+_LAST_ANSWERS_S = 0.25
 # Interval at which the settings file is reread, as a change may come without
 # a signal.
 _SETTINGS_CHECK_S = 2.0
@@ -74,6 +78,8 @@
             outage_s=3 * settings.heartbeat_s, reregister_s=_REREGISTRATION_S
         )
         in_flight = in_flight_table.InFlightTable()
+        detector = suspension.SuspensionDetector(fleet_link.HEARTBEAT_S)
+        self._timeouts = request_timeouts.RequestTimeouts()
         self._link = fleet_link.FleetLink(
             settings.node_name,
             settings.peers,
@@ -81,6 +87,7 @@
             self._config_holder,
             self._directory,
             in_flight,
+            detector,
         )
         self._store_follower = store_follower.StoreFollower(
             settings.node_name,
@@ -88,6 +95,7 @@
             self._config_holder,
             self._directory,
             self._link,
+            detector,
             config_bound_s=settings.config_apply_s,
             endpoints_bound_s=settings.drain_s,
         )
@@ -170,6 +178,8 @@
                 memory=self._memory_reserver,
                 is_draining=lambda: self._stop_deadline_s is not None,
                 exits_at_s=lambda: self._stop_deadline_s,
+                timeouts=self._timeouts,
+                wait_until_current=self._store_follower.wait_until_current,
                 monitor=self._endpoint_monitor,
                 metrics=self._metrics,
             )
@@ -246,9 +256,28 @@
         await asyncio.sleep(
             min(_BALANCER_DETECTION_S, deadline_s - clock.now_s())
         )
-        while self._caller_server.in_progress and clock.now_s() < deadline_s:
+        await self._wait_until_idle(deadline_s)
+        ended = self._timeouts.end_all()
+        _log.info(
+            "Stop goes on",
+            in_progress=self._caller_server.in_progress,
+            ended=ended,
+        )
+        # What has arrived is answered before the connections close.
+        self._caller_server.stop()
+        await self._wait_until_idle(deadline_s + _LAST_ANSWERS_S)
+
+    async def _wait_until_idle(self, deadline_s: float) -> None:
+        """Wait until no request is in progress, for a whole interval."""
+        idle_since_s: float | None = None
+        while (now := clock.now_s()) < deadline_s:
+            if self._caller_server.in_progress:
+                idle_since_s = None
+            elif idle_since_s is None:
+                idle_since_s = now
+            elif now - idle_since_s >= _DRAIN_POLL_S:
+                return
             await asyncio.sleep(_DRAIN_POLL_S)
-        _log.info("Stop goes on", in_progress=self._caller_server.in_progress)
 
     async def _serve_health(
         self,
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/request_runner.py
@@ -1,6 +1,6 @@
 """Running of one request through attempts at endpoints."""
 
-import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import dataclasses
@@ -23,6 +23,7 @@
 from fireflyspur.gateway import quarantine
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import request_report
+from fireflyspur.gateway import request_timeouts
 from fireflyspur.gateway import response_relay
 from fireflyspur.gateway import retry_budget
 from fireflyspur.gateway import stall_detector
@@ -49,8 +50,11 @@
     """Shared objects that requests are served with.
 
     :param is_draining: returns whether the node is stopping
+    :param timeouts: limits the time of each request
     :param exits_at_s: returns the clock time at which the process ends, or
         None until a stop begins
+    :param wait_until_current: waits until the configuration and the endpoints
+        are current again after this process was suspended
     """
 
     planner: request_plan.RequestPlanner
@@ -63,6 +67,8 @@
     memory: memory_reserver.MemoryReserver
     is_draining: Callable[[], bool]
     exits_at_s: Callable[[], float | None]
+    timeouts: request_timeouts.RequestTimeouts
+    wait_until_current: Callable[[], Awaitable[None]]
     monitor: endpoint_monitor.EndpointMonitor
     metrics: gateway_metrics.GatewayMetrics
 
@@ -103,12 +109,14 @@
         self._deps.retries.record_request(self._plan.service.name)
         timeout_s = self._plan.deadline_s + _DEADLINE_GRACE_S - clock.now_s()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with self._deps.timeouts.limit(timeout_s):
                 await self._run_attempts()
         except TimeoutError as error:
             if self._may_have_run:
                 raise exceptions.ServiceTimeoutError(
-                    "the time limit passed"
+                    "this node stops"
+                    if self._plan.deadline_s > clock.now_s()
+                    else "the time limit passed"
                 ) from error
             raise self._capacity_error(
                 "no endpoint accepted the request in time"
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable
 
 from fireflyspur.errors import exceptions as base_exceptions
+from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
 from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry as registries
+from fireflyspur.gateway import suspension
 from fireflyspur.observability import logs
 
 # Maximum time that a call waits in the store for a new configuration, in
@@ -27,9 +29,13 @@
 _LAST_SHARE = 0.75
 # Versions that follow one another within this time are read together.
 _CHANGE_PAUSE_S = 0.15
+# After a suspension, a request waits this long for a read of the store.
+_RESUME_WAIT_S = 0.5
 # Pause after a failed call, which allows several attempts within the bounds.
 _RETRY_S = 0.2
 
+_TOPICS = ("config", "endpoints")
+
 _log = logs.log_for("store")
 
 
@@ -44,6 +50,7 @@
     :param holder: is updated with each configuration
     :param directory: endpoints that this node knows
     :param link: exchanges updates with the other nodes
+    :param detector: tells when this process was suspended
     :param config_bound_s: time within which a new configuration is applied
     :param endpoints_bound_s: time after which a leaving endpoint no longer
         gets requests
@@ -56,6 +63,7 @@
         holder: config_holder.ConfigHolder,
         directory: endpoint_directory.EndpointDirectory,
         link: fleet_link.FleetLink,
+        detector: suspension.SuspensionDetector,
         config_bound_s: float,
         endpoints_bound_s: float,
     ) -> None:
@@ -64,14 +72,16 @@
         self._holder = holder
         self._directory = directory
         self._link = link
+        self._detector = detector
         self._config_bound_s = config_bound_s
         self._endpoints_bound_s = endpoints_bound_s
         self._failing: set[str] = set()
         self._is_config_read = False
         self._requested_version = 0
-        self._wake_events = {
-            topic: asyncio.Event() for topic in ("config", "endpoints")
-        }
+        # When the latest read of each topic started that has ended.
+        self._attempted_at_s = dict.fromkeys(_TOPICS, 0.0)
+        self._attempt_ended = asyncio.Event()
+        self._wake_events = {topic: asyncio.Event() for topic in _TOPICS}
         link.on_behind(self._wake)
 
     def set_bounds(
@@ -81,6 +91,29 @@
         self._config_bound_s = config_bound_s
         self._endpoints_bound_s = endpoints_bound_s
 
+    async def wait_until_current(self) -> None:
+        """Wait for reads of the store if this process was suspended.
+
+        What was withdrawn meanwhile must not be used. The wait is short and
+        ends also when the store does not respond, as the last configuration
+        stays in force during an outage.
+        """
+        resumed_at_s = self._detector.resumed_at_s()
+        if resumed_at_s is None or not self._is_outdated(resumed_at_s):
+            return
+        self._wake()
+        try:
+            async with asyncio.timeout(_RESUME_WAIT_S):
+                while self._is_outdated(resumed_at_s):
+                    self._attempt_ended.clear()
+                    await self._attempt_ended.wait()
+        except TimeoutError:
+            _log.warning(
+                "Not current after suspension",
+                config_age_s=round(self._holder.age_s(), 1),
+                endpoints_age_s=round(self._directory.age_s(), 1),
+            )
+
     async def run(self) -> None:
         """Read the store when needed until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -93,11 +126,30 @@
         self, topic: str, read: Callable[[], Awaitable[None]]
     ) -> None:
         while True:
+            started_at_s = clock.now_s()
             try:
                 await read()
             except base_exceptions.FireflyspurError as error:
                 self._log_failure(topic, error)
+                self._record_attempt(topic, started_at_s)
                 await asyncio.sleep(_RETRY_S)
+            else:
+                self._record_attempt(topic, started_at_s)
+
+    def _record_attempt(self, topic: str, started_at_s: float) -> None:
+        self._attempted_at_s[topic] = started_at_s
+        self._attempt_ended.set()
+
+    def _is_outdated(self, resumed_at_s: float) -> bool:
+        """Return whether a topic is too old and not read since a time."""
+        ages_s = {
+            "config": self._holder.age_s() - self._config_bound_s,
+            "endpoints": self._directory.age_s() - self._endpoints_bound_s,
+        }
+        return any(
+            beyond_s > 0 and self._attempted_at_s[topic] < resumed_at_s
+            for topic, beyond_s in ages_s.items()
+        )
 
     async def _follow_config(self) -> None:
         if not self._is_config_read:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -34,6 +34,25 @@
             self.assertTrue(response.is_complete)
             await node.task
 
+    @async_tests.in_loop
+    async def test_request_that_arrives_in_parts_is_answered(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            data = gateway_fleet.request_bytes("/safe/", body=b"x" * 100)
+            os.kill(os.getpid(), signal.SIGTERM)
+            # The balancer has taken the node out by then, and nothing else
+            # is in progress.
+            await asyncio.sleep(2.8)
+            reader, writer = await node.connect()
+            writer.write(data[:-50])
+            await asyncio.sleep(0.6)
+            self.assertFalse(node.task.done())
+            writer.write(data[-50:])
+            response = await gateway_fleet.read_response(reader)
+            writer.close()
+            await node.task
+        self.assertEqual((200, True), (response.status, response.is_complete))
+
     @async_tests.in_loop
     async def test_request_that_cannot_finish_is_refused(self):
         tokens = ["X-Fireflyspur-Token-Count: 100000,1600"]
--- a/tests/gateway/test_store_follower.py
+++ b/tests/gateway/test_store_follower.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry
 from fireflyspur.gateway import store_follower
+from fireflyspur.gateway import suspension
 from fireflyspur.platform import config_codec
 from fireflyspur.platform import store_client
 from fireflyspur.platform import store_registry
@@ -59,6 +60,7 @@
             self.holder,
             endpoint_directory.EndpointDirectory(3.6, 2.5),
             link,
+            suspension.SuspensionDetector(1.0),
             config_bound_s=2.0,
             endpoints_bound_s=2.0,
         )
