Check time limit and reservations before a request is sent

Cause: a process that was suspended between the reservation of memory and the sending of the prompt sent it with reservations that had expired, and a request with no time left was still sent. A caller's body could trickle: each byte restarted the idle timeout.

Change: both are checked once the connection is open; a body must arrive at 1 KiB/s on average once the idle timeout has passed.

--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -1,7 +1,7 @@
 """One attempt at a request on an endpoint."""
 
 from collections.abc import Callable
-from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 
 from fireflyspur.gateway import attempt_result
@@ -70,21 +70,19 @@
             if helper.tokens
         ]
         if not requested:
-            return await self._exchange(placement, {})
+            return await self._exchange(placement, ())
         try:
             async with self._memory.reserve(requested) as reservations:
-                tickets = {
-                    reservation.endpoint.instance: reservation.ticket
-                    for reservation in reservations
-                }
-                return await self._exchange(placement, tickets)
+                return await self._exchange(placement, reservations)
         except exceptions.MemoryRefusedError as error:
             return attempt_result.NotSent(
                 str(error), error.instance, is_unreachable=False
             )
 
     async def _exchange(
-        self, placement: placements.Placement, tickets: Mapping[str, str]
+        self,
+        placement: placements.Placement,
+        reservations: Sequence[memory_reserver.Reservation],
     ) -> attempt_result.AttemptResult:
         try:
             exchange = await http_exchange.HttpExchange.connect(
@@ -97,7 +95,11 @@
                 str(error), placement.primary.instance, is_unreachable=True
             )
         with contextlib.closing(exchange):
-            self._send(exchange, placement, tickets)
+            # The process may have been suspended while it waited.
+            expired = self._find_expired(placement, reservations)
+            if expired is not None:
+                return expired
+            self._send(exchange, placement, reservations)
             try:
                 return await self._receive(exchange)
             except exceptions.BrokenResponseError as error:
@@ -105,13 +107,36 @@
                     str(error), error.is_connection_lost, error.failed_member
                 )
 
+    def _find_expired(
+        self,
+        placement: placements.Placement,
+        reservations: Sequence[memory_reserver.Reservation],
+    ) -> attempt_result.NotSent | None:
+        """Return why the request must no longer be sent, or None."""
+        now = clock.now_s()
+        if now >= self._plan.deadline_s:
+            return attempt_result.NotSent(
+                "the time limit passed",
+                placement.primary.instance,
+                is_unreachable=False,
+            )
+        for reservation in reservations:
+            if now >= reservation.expires_at_s:
+                return attempt_result.NotSent(
+                    "the reservation of memory expired",
+                    reservation.endpoint.instance,
+                    is_unreachable=False,
+                )
+        return None
+
     def _send(
         self,
         exchange: http_exchange.HttpExchange,
         placement: placements.Placement,
-        tickets: Mapping[str, str],
+        reservations: Sequence[memory_reserver.Reservation],
     ) -> None:
         plan = self._plan
+        tickets = {r.endpoint.instance: r.ticket for r in reservations}
         last_event_id = self._relay.last_event_id or plan.info.last_event_id
         info = messages.ForwardInfo(
             remaining_s=max(0.0, plan.deadline_s - clock.now_s()),
--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -19,6 +19,9 @@
 _READ_BYTES = 65_536
 _FOLDED_HEADER = re.compile(rb"\n[ \t]")
 _END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
+# A body that arrives more slowly than this on average is given up once the
+# idle timeout has passed: a trickle would hold the connection for hours.
+_MIN_BODY_BYTES_PER_S = 1_024
 _STATUSES_WITHOUT_BODY = (204, 304)
 # SO_LINGER with a time of zero: a close sends a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -207,8 +210,14 @@
             response = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._connection.send(response))
         body = bytearray()
+        started_at_s = clock.now_s()
         while True:
-            event = await self._next_body_event(limits.idle_timeout_s)
+            allowed_s = (
+                limits.idle_timeout_s + len(body) / _MIN_BODY_BYTES_PER_S
+            )
+            event = await self._next_body_event(
+                limits.idle_timeout_s, started_at_s + allowed_s
+            )
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             body += event.data
@@ -219,8 +228,12 @@
                 )
 
     async def _next_body_event(
-        self, timeout_s: float
+        self, idle_timeout_s: float, deadline_s: float
     ) -> h11.Data | h11.EndOfMessage:
+        """Wait for the next part of the body.
+
+        :param deadline_s: clock time at which the body is given up
+        """
         try:
             while True:
                 event = self._connection.next_event()
@@ -228,6 +241,7 @@
                     return event
                 if event is not h11.NEED_DATA:
                     raise iostream.StreamClosedError
+                timeout_s = min(idle_timeout_s, deadline_s - clock.now_s())
                 async with asyncio.timeout(timeout_s):
                     if not await self._receive():
                         raise iostream.StreamClosedError
--- a/src/fireflyspur/gateway/memory_reserver.py
+++ b/src/fireflyspur/gateway/memory_reserver.py
@@ -8,6 +8,7 @@
 import dataclasses
 import uuid
 
+from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import engine_orders
 from fireflyspur.gateway import exceptions
@@ -48,11 +49,13 @@
     """Memory reserved on one engine.
 
     :param ticket: identifies the reservation there
+    :param expires_at_s: clock time until which it holds at least
     """
 
     endpoint: endpoints.Endpoint
     tokens: int
     ticket: str
+    expires_at_s: float
 
 
 class MemoryReserver:
@@ -83,8 +86,10 @@
         :param requested: engines, and the tokens on each
         :raises MemoryRefusedError: if one of them doesn't confirm it
         """
+        # It lasts from the arrival of the order, which is later.
+        expires_at_s = clock.now_s() + self._limits().reservation_s
         reservations = tuple(
-            Reservation(endpoint, tokens, uuid.uuid4().hex[:16])
+            Reservation(endpoint, tokens, uuid.uuid4().hex[:16], expires_at_s)
             for endpoint, tokens in requested
         )
         async with contextlib.AsyncExitStack() as stack:
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -100,6 +100,23 @@
         elapsed_s = asyncio.get_running_loop().time() - started_at_s
         self.assertLess(elapsed_s, 2.0)
 
+    @async_tests.in_loop
+    async def test_body_that_trickles_is_given_up(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            node = await fleet.start_node()
+            reader, writer = await node.connect()
+            writer.write(self.head(b"Content-Length: 1000"))
+            answer = asyncio.ensure_future(gateway_fleet.read_response(reader))
+            # Each byte comes before the idle timeout of 0.8 s.
+            async with asyncio.timeout(2.0):
+                while not answer.done():
+                    writer.write(b"x")
+                    await asyncio.sleep(0.05)
+            response = await answer
+            writer.close()
+            count = len(fleet.desks[0].arrivals)
+        self.assert_refused(408, (response, count))
+
     @async_tests.in_loop
     async def test_unknown_key_and_route(self):
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
--- a/tests/gateway/test_memory_reserver.py
+++ b/tests/gateway/test_memory_reserver.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from fireflyspur.gateway import clock
 from tests.support import async_tests
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
@@ -150,6 +151,39 @@
                 self.assertEqual(1, len({r["id"] for r in reserves}))
                 self.assertLessEqual(reserves[0]["hold_ms"], 4_000)
 
+    @async_tests.in_loop
+    async def test_reservation_that_expired_in_a_suspension_is_not_used(self):
+        jumped_s = 0.0
+        expired = []
+
+        async def reserve_while_suspended(worker, arrival, stream):
+            nonlocal jumped_s
+            if not jumped_s:
+                # The node goes on only after its reservations expired.
+                jumped_s = 3.5
+                expired.append(json.loads(arrival.body)["id"])
+            await respond_to_orders("200 OK")(worker, arrival, stream)
+
+        def now():
+            return time.clock_gettime(time.CLOCK_BOOTTIME) + jumped_s
+
+        async with gateway_fleet.GatewayFleet(engines=3) as fleet:
+            fleet.publish(gateway_fleet.config(routes=[_LENIENT_ROUTE]))
+            with clock.override(now):
+                node = await fleet.start_node()
+                for engine in fleet.engines:
+                    engine.default_behaviour = reserve_while_suspended
+                response = await node.request(
+                    "/chat/", extra=_LONG_PROMPT, deadline_ms=10_000
+                )
+                sent = [a for e in fleet.engines for a in prompts(e)]
+        self.assertEqual(200, response.status)
+        (prompt,) = sent
+        entries = prompt.headers["x-fireflyspur-helpers"].split(",")
+        tickets = {entry.partition("/")[2] for entry in entries}
+        self.assertEqual(1, len(expired))
+        self.assertNotIn(expired[0], tickets)
+
     @async_tests.in_loop
     async def test_memory_is_released_when_the_caller_disconnects(self):
         async with gateway_fleet.GatewayFleet(engines=3) as fleet:
