Exchange load within pools of a failure domain

Cause: each node sent each change of its in-flight requests, and a heartbeat a second, to all other nodes, so the work of a node grew with the square of the fleet.

Load is exchanged within a pool; what concerns all nodes goes through two nodes of each other pool. Prompts that would be late in their pool go to engines that other pools reported as idle. Updates say when they were sent, so that time spent under way adds to the ages in them.

--- a/src/fireflyspur/experiment/node_model.py
+++ b/src/fireflyspur/experiment/node_model.py
@@ -4,6 +4,7 @@
 
 from fireflyspur.experiment import policies
 from fireflyspur.experiment import virtual_time
+from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import in_flight_reporter
 from fireflyspur.gateway import in_flight_table
@@ -30,13 +31,14 @@
         self._draft = fleet_news.FleetNews(node=name)
         self._is_scheduled = False
 
-    @property
-    def draft(self) -> fleet_news.FleetNews:
-        """The next update to be sent; callers add entries to it."""
+    def drafts_for(
+        self, endpoint: endpoints.Endpoint
+    ) -> list[fleet_news.FleetNews]:
+        """Return the next update to be sent; callers add entries to it."""
         if not self._is_scheduled:
             self._is_scheduled = True
             self._time.call_later(_UPDATE_DELAY_S, self._flush)
-        return self._draft
+        return [self._draft]
 
     def _flush(self) -> None:
         self._is_scheduled = False
--- a/src/fireflyspur/experiment/policies.py
+++ b/src/fireflyspur/experiment/policies.py
@@ -5,6 +5,7 @@
 
 from fireflyspur.experiment import example_engine
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import placement_cost
@@ -71,7 +72,12 @@
     match name:
         case "predicted":
             return placement.EndpointSelector(
-                directory, table, example_engine.FAILURE_DOMAIN
+                directory,
+                table,
+                engine_candidates.EngineCandidates.for_one_pool(
+                    directory, table
+                ),
+                example_engine.FAILURE_DOMAIN,
             )
         case "least_loaded":
             return LeastLoadedPolicy(directory, table)
--- a/src/fireflyspur/gateway/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoint_monitor.py
@@ -166,7 +166,7 @@
 
     def _broadcast(self, instance: str, event: int) -> None:
         report = fleet_news.EndpointReport(instance=instance, event=event)
-        self._channel.draft.reports.append(report)
+        self._channel.fleet_draft.reports.append(report)
 
 
 async def _is_reachable(address: addresses.Address) -> bool:
--- /dev/null
+++ b/src/fireflyspur/gateway/engine_candidates.py
@@ -0,0 +1,139 @@
+"""Engines that are compared for a prompt."""
+
+from collections.abc import Sequence
+import random
+from typing import TypeVar
+
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import idle_engines
+from fireflyspur.gateway import in_flight_table
+from fireflyspur.gateway import pool_map
+
+# Maximum number of engines to compare for one prompt. The best of a sample of
+# this size is nearly as good as the best of all, and the time per selection
+# stays bounded.
+_MAX_COMPARED = 32
+
+_T = TypeVar("_T")
+
+
+class EngineCandidates:
+    """Finds the engines that a node may choose from.
+
+    :param directory: the known endpoints
+    :param table: in-flight requests on the engines of the own pool
+    :param pools: pools of the fleet
+    :param idle: idle engines of other pools
+    """
+
+    def __init__(
+        self,
+        directory: endpoint_directory.EndpointDirectory,
+        table: in_flight_table.InFlightTable,
+        pools: pool_map.PoolMap,
+        idle: idle_engines.IdleEngines,
+    ) -> None:
+        self._directory = directory
+        self._table = table
+        self._pools = pools
+        self._idle = idle
+        # Engines of the own pool by service, with the list and the revision
+        # of the pools that they were taken from.
+        self._own: dict[
+            str,
+            tuple[
+                tuple[endpoints.Endpoint, ...],
+                int,
+                tuple[endpoints.Endpoint, ...],
+            ],
+        ] = {}
+
+    @classmethod
+    def for_one_pool(
+        cls,
+        directory: endpoint_directory.EndpointDirectory,
+        table: in_flight_table.InFlightTable,
+    ) -> "EngineCandidates":
+        """Return candidates for a fleet that is one pool."""
+        pools = pool_map.PoolMap("", "")
+        return cls(directory, table, pools, idle_engines.IdleEngines())
+
+    def in_pool(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        """Return the engines of the own pool, or a sample of them."""
+        available = self.available(self._own_engines(service), excluded)
+        return _sample(available, _MAX_COMPARED)
+
+    def idle_elsewhere(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        """Return idle engines of other pools, or a sample of them."""
+        if not self._pools.others:
+            return []
+        idle = self._idle.instances()
+        found = [
+            endpoint
+            for endpoint in self._directory.ready(service)
+            if endpoint.instance in idle
+            and not self._table.count(endpoint.instance)
+            and not self._directory.is_paused(endpoint.instance)
+            and endpoint.instance not in excluded
+        ]
+        return _sample(found, _MAX_COMPARED)
+
+    def elsewhere(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        """Return engines of other pools, or a sample of them."""
+        if not self._pools.others:
+            return []
+        own = self._own_engines(service)
+        others = [e for e in self._directory.ready(service) if e not in own]
+        return _sample(self.available(others, excluded), _MAX_COMPARED)
+
+    def available(
+        self, listed: Sequence[endpoints.Endpoint], excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints of a list that may get a request.
+
+        If all of them are paused, a paused one is better than none.
+        """
+        usable = [
+            endpoint
+            for endpoint in listed
+            if endpoint.instance not in excluded
+            and not self._directory.is_paused(endpoint.instance)
+        ]
+        return usable or [e for e in listed if e.instance not in excluded]
+
+    def find_idle(self, service: str, count: int) -> list[str]:
+        """Return some idle engines of the own pool."""
+        idle = [
+            endpoint.instance
+            for endpoint in self._own_engines(service)
+            if not self._table.count(endpoint.instance)
+            and not self._directory.is_paused(endpoint.instance)
+        ]
+        return _sample(idle, count)
+
+    def _own_engines(self, service: str) -> tuple[endpoints.Endpoint, ...]:
+        ready = self._directory.ready(service)
+        if not self._pools.others:
+            return ready
+        revision = self._pools.revision
+        cached = self._own.get(service)
+        if cached is not None and cached[0] is ready and cached[1] == revision:
+            return cached[2]
+        own = tuple(
+            endpoint
+            for endpoint in ready
+            if self._pools.pool_of_endpoint(endpoint) == self._pools.own
+        )
+        self._own[service] = (ready, revision, own)
+        return own
+
+
+def _sample(items: list[_T], count: int) -> list[_T]:
+    return items if len(items) <= count else random.sample(items, count)
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
+import random
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway import address as addresses
@@ -9,10 +11,12 @@
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_sync
+from fireflyspur.gateway import idle_engines
 from fireflyspur.gateway import in_flight_reporter
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import quarantine
+from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import suspension
 from fireflyspur.gateway import update_channel
@@ -25,6 +29,14 @@
 # to two calls a second.
 _REGISTER_RETRY_S = 0.5
 
+# Kind of report for which one node of a pool is chosen, and number of other
+# pools that get each report.
+_IDLE_TOPIC = "idle"
+_REPORTED_POOLS = 4
+
+# Greatest age that an update can hold.
+_MAX_AGE_MS = 2**32 - 1
+
 _log = logs.log_for("peers")
 
 
@@ -33,6 +45,7 @@
 
     :param name: name of this node
     :param address: address at which this node receives datagrams
+    :param failure_domain: failure domain of this node
     :param registry: registry in which nodes find one another
     :param holder: current configuration of this node
     :param directory: endpoints that this node knows
@@ -44,6 +57,7 @@
         self,
         name: str,
         address: addresses.Address,
+        failure_domain: str,
         registry: registries.Registry,
         holder: config_holder.ConfigHolder,
         directory: endpoint_directory.EndpointDirectory,
@@ -52,12 +66,13 @@
     ) -> None:
         self._name = name
         self._address = address
+        self._failure_domain = failure_domain
         self._registry = registry
         self._holder = holder
         self._directory = directory
         self._in_flight_table = table
         self._detector = detector
-        self._peers = peer_table.PeerTable(name)
+        self._peers = peer_table.PeerTable(name, failure_domain)
         self._channel = update_channel.UpdateChannel(
             name, address, self._peers, self._handle_update
         )
@@ -68,6 +83,8 @@
         self._crashes = quarantine.Quarantine(self._announce_crash)
         self._announced_version = 0
         self._is_stopping = False
+        self._idle = idle_engines.IdleEngines()
+        self._find_idle: Callable[[], list[str]] = list
         self._on_behind: Callable[[], None] = lambda: None
 
     @property
@@ -95,6 +112,11 @@
         """Synchronization of the list of endpoints."""
         return self._sync
 
+    @property
+    def idle(self) -> idle_engines.IdleEngines:
+        """Idle engines of other pools."""
+        return self._idle
+
     @property
     def announced_version(self) -> int:
         """Latest configuration version that another node announced."""
@@ -104,6 +126,10 @@
         """Set the callback for when another node has newer data."""
         self._on_behind = callback
 
+    def on_idle_report(self, find_idle: Callable[[], list[str]]) -> None:
+        """Set the function that returns idle engines of the own pool."""
+        self._find_idle = find_idle
+
     def close(self) -> None:
         """Close the channel."""
         self._channel.close()
@@ -117,11 +143,11 @@
 
     def announce_config(self) -> None:
         """Announce the version of the configuration in force."""
-        self._channel.draft.config.CopyFrom(self._config_seen())
+        self._channel.fleet_draft.config.CopyFrom(self._config_seen())
 
     def announce_endpoints(self, seen: fleet_news.EndpointsSeen) -> None:
         """Announce an update of the list of endpoints."""
-        self._channel.draft.endpoints.CopyFrom(seen)
+        self._channel.fleet_draft.endpoints.CopyFrom(seen)
 
     def announce_stopping(self) -> None:
         """Announce that this node is about to stop."""
@@ -131,17 +157,33 @@
     async def _register(self) -> None:
         while True:
             try:
-                await self._registry.register_node(self._name, self._address)
+                await self._registry.register_node(
+                    self._name,
+                    registries.NodeEntry(self._address, self._failure_domain),
+                )
                 nodes = await self._registry.read_nodes()
                 break
             except base_exceptions.FireflyspurError as error:
                 _log.warning("Node not registered", reason=str(error))
                 await asyncio.sleep(_REGISTER_RETRY_S)
-        for name, address in nodes.items():
-            self._peers.set_address(name, address)
-        _log.info("Node registered", nodes=len(nodes))
+        self._peers.add_nodes(nodes)
+        _log.info(
+            "Node registered",
+            nodes=len(nodes),
+            pool=dataclasses.astuple(self._peers.pools.own),
+        )
+        self._introduce()
+
+    def _introduce(self) -> None:
+        """Tell all nodes about this one; those that start later find it."""
         self._channel.draft.wants_answer = True
         self._send_heartbeat()
+        for pool in self._peers.pools.others:
+            for peer in self._peers.recipients(pool):
+                introduction = fleet_news.FleetNews(
+                    failure_domain=self._failure_domain
+                )
+                self._channel.send_to(introduction, peer.address)
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -150,10 +192,28 @@
             self._in_flight_table.expire(clock.now_s())
             self._peers.log_silent_peers()
             self._send_heartbeat()
+            self._report_idle_engines()
+
+    def _report_idle_engines(self) -> None:
+        """Tell other pools which engines of this one are idle.
+
+        One node of the pool does so, and tells a few pools at a time, so that
+        the cost doesn't grow with the number of pools.
+        """
+        pools = self._peers.pools.others
+        names = self._peers.live_names()
+        if not pools or reader_rank.rank_of(self._name, names, _IDLE_TOPIC):
+            return
+        report = fleet_news.FleetNews(is_for_pool=True)
+        report.idle.instances.extend(self._find_idle())
+        for pool in random.sample(pools, min(_REPORTED_POOLS, len(pools))):
+            for relay in self._peers.relays(pool)[:1]:
+                self._channel.send_to(report, relay.address)
 
     def _send_heartbeat(self) -> None:
         draft = self._channel.draft
         draft.is_stopping = self._is_stopping
+        draft.failure_domain = self._failure_domain
         self._add_state(draft)
         self._channel.flush()
 
@@ -165,7 +225,7 @@
             update.endpoints.CopyFrom(seen)
 
     def _config_seen(self) -> fleet_news.ConfigSeen:
-        age_ms = min(self._holder.age_s() * 1000, 2**32 - 1)
+        age_ms = min(self._holder.age_s() * 1000, _MAX_AGE_MS)
         return fleet_news.ConfigSeen(
             version=self._holder.version, age_ms=round(age_ms)
         )
@@ -174,13 +234,17 @@
         crash = fleet_news.RequestCrash(
             fingerprint=fingerprint, instance=instance
         )
-        self._channel.draft.crashes.append(crash)
+        self._channel.fleet_draft.crashes.append(crash)
 
     def _handle_update(
         self, update: fleet_news.FleetNews, contact: peer_table.Contact
     ) -> None:
         self._handle_crashes(update)
         self._handle_reports(update)
+        self._idle.add(update.idle.instances)
+        self._add_delay(update, contact.delay_s)
+        if update.is_for_pool:
+            self._forward(update)
         if contact.is_stale:
             # Changes of in-flight requests and ages must be applied in order.
             return
@@ -191,13 +255,36 @@
             self._sync.update_from_peer(update.endpoints)
             if self._sync.is_behind:
                 self._on_behind()
-        if update.wants_answer or contact.is_new:
-            response = fleet_news.FleetNews()
+        if update.wants_answer and self._peers.is_in_pool(update.node):
+            response = fleet_news.FleetNews(
+                failure_domain=self._failure_domain
+            )
             self._add_state(response)
             for peer in self._peers.recipients():
                 if peer.name == update.node:
                     self._channel.send_to(response, peer.address)
 
+    def _add_delay(self, update: fleet_news.FleetNews, delay_s: float) -> None:
+        """Add the time that an update was under way to the ages in it."""
+        delay_ms = round(delay_s * 1000)
+        if delay_ms and update.HasField("config"):
+            update.config.age_ms = _add_ms(update.config.age_ms, delay_ms)
+        if delay_ms and update.HasField("endpoints"):
+            update.endpoints.age_ms = _add_ms(
+                update.endpoints.age_ms, delay_ms
+            )
+
+    def _forward(self, update: fleet_news.FleetNews) -> None:
+        """Forward an update of another pool to the own pool."""
+        draft = self._channel.draft
+        draft.crashes.extend(update.crashes)
+        draft.reports.extend(update.reports)
+        draft.idle.MergeFrom(update.idle)
+        if update.HasField("config"):
+            draft.config.CopyFrom(update.config)
+        if update.HasField("endpoints"):
+            draft.endpoints.CopyFrom(update.endpoints)
+
     def _handle_config(self, seen: fleet_news.ConfigSeen) -> None:
         if seen.version == self._holder.version:
             self._holder.confirm(clock.now_s() - seen.age_ms / 1000)
@@ -217,3 +304,7 @@
                     self._directory.mark_leaving(report.instance, reason)
                 case fleet_news.FAILED:
                     self._directory.record_fault(report.instance, reason)
+
+
+def _add_ms(age_ms: int, delay_ms: int) -> int:
+    return min(age_ms + delay_ms, _MAX_AGE_MS)
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -12,6 +12,7 @@
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_monitor
+from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import engine_orders
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
@@ -36,6 +37,8 @@
 _BALANCER_DETECTION_S = 3.0
 # Time reserved before the process is killed to close open connections.
 _STOP_MARGIN_S = 0.4
+# Idle engines that are reported to other pools, which fit in a datagram.
+_REPORTED_ENGINES = 32
 # Interval at which a draining node checks for requests in progress.
 _DRAIN_POLL_S = 0.05
 # Part of that time in which requests that a stop has ended are answered.
@@ -83,6 +86,7 @@
         self._link = fleet_link.FleetLink(
             settings.node_name,
             settings.peers,
+            settings.failure_domain,
             registry,
             self._config_holder,
             self._directory,
@@ -99,6 +103,13 @@
             config_bound_s=settings.config_apply_s,
             endpoints_bound_s=settings.drain_s,
         )
+        self._candidates = engine_candidates.EngineCandidates(
+            self._directory,
+            in_flight,
+            self._link.peers.pools,
+            self._link.idle,
+        )
+        self._link.on_idle_report(self._find_idle_engines)
         self._retry_budget = retry_budget.RetryBudget(
             settings.retries, self._link.peers.fleet_size
         )
@@ -171,7 +182,10 @@
                 directory=self._directory,
                 in_flight=self._link.in_flight,
                 placer=placement.EndpointSelector(
-                    self._directory, in_flight, self._settings.failure_domain
+                    self._directory,
+                    in_flight,
+                    self._candidates,
+                    self._settings.failure_domain,
                 ),
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
@@ -194,6 +208,19 @@
             lambda: self._config_holder.limits,
         )
 
+    def _find_idle_engines(self) -> list[str]:
+        """Return idle engines to report to other pools."""
+        table = self._config_holder.table
+        if table is None:
+            return []
+        idle: list[str] = []
+        for service in table.config.services.values():
+            if service.engine is not None:
+                idle += self._candidates.find_idle(
+                    service.name, _REPORTED_ENGINES
+                )
+        return idle[:_REPORTED_ENGINES]
+
     def _start(self) -> None:
         settings = self._settings
         for server, address in (
--- a/src/fireflyspur/gateway/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/in_flight_reporter.py
@@ -1,6 +1,7 @@
 """Reports of in-flight requests to the other nodes."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import itertools
 from typing import Protocol
@@ -21,9 +22,13 @@
 class UpdateOutbox(Protocol):
     """Collects updates for the other nodes."""
 
-    @property
-    def draft(self) -> fleet_news.FleetNews:
-        """The next update to be sent; callers add entries to it."""
+    def drafts_for(
+        self, endpoint: endpoints.Endpoint
+    ) -> Sequence[fleet_news.FleetNews]:
+        """Return the next updates to the nodes that share an endpoint.
+
+        Callers add entries to them.
+        """
 
 
 class InFlightReporter:
@@ -44,6 +49,8 @@
         self._table = table
         self._outbox = outbox
         self._numbers = itertools.count(1)
+        # Endpoints of the own entries, by number.
+        self._endpoints: dict[int, endpoints.Endpoint] = {}
 
     def track_primary(
         self,
@@ -67,7 +74,7 @@
             target_ms=max(1, round(demand.target_s * 1000)),
             lasts_ms=max(0, round(timeout_s * 1000)),
         )
-        return self._track(started)
+        return self._track(endpoint, started)
 
     def track_helper(
         self,
@@ -84,27 +91,36 @@
             memory_tokens=helper.tokens,
             lasts_ms=max(0, round(timeout_s * 1000)),
         )
-        return self._track(started)
+        return self._track(helper.endpoint, started)
 
     @contextlib.contextmanager
-    def _track(self, started: fleet_news.WorkStarted) -> Iterator[int]:
+    def _track(
+        self, endpoint: endpoints.Endpoint, started: fleet_news.WorkStarted
+    ) -> Iterator[int]:
         number = next(self._numbers)
         started.number = number
+        self._endpoints[number] = endpoint
         self._table.add(to_in_flight(self._node_name, started))
-        self._outbox.draft.started.append(started)
+        for draft in self._outbox.drafts_for(endpoint):
+            draft.started.append(started)
         try:
             yield number
         finally:
+            del self._endpoints[number]
             self._table.remove(_key(self._node_name, number))
-            self._outbox.draft.ended.append(number)
+            for draft in self._outbox.drafts_for(endpoint):
+                draft.ended.append(number)
 
     def mark_prefilled(
         self, number: int, demand: placement_cost.Demand
     ) -> None:
         """Mark a prefill as finished, by the number of its entry."""
         self._table.mark_prefilled(_key(self._node_name, number))
-        if demand.prompt_tokens >= _MIN_REPORTED_TOKENS:
-            self._outbox.draft.read.append(number)
+        endpoint = self._endpoints.get(number)
+        if endpoint is None or demand.prompt_tokens < _MIN_REPORTED_TOKENS:
+            return
+        for draft in self._outbox.drafts_for(endpoint):
+            draft.read.append(number)
 
     def apply_update(
         self, update: fleet_news.FleetNews, is_restarted: bool
--- a/src/fireflyspur/gateway/peer_table.py
+++ b/src/fireflyspur/gateway/peer_table.py
@@ -1,9 +1,14 @@
 """The other nodes of the gateway."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import random
 
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
+from fireflyspur.gateway import pool_map
+from fireflyspur.gateway import registry
 from fireflyspur.observability import logs
 
 # A node sends a heartbeat each second. On a healthy network three lost
@@ -12,6 +17,11 @@
 # A silent node still gets all updates for this time, since it may only be
 # unable to send.
 _RECIPIENT_S = 12.0
+# Clocks of healthy machines drift apart by less than this share.
+_MAX_CLOCK_DRIFT = 0.0005
+# Nodes of each other pool that forward an update to their pool. The first may
+# have failed.
+_RELAYS = 2
 
 _log = logs.log_for("peers")
 
@@ -26,6 +36,8 @@
     :param previous_incarnation: incarnation of the previous process, whose
         datagrams may still arrive, or None
     :param number: sequence number of the last datagram
+    :param clock_offset_s: time from the sending to the arrival of the fastest
+        datagrams, by the clocks of both nodes; None before the first
     """
 
     name: str
@@ -36,6 +48,7 @@
     previous_incarnation: int | None = None
     number: int = 0
     is_stopping: bool = False
+    clock_offset_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,31 +58,45 @@
     :param is_stale: whether a newer datagram arrived before this one
     :param is_new: whether the sender was unknown or silent
     :param is_restarted: whether the sender runs as a new process
+    :param delay_s: how much longer the datagram was under way than others, as
+        when this process was suspended meanwhile
     """
 
     is_stale: bool = False
     is_new: bool = False
     is_restarted: bool = False
+    delay_s: float = 0.0
 
 
 class PeerTable:
     """Holds the other nodes by name.
 
     :param name: name of this node
+    :param failure_domain: failure domain of this node
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, failure_domain: str) -> None:
         self._name = name
+        self._pools = pool_map.PoolMap(name, failure_domain)
         self._peers: dict[str, Peer] = {}
         self._silent: set[str] = set()
 
-    def set_address(self, name: str, address: addresses.Address) -> None:
-        """Set the address of a node."""
-        if name == self._name:
-            return
-        peer = self._peers.get(name)
-        if peer is None or peer.address != address:
-            self._peers[name] = Peer(name, address, clock.now_s())
+    @property
+    def pools(self) -> pool_map.PoolMap:
+        """Pools of all known nodes."""
+        return self._pools
+
+    def add_nodes(self, nodes: Mapping[str, registry.NodeEntry]) -> None:
+        """Add nodes that have registered, by name."""
+        now = clock.now_s()
+        others = {k: v for k, v in nodes.items() if k != self._name}
+        for name, entry in others.items():
+            peer = self._peers.get(name)
+            if peer is None or peer.address != entry.address:
+                self._peers[name] = Peer(name, entry.address, now)
+        self._pools.set_nodes(
+            {name: entry.failure_domain for name, entry in others.items()}
+        )
 
     def record_contact(
         self,
@@ -78,9 +105,17 @@
         incarnation: int,
         number: int,
         is_stopping: bool,
+        failure_domain: str = "",
+        sent_at_s: float | None = None,
     ) -> Contact:
-        """Record that a datagram of a node arrived."""
+        """Record that a datagram of a node arrived.
+
+        :param failure_domain: that of the node; empty if it did not say
+        :param sent_at_s: clock of the node when it sent the datagram
+        """
         now = clock.now_s()
+        if failure_domain:
+            self._pools.set_node(name, failure_domain)
         peer = self._peers.get(name)
         if peer is not None and incarnation == peer.previous_incarnation:
             return Contact(is_stale=True)
@@ -88,6 +123,14 @@
         if is_same_process and number <= peer.number:
             return Contact(is_stale=True)
         was_live = peer is not None and self._is_live(peer, now)
+        offset_s = delay_s = 0.0
+        if sent_at_s is not None:
+            offset_s = now - sent_at_s
+        if is_same_process and peer.clock_offset_s is not None:
+            fastest_s = peer.clock_offset_s
+            fastest_s += _MAX_CLOCK_DRIFT * (now - peer.last_seen_at_s)
+            delay_s = max(0.0, offset_s - fastest_s)
+            offset_s = min(offset_s, fastest_s)
         self._peers[name] = Peer(
             name=name,
             address=address,
@@ -97,6 +140,7 @@
             previous_incarnation=_previous_incarnation(peer, is_same_process),
             number=number,
             is_stopping=is_stopping,
+            clock_offset_s=None if sent_at_s is None else offset_s,
         )
         self._silent.discard(name)
         if not was_live:
@@ -104,12 +148,13 @@
         return Contact(
             is_new=not was_live,
             is_restarted=peer is not None and not is_same_process,
+            delay_s=delay_s,
         )
 
     def log_silent_peers(self) -> None:
         """Log a warning for each node that became silent."""
         now = clock.now_s()
-        for peer in self._peers.values():
+        for peer in self._pool_peers(self._pools.own):
             if peer.last_seen_at_s is None or self._is_live(peer, now):
                 continue
             if peer.name not in self._silent:
@@ -122,30 +167,56 @@
                 )
 
     def live_names(self) -> list[str]:
-        """Return the names of this node and of its live peers.
+        """Return the names of this node and of the live peers in its pool.
 
         Peers that are stopping are left out.
         """
         now = clock.now_s()
         names = [
             peer.name
-            for peer in self._peers.values()
+            for peer in self._pool_peers(self._pools.own)
             if self._is_live(peer, now) and not peer.is_stopping
         ]
         return [self._name, *names]
 
-    def recipients(self) -> list[Peer]:
-        """Return the nodes to which updates are sent."""
+    def recipients(self, pool: pool_map.Pool | None = None) -> list[Peer]:
+        """Return the nodes to which updates for a pool are sent.
+
+        This node hears all nodes of its own pool, but not those of others.
+
+        :param pool: by default the pool of this node
+        """
+        if pool is not None and pool != self._pools.own:
+            return list(self._pool_peers(pool))
         now = clock.now_s()
         return [
             peer
-            for peer in self._peers.values()
+            for peer in self._pool_peers(self._pools.own)
             if now - (peer.last_seen_at_s or peer.added_at_s) < _RECIPIENT_S
         ]
 
+    def relays(self, pool: pool_map.Pool) -> list[Peer]:
+        """Return nodes of another pool that forward an update to it."""
+        peers = list(self._pool_peers(pool))
+        return random.sample(peers, min(_RELAYS, len(peers)))
+
+    def is_in_pool(self, name: str) -> bool:
+        """Return whether a node is in the pool of this node."""
+        return self._pools.pool_of_node(name) == self._pools.own
+
     def fleet_size(self) -> int:
-        """Return the number of nodes that may be running."""
-        return len(self.recipients()) + 1
+        """Return the number of nodes that may be running.
+
+        Nodes of other pools count even if they have ended.
+        """
+        others = sum(
+            len(self._pools.members(pool)) for pool in self._pools.others
+        )
+        return len(self.recipients()) + 1 + others
+
+    def _pool_peers(self, pool: pool_map.Pool) -> Iterable[Peer]:
+        names = self._pools.members(pool)
+        return (self._peers[name] for name in names if name in self._peers)
 
     def _is_live(self, peer: Peer, now: float) -> bool:
         return (
--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/placement.py
@@ -7,6 +7,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import engine_group
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import latency_model
@@ -20,10 +21,9 @@
 _REMOTE_COST = 0.01
 # Numbers of engines that may prefill one prompt together.
 _GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
-# Maximum number of engines to compare for one prompt. The best of a sample of
-# this size is nearly as good as the best of all, and the time per selection
-# stays bounded.
-_MAX_COMPARED = 32
+# From this share of a prompt's weight on, idle engines of other pools are
+# compared as well.
+_SPILL_COST = 0.1
 # Splitting a prompt into parts shorter than this does not speed it up.
 _MIN_PART_TOKENS = 8_000
 
@@ -64,7 +64,8 @@
     that are already in flight.
 
     :param directory: the known endpoints
-    :param table: in-flight requests of all nodes
+    :param table: in-flight requests that this node knows of
+    :param candidates: finds the engines to compare
     :param failure_domain: failure domain of this node
     """
 
@@ -72,10 +73,12 @@
         self,
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
+        candidates: engine_candidates.EngineCandidates,
         failure_domain: str,
     ) -> None:
         self._directory = directory
         self._table = table
+        self._candidates = candidates
         self._failure_domain = failure_domain
 
     def choose_plain(
@@ -86,7 +89,9 @@
         :param excluded: instances that must not be chosen
         :returns: None if no endpoint is available
         """
-        candidates = self._candidates(service, excluded)
+        candidates = self._candidates.available(
+            self._directory.ready(service), excluded
+        )
         if not candidates:
             return None
         best = min(
@@ -113,6 +118,34 @@
         engine = service.engine
         if engine is None:
             return self.choose_plain(service.name, excluded)
+        best = self._best(
+            engine, demand, self._candidates.in_pool(service.name, excluded)
+        )
+        if best is not None and best[0] < _SPILL_COST * demand.weight:
+            return best[1]
+        spilled = self._best(
+            engine,
+            demand,
+            self._candidates.idle_elsewhere(service.name, excluded),
+        )
+        if best is None or (spilled is not None and spilled[0] < best[0]):
+            best = spilled
+        if best is None:
+            # How busy these engines are is not known; they may refuse.
+            best = self._best(
+                engine,
+                demand,
+                self._candidates.elsewhere(service.name, excluded),
+            )
+        return None if best is None else best[1]
+
+    def _best(
+        self,
+        engine: routing_config.EngineSpec,
+        demand: placement_cost.Demand,
+        compared: Sequence[endpoints.Endpoint],
+    ) -> tuple[float, Placement] | None:
+        """Return the placement with the lowest cost, and its cost."""
         now = clock.now_s()
         candidates = [
             placement_cost.Candidate(
@@ -120,13 +153,11 @@
                 self._table.predict_load(endpoint.instance, engine, now),
                 self._penalty(endpoint),
             )
-            for endpoint in self._sample(service.name, excluded)
+            for endpoint in compared
         ]
         candidates = [c for c in candidates if _has_slot(engine, c)]
-        if not candidates:
-            return None
         options = self._options(engine, demand, candidates)
-        return min(options, key=lambda option: option[0], default=(0, None))[1]
+        return min(options, key=lambda option: option[0], default=None)
 
     def _options(
         self,
@@ -174,27 +205,6 @@
         )
         return cost.total, placement
 
-    def _candidates(
-        self, service: str, excluded: frozenset[str]
-    ) -> list[endpoints.Endpoint]:
-        ready = self._directory.ready(service)
-        usable = [
-            endpoint
-            for endpoint in ready
-            if endpoint.instance not in excluded
-            and not self._directory.is_paused(endpoint.instance)
-        ]
-        # If all endpoints are paused, use a paused one rather than none.
-        return usable or [e for e in ready if e.instance not in excluded]
-
-    def _sample(
-        self, service: str, excluded: frozenset[str]
-    ) -> list[endpoints.Endpoint]:
-        candidates = self._candidates(service, excluded)
-        if len(candidates) <= _MAX_COMPARED:
-            return candidates
-        return random.sample(candidates, _MAX_COMPARED)
-
     def _penalty(self, endpoint: endpoints.Endpoint) -> float:
         faults = self._directory.fault_count(endpoint.instance)
         is_remote = endpoint.failure_domain != self._failure_domain
--- a/src/fireflyspur/gateway/registry.py
+++ b/src/fireflyspur/gateway/registry.py
@@ -20,6 +20,17 @@
     read_at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class NodeEntry:
+    """What a node registers.
+
+    :param address: address at which it receives datagrams
+    """
+
+    address: addresses.Address
+    failure_domain: str
+
+
 class Registry(abc.ABC):
     """Reads configuration, endpoints and nodes; each call costs a fee."""
 
@@ -48,16 +59,14 @@
         """
 
     @abc.abstractmethod
-    async def register_node(
-        self, name: str, address: addresses.Address
-    ) -> None:
+    async def register_node(self, name: str, entry: NodeEntry) -> None:
         """Register this node so that the other nodes can find it.
 
         :raises StoreUnavailableError: if the store does not respond
         """
 
     @abc.abstractmethod
-    async def read_nodes(self) -> dict[str, addresses.Address]:
+    async def read_nodes(self) -> dict[str, NodeEntry]:
         """Return all nodes that have ever registered, by name.
 
         :raises StoreUnavailableError: if the store does not respond
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -27,6 +27,8 @@
 _CONFIG_SHARE = 0.55
 _RANK_SHARE = 0.08
 _LAST_SHARE = 0.75
+# The first nodes of all further pools have the same rank.
+_MAX_POOL_RANK = 2
 # Versions that follow one another within this time are read together.
 _CHANGE_PAUSE_S = 0.15
 # After a suspension, a request waits this long for a read of the store.
@@ -214,8 +216,16 @@
             return
 
     def _rank(self, topic: str) -> int:
-        live = self._link.peers.live_names()
-        return reader_rank.rank_of(self._name, live, topic)
+        """Return the rank of this node among the readers of a topic.
+
+        The first node of the first pool reads for all. The first ones of
+        other pools stand in for it before the other nodes of its pool do.
+        """
+        peers = self._link.peers
+        rank = reader_rank.rank_of(self._name, peers.live_names(), topic)
+        own, *others = (str(p) for p in (peers.pools.own, *peers.pools.others))
+        pool_rank = reader_rank.rank_of(own, [own, *others], topic)
+        return rank + min(pool_rank, _MAX_POOL_RANK)
 
     def _log_failure(
         self, topic: str, error: base_exceptions.FireflyspurError
--- a/src/fireflyspur/gateway/update_channel.py
+++ b/src/fireflyspur/gateway/update_channel.py
@@ -7,7 +7,10 @@
 from google.protobuf import message as protobuf
 
 from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import peer_table
+from fireflyspur.gateway import pool_map
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
@@ -24,6 +27,8 @@
 class UpdateChannel(asyncio.DatagramProtocol):
     """Sends updates of this node to the other nodes and receives theirs.
 
+    Changes of load go to the nodes of a pool. What concerns all nodes goes to
+    the own pool and to two nodes of each other one, which forward it.
     Datagrams may be lost, so no receiver may depend on any one of them.
 
     :param name: name of this node
@@ -45,17 +50,34 @@
         self._handler = handler
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._draft = fleet_news.FleetNews()
+        self._drafts: dict[pool_map.Pool, fleet_news.FleetNews] = {}
+        self._fleet_draft = fleet_news.FleetNews()
         self._is_flush_scheduled = False
         self._transport: asyncio.DatagramTransport | None = None
 
     @property
     def draft(self) -> fleet_news.FleetNews:
-        """Draft of the next update, which is sent shortly after the access."""
-        if not self._is_flush_scheduled:
-            self._is_flush_scheduled = True
-            asyncio.get_running_loop().call_later(_BATCH_S, self.flush)
-        return self._draft
+        """Draft of the next update for the own pool.
+
+        Each draft is sent shortly after the access.
+        """
+        return self._draft_for(self._peers.pools.own)
+
+    @property
+    def fleet_draft(self) -> fleet_news.FleetNews:
+        """Draft of the next update for all nodes."""
+        self._schedule_flush()
+        return self._fleet_draft
+
+    def drafts_for(
+        self, endpoint: endpoints.Endpoint
+    ) -> list[fleet_news.FleetNews]:
+        """Return the drafts for the nodes that share an endpoint's load."""
+        pools = self._peers.pools
+        other = pools.pool_of_endpoint(endpoint)
+        if other == pools.own:
+            return [self.draft]
+        return [self.draft, self._draft_for(other)]
 
     async def open(self) -> None:
         """Open the socket.
@@ -74,12 +96,45 @@
             self._transport = None
 
     def flush(self) -> None:
-        """Send the draft to all recipients."""
+        """Send the drafts to their recipients."""
         self._is_flush_scheduled = False
-        draft, self._draft = self._draft, fleet_news.FleetNews()
+        drafts, self._drafts = self._drafts, {}
+        fleet_draft, self._fleet_draft = (
+            self._fleet_draft,
+            fleet_news.FleetNews(),
+        )
+        pools = self._peers.pools
+        if fleet_draft.ByteSize():
+            own = drafts.setdefault(pools.own, fleet_news.FleetNews())
+            own.MergeFrom(fleet_draft)
+        for pool, draft in drafts.items():
+            self._send_to_all(draft, self._peers.recipients(pool))
+        if fleet_draft.ByteSize() and pools.others:
+            fleet_draft.is_for_pool = True
+            relays = [
+                relay
+                for pool in pools.others
+                for relay in self._peers.relays(pool)
+            ]
+            self._send_to_all(fleet_draft, relays)
+
+    def _draft_for(self, pool: pool_map.Pool) -> fleet_news.FleetNews:
+        self._schedule_flush()
+        return self._drafts.setdefault(pool, fleet_news.FleetNews())
+
+    def _schedule_flush(self) -> None:
+        if not self._is_flush_scheduled:
+            self._is_flush_scheduled = True
+            asyncio.get_running_loop().call_later(_BATCH_S, self.flush)
+
+    def _send_to_all(
+        self, draft: fleet_news.FleetNews, recipients: list[peer_table.Peer]
+    ) -> None:
+        if not recipients:
+            return
         for part in _split(draft):
             data = self._serialize(part)
-            for peer in self._peers.recipients():
+            for peer in recipients:
                 self._send(data, peer.address)
 
     def send_to(
@@ -110,6 +165,8 @@
             update.incarnation,
             update.number,
             update.is_stopping,
+            update.failure_domain,
+            update.sent_ms / 1000 if update.sent_ms else None,
         )
         self._handler(update, contact)
 
@@ -122,6 +179,7 @@
         update.node = self._name
         update.incarnation = self._incarnation
         update.number = self._number
+        update.sent_ms = round(clock.now_s() * 1000)
         return update.SerializeToString()
 
     def _send(self, data: bytes, address: addresses.Address) -> None:
@@ -144,6 +202,7 @@
                     part.reports.append(entry)
                 case _:
                     part.crashes.append(entry)
+            part.is_for_pool = update.is_for_pool
             parts.append(part)
     update.ClearField("started")
     update.ClearField("reports")
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -76,15 +76,16 @@
         return endpoints.EndpointList(tuple(valid), read_at_s)
 
     async def register_node(
-        self, name: str, address: addresses.Address
+        self, name: str, entry: registry.NodeEntry
     ) -> None:
-        """Register the address of a node."""
+        """Register a node."""
+        value = f"{entry.address} {entry.failure_domain}"
         record = store_client.KeyedRecord(
-            _NODE_KEY_PREFIX + name, str(address).encode()
+            _NODE_KEY_PREFIX + name, value.encode()
         )
         await self._store.append(_NODES_TOPIC, record)
 
-    async def read_nodes(self) -> dict[str, addresses.Address]:
+    async def read_nodes(self) -> dict[str, registry.NodeEntry]:
         """Return all nodes that have ever registered, by name."""
         newest = await self._store.read_newest(_NODES_TOPIC)
         nodes = {}
@@ -92,9 +93,13 @@
             if not record.key.startswith(_NODE_KEY_PREFIX):
                 continue
             try:
-                nodes[record.key[len(_NODE_KEY_PREFIX) :]] = addresses.parse(
-                    record.value.decode("latin-1")
-                )
+                name = record.key[len(_NODE_KEY_PREFIX) :]
+                nodes[name] = _decode_node(record.value.decode())
             except ValueError as error:
                 _log.warning("Node not used", reason=str(error))
         return nodes
+
+
+def _decode_node(value: str) -> registry.NodeEntry:
+    address, _, failure_domain = value.partition(" ")
+    return registry.NodeEntry(addresses.parse(address), failure_domain)
--- /dev/null
+++ b/tests/gateway/test_engine_candidates.py
@@ -0,0 +1,117 @@
+"""Pattern: one failure domain is full while others have idle engines."""
+
+import dataclasses
+from unittest import mock
+
+import testtools
+
+from fireflyspur.experiment import example_engine
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import engine_candidates
+from fireflyspur.gateway import idle_engines
+from fireflyspur.gateway import in_flight_table
+from fireflyspur.gateway import latency_model
+from fireflyspur.gateway import placement
+from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway import pool_map
+from fireflyspur.gateway import routing_config
+
+_SERVICE = routing_config.Service(example_engine.SERVICE, example_engine.SPEC)
+_QUOTE = placement_cost.Demand(5_000, 1_600, 0.3, 0.2, 1.0)
+_NODES = 60
+
+
+class SpillTest(testtools.TestCase):
+    """Guards against callers that wait while engines elsewhere are idle."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        patch = mock.patch.object(clock, "now_s", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
+        self.table = in_flight_table.InFlightTable()
+        self.idle = idle_engines.IdleEngines()
+        pools = pool_map.PoolMap("node-0", "zone-a")
+        pools.set_nodes(
+            {f"node-{n}": f"zone-{'ab'[n % 2]}" for n in range(_NODES)}
+        )
+        candidates = engine_candidates.EngineCandidates(
+            self.directory, self.table, pools, self.idle
+        )
+        self.selector = placement.EndpointSelector(
+            self.directory, self.table, candidates, "zone-a"
+        )
+        self.list_engines({"a-0": "zone-a", "a-1": "zone-a", "b-0": "zone-b"})
+
+    def list_engines(self, domains):
+        listed = tuple(
+            dataclasses.replace(
+                example_engine.endpoint(number),
+                instance=name,
+                failure_domain=domain,
+            )
+            for number, (name, domain) in enumerate(domains.items())
+        )
+        self.directory.replace(endpoints.EndpointList(listed, self.now))
+
+    def add_prompts(self, instance, count, tokens):
+        for _ in range(count):
+            number = self.table.count(instance)
+            self.table.add(
+                in_flight_table.InFlightRequest(
+                    key=f"{instance}/{number}",
+                    instance=instance,
+                    prefill=latency_model.full_prefill(tokens),
+                    is_urgent=False,
+                    reports_prefill_end=False,
+                    memory_tokens=tokens,
+                    target_s=3.0,
+                    max_gap_s=0.8,
+                    weight=1.0,
+                    started_at_s=self.now,
+                    expires_at_s=self.now + 20,
+                )
+            )
+
+    def choose(self):
+        chosen = self.selector.choose_engine(_SERVICE, _QUOTE, frozenset())
+        return chosen and chosen.primary.instance
+
+    def test_engine_of_the_own_pool_is_used_while_it_is_in_time(self):
+        self.idle.add(["b-0"])
+        for _ in range(10):
+            self.assertIn(self.choose(), ("a-0", "a-1"))
+
+    def test_idle_engine_elsewhere_is_used_when_the_own_ones_are_late(self):
+        for instance in ("a-0", "a-1"):
+            self.add_prompts(instance, 2, 200_000)
+        self.idle.add(["b-0"])
+        self.assertEqual("b-0", self.choose())
+
+    def test_idle_engine_elsewhere_is_used_when_no_own_one_is_left(self):
+        self.list_engines({"b-0": "zone-b"})
+        self.now += 0.1
+        self.list_engines({"b-0": "zone-b"})
+        self.idle.add(["b-0"])
+        self.assertEqual("b-0", self.choose())
+
+    def test_engine_elsewhere_is_better_than_none(self):
+        self.list_engines({"b-0": "zone-b"})
+        self.now += 0.1
+        self.list_engines({"b-0": "zone-b"})
+        self.assertEqual("b-0", self.choose())
+
+    def test_engine_that_is_not_known_to_be_idle_is_not_used(self):
+        for instance in ("a-0", "a-1"):
+            self.add_prompts(instance, 2, 200_000)
+        self.assertIn(self.choose(), ("a-0", "a-1"))
+        self.idle.add(["b-0"])
+        self.now += 5.0
+        self.assertIn(self.choose(), ("a-0", "a-1"))
+        self.idle.add(["b-0"])
+        self.add_prompts("b-0", 1, 5_000)
+        self.assertIn(self.choose(), ("a-0", "a-1"))
--- /dev/null
+++ b/tests/gateway/test_fleet_exchange.py
@@ -0,0 +1,155 @@
+"""Updates between the nodes of a large fleet, without a network."""
+
+import asyncio
+import collections
+
+import testtools
+
+from fireflyspur.experiment import example_engine
+from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import config_holder
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import fleet_link
+from fireflyspur.gateway import in_flight_table
+from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway import registry
+from fireflyspur.gateway import suspension
+from tests.support import async_tests
+
+_DOMAINS = ("zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
+# Datagrams for one change of load, at any size of the fleet.
+_MOST_RECIPIENTS = 64
+_DEMAND = placement_cost.Demand(5_000, 100, 0.3, 0.2, 1.0)
+
+
+class _Network:
+    """Delivers datagrams between links in the same process."""
+
+    def __init__(self, count):
+        self.sent = collections.Counter()
+        self.lost = set()
+        self.links = [_make_link(n, self) for n in range(count)]
+        nodes = {
+            f"node-{n}": registry.NodeEntry(_address(n), _domain(n))
+            for n in range(count)
+        }
+        for link in self.links:
+            link.peers.add_nodes(nodes)
+
+    def deliver(self, sender, data, receiver):
+        self.sent[sender] += 1
+        if receiver in self.lost:
+            return
+        channel = self.links[receiver].channel
+        channel.datagram_received(data, ("10.0.0.1", sender))
+
+    async def settle(self):
+        await asyncio.sleep(0.05)
+
+
+class _Transport:
+    def __init__(self, network, number):
+        self._network = network
+        self._number = number
+
+    def sendto(self, data, address):
+        self._network.deliver(self._number, data, address[1])
+
+    def close(self):
+        pass
+
+
+def _address(number):
+    return addresses.Address("10.0.0.1", number)
+
+
+def _domain(number):
+    return _DOMAINS[number % len(_DOMAINS)]
+
+
+def _make_link(number, network):
+    directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
+    listed = tuple(map(example_engine.endpoint, range(5)))
+    directory.replace(endpoints.EndpointList(listed, clock.now_s()))
+    link = fleet_link.FleetLink(
+        f"node-{number}",
+        _address(number),
+        _domain(number),
+        None,
+        config_holder.ConfigHolder(),
+        directory,
+        in_flight_table.InFlightTable(),
+        suspension.SuspensionDetector(1.0),
+    )
+    link.channel.connection_made(_Transport(network, number))
+    link.directory = directory
+    return link
+
+
+class FleetExchangeTest(testtools.TestCase):
+    """Guards against a cost that grows with the fleet, and lost news."""
+
+    @async_tests.in_loop
+    async def test_cost_of_a_change_of_load_is_flat(self):
+        counts = {}
+        for size in (40, 195, 600):
+            network = _Network(size)
+            link = network.links[0]
+            with link.in_flight.track_primary(
+                example_engine.endpoint(1), _DEMAND, 1, 5.0
+            ):
+                await network.settle()
+            counts[size] = network.sent[0]
+        self.assertGreater(min(counts.values()), 0)
+        self.assertLess(max(counts.values()), _MOST_RECIPIENTS)
+
+    @async_tests.in_loop
+    async def test_crash_is_counted_by_all_nodes(self):
+        network = _Network(195)
+        network.links[3].crashes.record_crash("fingerprint", "engine-1")
+        network.links[7].crashes.record_crash("fingerprint", "engine-2")
+        await network.settle()
+        unaware = [
+            link
+            for link in network.links
+            if not link.crashes.is_quarantined("fingerprint")
+        ]
+        self.assertEqual([], unaware)
+
+    @async_tests.in_loop
+    async def test_leaving_endpoint_is_left_alone_by_all_nodes(self):
+        network = _Network(195)
+        read = endpoints.EndpointList(
+            tuple(map(example_engine.endpoint, range(5))), clock.now_s()
+        )
+        for link in network.links:
+            link.sync.update_from_store(read)
+        later = endpoints.EndpointList(read.endpoints[1:], clock.now_s())
+        link = network.links[11]
+        link.announce_endpoints(link.sync.update_from_store(later))
+        await network.settle()
+        names = {
+            tuple(sorted(e.instance for e in link.directory.ready("models")))
+            for link in network.links
+        }
+        self.assertEqual({tuple(f"engine-{n}" for n in range(1, 5))}, names)
+
+    @async_tests.in_loop
+    async def test_news_pass_when_a_quarter_of_the_nodes_are_gone(self):
+        network = _Network(195)
+        network.lost = set(range(100, 148))
+        # Each report goes through other relays, so that repeated ones reach
+        # all nodes that are left.
+        for _ in range(12):
+            network.links[0].channel.fleet_draft.idle.instances.append("e-1")
+            await network.settle()
+        unaware = [
+            number
+            for number, link in enumerate(network.links)
+            if number not in network.lost
+            and _domain(number) != _domain(0)
+            and "e-1" not in link.idle.instances()
+        ]
+        self.assertEqual([], unaware)
--- a/tests/gateway/test_peer_table.py
+++ b/tests/gateway/test_peer_table.py
@@ -7,6 +7,7 @@
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import peer_table
+from fireflyspur.gateway import registry
 
 _ADDRESS = addresses.Address("10.0.0.2", 7340)
 
@@ -20,11 +21,17 @@
         patch = mock.patch.object(clock, "now_s", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
-        self.table = peer_table.PeerTable("node-1")
+        self.table = peer_table.PeerTable("node-1", "zone-a")
 
-    def receive(self, incarnation, number, is_stopping=False):
+    def receive(self, incarnation, number, is_stopping=False, sent_at_s=None):
         return self.table.record_contact(
-            "node-2", _ADDRESS, incarnation, number, is_stopping
+            "node-2",
+            _ADDRESS,
+            incarnation,
+            number,
+            is_stopping,
+            "zone-a",
+            sent_at_s,
         )
 
     def test_datagram_out_of_order_is_stale(self):
@@ -49,7 +56,26 @@
         self.assertEqual(["node-1"], self.table.live_names())
 
     def test_node_that_stays_silent_gets_no_updates(self):
-        self.table.set_address("node-2", _ADDRESS)
+        entry = registry.NodeEntry(_ADDRESS, "zone-a")
+        self.table.add_nodes({"node-2": entry})
         self.assertEqual(1, len(self.table.recipients()))
         self.now += 20.0
         self.assertEqual([], self.table.recipients())
+
+    def test_time_that_a_datagram_waited_is_known(self):
+        # The clocks of both nodes differ.
+        for number in range(1, 5):
+            self.now += 1.0
+            contact = self.receive(7, number, sent_at_s=self.now - 900.0)
+            self.assertAlmostEqual(0.0, contact.delay_s, places=2)
+        # This process is suspended, and the datagram waits in its socket.
+        self.now += 6.0
+        contact = self.receive(7, 5, sent_at_s=self.now - 6.0 - 900.0)
+        self.assertAlmostEqual(6.0, contact.delay_s, places=1)
+
+    def test_clocks_that_drift_apart_are_no_delay(self):
+        for number in range(1, 2_000):
+            self.now += 1.0
+            sent_at_s = 5.0 + 0.9998 * self.now
+            contact = self.receive(7, number, sent_at_s=sent_at_s)
+            self.assertLess(contact.delay_s, 0.01)
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -12,6 +12,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import latency_model
 from fireflyspur.gateway import placement
@@ -48,7 +49,12 @@
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
         self.table = in_flight_table.InFlightTable()
         self.selector = placement.EndpointSelector(
-            self.directory, self.table, "zone-a"
+            self.directory,
+            self.table,
+            engine_candidates.EngineCandidates.for_one_pool(
+                self.directory, self.table
+            ),
+            "zone-a",
         )
         self.request_count = 0
 
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -10,6 +10,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import latency_model
 from fireflyspur.gateway import placement
@@ -86,7 +87,10 @@
             book.add(_work(item.instance, number))
             book.mark_prefilled(f"{item.instance}/{number}")
     return placement.EndpointSelector(
-        directory, book, example_engine.FAILURE_DOMAIN
+        directory,
+        book,
+        engine_candidates.EngineCandidates.for_one_pool(directory, book),
+        example_engine.FAILURE_DOMAIN,
     )
 
 
