Split the stop of a node and the report of idle engines off

Cause: the gateway and the link between nodes had grown by the stop, the suspension and the pools.

Change: `node_drain` and `idle_reporter` with one class each; contacts are logged within the pool only.

--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import random
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway import address as addresses
@@ -11,12 +10,13 @@
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_sync
+from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import idle_engines
+from fireflyspur.gateway import idle_reporter
 from fireflyspur.gateway import in_flight_reporter
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import quarantine
-from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import suspension
 from fireflyspur.gateway import update_channel
@@ -29,11 +29,6 @@
 # to two calls a second.
 _REGISTER_RETRY_S = 0.5
 
-# Kind of report for which one node of a pool is chosen, and number of other
-# pools that get each report.
-_IDLE_TOPIC = "idle"
-_REPORTED_POOLS = 4
-
 # Greatest age that an update can hold.
 _MAX_AGE_MS = 2**32 - 1
 
@@ -84,7 +79,12 @@
         self._announced_version = 0
         self._is_stopping = False
         self._idle = idle_engines.IdleEngines()
-        self._find_idle: Callable[[], list[str]] = list
+        self._candidates = engine_candidates.EngineCandidates(
+            directory, table, self._peers.pools, self._idle
+        )
+        self._idle_reporter = idle_reporter.IdleReporter(
+            name, holder, self._candidates, self._peers, self._channel
+        )
         self._on_behind: Callable[[], None] = lambda: None
 
     @property
@@ -117,6 +117,11 @@
         """Idle engines of other pools."""
         return self._idle
 
+    @property
+    def candidates(self) -> engine_candidates.EngineCandidates:
+        """Engines that this node may choose from."""
+        return self._candidates
+
     @property
     def announced_version(self) -> int:
         """Latest configuration version that another node announced."""
@@ -126,10 +131,6 @@
         """Set the callback for when another node has newer data."""
         self._on_behind = callback
 
-    def on_idle_report(self, find_idle: Callable[[], list[str]]) -> None:
-        """Set the function that returns idle engines of the own pool."""
-        self._find_idle = find_idle
-
     def close(self) -> None:
         """Close the channel."""
         self._channel.close()
@@ -192,23 +193,7 @@
             self._in_flight_table.expire(clock.now_s())
             self._peers.log_silent_peers()
             self._send_heartbeat()
-            self._report_idle_engines()
-
-    def _report_idle_engines(self) -> None:
-        """Tell other pools which engines of this one are idle.
-
-        One node of the pool does so, and tells a few pools at a time, so that
-        the cost doesn't grow with the number of pools.
-        """
-        pools = self._peers.pools.others
-        names = self._peers.live_names()
-        if not pools or reader_rank.rank_of(self._name, names, _IDLE_TOPIC):
-            return
-        report = fleet_news.FleetNews(is_for_pool=True)
-        report.idle.instances.extend(self._find_idle())
-        for pool in random.sample(pools, min(_REPORTED_POOLS, len(pools))):
-            for relay in self._peers.relays(pool)[:1]:
-                self._channel.send_to(report, relay.address)
+            self._idle_reporter.report()
 
     def _send_heartbeat(self) -> None:
         draft = self._channel.draft
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -8,11 +8,9 @@
 
 from fireflyspur.gateway import caller_connection
 from fireflyspur.gateway import caller_server
-from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_monitor
-from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import engine_orders
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import fleet_link
@@ -21,6 +19,7 @@
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import memory_reserver
 from fireflyspur.gateway import messages
+from fireflyspur.gateway import node_drain
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import request_plan
@@ -32,17 +31,6 @@
 from fireflyspur.gateway import suspension
 from fireflyspur.observability import logs
 
-# The balancer checks the health of a node every second and removes it after
-# two failed checks.
-_BALANCER_DETECTION_S = 3.0
-# Time reserved before the process is killed to close open connections.
-_STOP_MARGIN_S = 0.4
-# Idle engines that are reported to other pools, which fit in a datagram.
-_REPORTED_ENGINES = 32
-# Interval at which a draining node checks for requests in progress.
-_DRAIN_POLL_S = 0.05
-# Part of that time in which requests that a stop has ended are answered.
-_LAST_ANSWERS_S = 0.25
 # Interval at which the settings file is reread, as a change may come without
 # a signal.
 _SETTINGS_CHECK_S = 2.0
@@ -74,7 +62,6 @@
         self._settings = settings
         self._load_settings = load_settings
         self._exit_stack = contextlib.AsyncExitStack()
-        self._stop_deadline_s: float | None = None
         self._stop_event = asyncio.Event()
         self._config_holder = config_holder.ConfigHolder()
         self._directory = endpoint_directory.EndpointDirectory(
@@ -83,6 +70,7 @@
         in_flight = in_flight_table.InFlightTable()
         detector = suspension.SuspensionDetector(fleet_link.HEARTBEAT_S)
         self._timeouts = request_timeouts.RequestTimeouts()
+        self._drain = node_drain.NodeDrain(self._timeouts)
         self._link = fleet_link.FleetLink(
             settings.node_name,
             settings.peers,
@@ -103,13 +91,6 @@
             config_bound_s=settings.config_apply_s,
             endpoints_bound_s=settings.drain_s,
         )
-        self._candidates = engine_candidates.EngineCandidates(
-            self._directory,
-            in_flight,
-            self._link.peers.pools,
-            self._link.idle,
-        )
-        self._link.on_idle_report(self._find_idle_engines)
         self._retry_budget = retry_budget.RetryBudget(
             settings.retries, self._link.peers.fleet_size
         )
@@ -153,7 +134,7 @@
     def is_ready(self) -> bool:
         """Whether the balancer should send requests to this node."""
         return (
-            self._stop_deadline_s is None
+            not self._drain.is_begun
             and self._config_holder.table is not None
             and self._directory.is_read
         )
@@ -167,7 +148,9 @@
         async with self._exit_stack:
             self._start()
             await self._stop_event.wait()
-            await self._drain()
+            self._drain.begin(self._settings.grace_s)
+            self._link.announce_stopping()
+            await self._drain.wait(self._caller_server)
         _log.info("Stopped")
 
     def _build_forwarder(
@@ -184,14 +167,14 @@
                 placer=placement.EndpointSelector(
                     self._directory,
                     in_flight,
-                    self._candidates,
+                    self._link.candidates,
                     self._settings.failure_domain,
                 ),
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
                 memory=self._memory_reserver,
-                is_draining=lambda: self._stop_deadline_s is not None,
-                exits_at_s=lambda: self._stop_deadline_s,
+                is_draining=lambda: self._drain.is_begun,
+                exits_at_s=lambda: self._drain.deadline_s,
                 timeouts=self._timeouts,
                 wait_until_current=self._store_follower.wait_until_current,
                 monitor=self._endpoint_monitor,
@@ -208,19 +191,6 @@
             lambda: self._config_holder.limits,
         )
 
-    def _find_idle_engines(self) -> list[str]:
-        """Return idle engines to report to other pools."""
-        table = self._config_holder.table
-        if table is None:
-            return []
-        idle: list[str] = []
-        for service in table.config.services.values():
-            if service.engine is not None:
-                idle += self._candidates.find_idle(
-                    service.name, _REPORTED_ENGINES
-                )
-        return idle[:_REPORTED_ENGINES]
-
     def _start(self) -> None:
         settings = self._settings
         for server, address in (
@@ -274,38 +244,6 @@
             _log.error("Part failed", reason=repr(task.exception()))
             self._stop_event.set()
 
-    async def _drain(self) -> None:
-        """Serve until the balancer has removed the node and it is idle."""
-        deadline_s = clock.now_s() + self._settings.grace_s - _STOP_MARGIN_S
-        self._stop_deadline_s = deadline_s
-        self._link.announce_stopping()
-        _log.info("Stop begun", in_progress=self._caller_server.in_progress)
-        await asyncio.sleep(
-            min(_BALANCER_DETECTION_S, deadline_s - clock.now_s())
-        )
-        await self._wait_until_idle(deadline_s)
-        ended = self._timeouts.end_all()
-        _log.info(
-            "Stop goes on",
-            in_progress=self._caller_server.in_progress,
-            ended=ended,
-        )
-        # What has arrived is answered before the connections close.
-        self._caller_server.stop()
-        await self._wait_until_idle(deadline_s + _LAST_ANSWERS_S)
-
-    async def _wait_until_idle(self, deadline_s: float) -> None:
-        """Wait until no request is in progress, for a whole interval."""
-        idle_since_s: float | None = None
-        while (now := clock.now_s()) < deadline_s:
-            if self._caller_server.in_progress:
-                idle_since_s = None
-            elif idle_since_s is None:
-                idle_since_s = now
-            elif now - idle_since_s >= _DRAIN_POLL_S:
-                return
-            await asyncio.sleep(_DRAIN_POLL_S)
-
     async def _serve_health(
         self,
         connection: caller_connection.CallerConnection,
--- /dev/null
+++ b/src/fireflyspur/gateway/node_drain.py
@@ -0,0 +1,77 @@
+"""Planned stop of a node."""
+
+import asyncio
+
+from fireflyspur.gateway import caller_server
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import request_timeouts
+from fireflyspur.observability import logs
+
+# The balancer checks the health of a node every second and removes it after
+# two failed checks.
+_BALANCER_DETECTION_S = 3.0
+# Time reserved before the process is killed to close open connections.
+_STOP_MARGIN_S = 0.4
+# Part of that time in which requests that the stop has ended are answered.
+_LAST_ANSWERS_S = 0.25
+# Interval at which a draining node checks for requests in progress.
+_POLL_S = 0.05
+
+_log = logs.log_for("node")
+
+
+class NodeDrain:
+    """Lets the requests of a stopping node end before its process does.
+
+    :param timeouts: timeouts of the requests in progress
+    """
+
+    def __init__(self, timeouts: request_timeouts.RequestTimeouts) -> None:
+        self._timeouts = timeouts
+        self._deadline_s: float | None = None
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the node is stopping."""
+        return self._deadline_s is not None
+
+    @property
+    def deadline_s(self) -> float | None:
+        """Clock time until which requests may run, or None before a stop."""
+        return self._deadline_s
+
+    def begin(self, grace_s: float) -> None:
+        """Begin the stop.
+
+        :param grace_s: time after which the process is killed
+        """
+        self._deadline_s = clock.now_s() + grace_s - _STOP_MARGIN_S
+
+    async def wait(self, server: caller_server.CallerServer) -> None:
+        """Serve until the balancer has removed the node and it is idle."""
+        deadline_s = self._deadline_s
+        _log.info("Stop begun", in_progress=server.in_progress)
+        await asyncio.sleep(
+            min(_BALANCER_DETECTION_S, deadline_s - clock.now_s())
+        )
+        await _wait_until_idle(server, deadline_s)
+        ended = self._timeouts.end_all()
+        _log.info("Stop goes on", in_progress=server.in_progress, ended=ended)
+        # What has arrived is answered before the connections close.
+        server.stop()
+        await _wait_until_idle(server, deadline_s + _LAST_ANSWERS_S)
+
+
+async def _wait_until_idle(
+    server: caller_server.CallerServer, deadline_s: float
+) -> None:
+    """Wait until no request is in progress, for a whole interval."""
+    idle_since_s: float | None = None
+    while (now := clock.now_s()) < deadline_s:
+        if server.in_progress:
+            idle_since_s = None
+        elif idle_since_s is None:
+            idle_since_s = now
+        elif now - idle_since_s >= _POLL_S:
+            return
+        await asyncio.sleep(_POLL_S)
--- a/src/fireflyspur/gateway/peer_table.py
+++ b/src/fireflyspur/gateway/peer_table.py
@@ -56,14 +56,12 @@
     """Changes of a peer that a datagram reveals.
 
     :param is_stale: whether a newer datagram arrived before this one
-    :param is_new: whether the sender was unknown or silent
     :param is_restarted: whether the sender runs as a new process
     :param delay_s: how much longer the datagram was under way than others, as
         when this process was suspended meanwhile
     """
 
     is_stale: bool = False
-    is_new: bool = False
     is_restarted: bool = False
     delay_s: float = 0.0
 
@@ -143,10 +141,9 @@
             clock_offset_s=None if sent_at_s is None else offset_s,
         )
         self._silent.discard(name)
-        if not was_live:
+        if not was_live and self.is_in_pool(name):
             _log.info("Peer heard", peer=name, address=str(address))
         return Contact(
-            is_new=not was_live,
             is_restarted=peer is not None and not is_same_process,
             delay_s=delay_s,
         )
