Let only readers of the store announce what they read

Cause: each node announced each read of the store to the whole fleet, also its first one and those that caught up with an announcement. At the start of the large site, and after each change of the configuration, 195 nodes told 195 nodes, and lists that followed one another made nodes read again.

Change: a node announces what it read when it was due, not when it caught up or read for the first time; a catch-up with the list of endpoints waits up to a twentieth of the bound, so that changes that follow are read together.

--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway import clock
@@ -29,6 +30,8 @@
 _LAST_SHARE = 0.75
 # The first nodes of all further pools have the same rank.
 _MAX_POOL_RANK = 2
+# Longest pause before a node that another one told of changes reads them.
+_CATCH_UP_SHARE = 0.05
 # Versions that follow one another within this time are read together.
 _CHANGE_PAUSE_S = 0.15
 # After a suspension, a request waits this long for a read of the store.
@@ -157,6 +160,7 @@
         if not self._is_config_read:
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
+            # The node that announced this version told all others.
             self._requested_version = self._link.announced_version
             self._apply_config(await self._registry.wait_config(0))
             await asyncio.sleep(_CHANGE_PAUSE_S)
@@ -164,20 +168,31 @@
             wait_s = min(CONFIG_WAIT_S, _WAIT_SHARE * self._config_bound_s)
             read = await self._registry.wait_config(wait_s)
             self._apply_config(read)
+            self._announce_config()
             if read.config is not None:
                 await asyncio.sleep(_CHANGE_PAUSE_S)
         elif (remaining_s := self._remaining_s("config")) > 0:
             await self._pause("config", remaining_s)
         else:
             self._apply_config(await self._registry.wait_config(0))
+            self._announce_config()
 
     async def _follow_endpoints(self) -> None:
         remaining_s = self._remaining_s("endpoints")
-        if remaining_s > 0 and not self._link.sync.is_behind:
+        is_due = remaining_s <= 0
+        if not is_due and not self._link.sync.is_behind:
             await self._pause("endpoints", remaining_s)
             return
+        if not is_due:
+            # Further changes that follow at once are read together.
+            delay_s = _CATCH_UP_SHARE * self._endpoints_bound_s
+            await asyncio.sleep(random.uniform(0, delay_s))
+        is_first = not self._directory.is_read
         read = await self._registry.read_endpoints()
-        self._link.announce_endpoints(self._link.sync.update_from_store(read))
+        seen = self._link.sync.update_from_store(read)
+        # A node that catches up has been told by one that told all others.
+        if is_due and not is_first:
+            self._link.announce_endpoints(seen)
         self._log_recovery("endpoints")
 
     def _apply_config(self, read: registries.ConfigRead) -> None:
@@ -186,6 +201,8 @@
             self._holder.apply(read.config)
         self._holder.confirm(read.read_at_s)
         self._log_recovery("config")
+
+    def _announce_config(self) -> None:
         if self._holder.table is not None:
             self._link.announce_config()
 
--- a/tests/gateway/test_store_follower.py
+++ b/tests/gateway/test_store_follower.py
@@ -7,6 +7,7 @@
 
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
+from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry
@@ -21,10 +22,15 @@
 
 
 class _Registry:
-    """Counts the waits for a configuration; never returns endpoints."""
+    """Counts the waits for a configuration and the reads of endpoints.
+
+    Reads of endpoints never end unless ``endpoints`` is set.
+    """
 
     def __init__(self):
         self.config_waits = 0
+        self.endpoint_reads = 0
+        self.endpoints = None
 
     async def read_config(self):
         encoded = platform_config.encode(gateway_fleet.config())
@@ -37,7 +43,10 @@
         return registry.ConfigRead(None, clock.now_s())
 
     async def read_endpoints(self):
-        await asyncio.sleep(60)
+        self.endpoint_reads += 1
+        if self.endpoints is None:
+            await asyncio.sleep(60)
+        return endpoints.EndpointList(self.endpoints, clock.now_s())
 
 
 class StoreFollowerTest(testtools.TestCase):
@@ -51,14 +60,16 @@
         super().setUp()
         self.registry = _Registry()
         self.holder = config_holder.ConfigHolder()
-        link = mock.MagicMock()
+        self.link = link = mock.MagicMock()
+        self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
         link.announced_version = 0
         link.sync.is_behind = False
+        link.sync.update_from_store = self.directory.replace
         self.follower = store_follower.StoreFollower(
             "node-1",
             self.registry,
             self.holder,
-            endpoint_directory.EndpointDirectory(3.6, 2.5),
+            self.directory,
             link,
             suspension.SuspensionDetector(1.0),
             config_bound_s=2.0,
@@ -100,6 +111,28 @@
         await self.follow(1.9, reader_interval_s=None)
         self.assertGreater(self.registry.config_waits, 0)
 
+    @async_tests.in_loop
+    async def test_node_that_was_told_of_changes_tells_nobody(self):
+        # If each node told all others what it has read, a change would cost
+        # the square of the size of the fleet.
+        self.set_rank(9)
+        self.registry.endpoints = ()
+        self.link.sync.is_behind = True
+        self.link.announced_version = 99
+        await self.follow(0.4, reader_interval_s=0.1)
+        self.assertGreater(self.registry.endpoint_reads, 1)
+        self.assertGreater(self.registry.config_waits, 0)
+        self.link.announce_endpoints.assert_not_called()
+        self.link.announce_config.assert_not_called()
+
+    @async_tests.in_loop
+    async def test_reader_tells_the_others(self):
+        self.set_rank(0)
+        self.registry.endpoints = ()
+        await self.follow(1.6, reader_interval_s=None)
+        self.assertGreater(self.link.announce_endpoints.call_count, 0)
+        self.assertGreater(self.link.announce_config.call_count, 0)
+
     @async_tests.in_loop
     async def test_unchanged_config_is_dated_at_the_end_of_the_wait(self):
         async with gateway_fleet.GatewayFleet() as fleet:
