Say in each update that a node is stopping

Cause: only heartbeats said so, and the next change of load took it back, so that a stopping node counted as a reader again for up to a second.

Change: each datagram says it.

Result: a test failed before and passes now.

--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -77,7 +77,6 @@
         )
         self._crashes = quarantine.Quarantine(self._announce_crash)
         self._announced_version = 0
-        self._is_stopping = False
         self._idle = idle_engines.IdleEngines()
         self._candidates = engine_candidates.EngineCandidates(
             directory, table, self._peers.pools, self._idle
@@ -152,7 +151,7 @@
 
     def announce_stopping(self) -> None:
         """Announce that this node is about to stop."""
-        self._is_stopping = True
+        self._channel.mark_stopping()
         self._send_heartbeat()
 
     async def _register(self) -> None:
@@ -197,7 +196,6 @@
 
     def _send_heartbeat(self) -> None:
         draft = self._channel.draft
-        draft.is_stopping = self._is_stopping
         draft.failure_domain = self._failure_domain
         self._add_state(draft)
         self._channel.flush()
--- a/src/fireflyspur/gateway/update_channel.py
+++ b/src/fireflyspur/gateway/update_channel.py
@@ -53,6 +53,7 @@
         self._drafts: dict[pool_map.Pool, fleet_news.FleetNews] = {}
         self._fleet_draft = fleet_news.FleetNews()
         self._is_flush_scheduled = False
+        self._is_stopping = False
         self._transport: asyncio.DatagramTransport | None = None
 
     @property
@@ -79,6 +80,10 @@
             return [self.draft]
         return [self.draft, self._draft_for(other)]
 
+    def mark_stopping(self) -> None:
+        """Say in each update from now on that this node is about to stop."""
+        self._is_stopping = True
+
     async def open(self) -> None:
         """Open the socket.
 
@@ -179,6 +184,7 @@
         update.node = self._name
         update.incarnation = self._incarnation
         update.number = self._number
+        update.is_stopping = self._is_stopping
         update.sent_ms = round(clock.now_s() * 1000)
         return update.SerializeToString()
 
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -105,6 +105,18 @@
         self.assertGreater(min(counts.values()), 0)
         self.assertLess(max(counts.values()), _MOST_RECIPIENTS)
 
+    @async_tests.in_loop
+    async def test_stopping_node_stays_known_as_stopping(self):
+        network = _Network(20)
+        link, other = network.links[:2]
+        link.announce_stopping()
+        with link.in_flight.track_primary(
+            example_engine.endpoint(1), _DEMAND, 1, 5.0
+        ):
+            await network.settle()
+        self.assertNotIn("node-0", other.peers.live_names())
+        self.assertEqual(20, other.peers.fleet_size())
+
     @async_tests.in_loop
     async def test_crash_is_counted_by_all_nodes(self):
         network = _Network(195)
