Measure the exchange between nodes at several sizes

Cause: the tool measured the parse of one update, not to how many nodes it goes. Its names, and those of the endpoint monitor, were of the old wording.

Change: recipients of a change of load, and the time to handle one, for 8 to 1,000 nodes.

--- a/src/fireflyspur/gateway/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoint_monitor.py
@@ -35,7 +35,7 @@
 
     :param directory: gets the endpoints that failed or left
     :param crashes: gets the requests during which an endpoint crashed
-    :param book: in-flight requests on endpoints
+    :param table: in-flight requests on endpoints
     :param channel: broadcasts to the other nodes
     """
 
@@ -43,12 +43,12 @@
         self,
         directory: endpoint_directory.EndpointDirectory,
         crashes: quarantine.Quarantine,
-        book: in_flight_table.InFlightTable,
+        table: in_flight_table.InFlightTable,
         channel: update_channel.UpdateChannel,
     ) -> None:
         self._directory = directory
         self._crashes = crashes
-        self._book = book
+        self._table = table
         self._channel = channel
         self._checks: set[asyncio.Future[None]] = set()
 
@@ -96,7 +96,7 @@
         now = clock.now_s()
         longest_ms = 0.0
         for endpoint in members:
-            state = self._book.predict_load(
+            state = self._table.predict_load(
                 endpoint.instance, engine, now
             ).state
             ms = state.pending_prefill_ms + latency_model.pass_ms(
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -7,21 +7,27 @@
 import tracemalloc
 
 from fireflyspur.experiment import example_engine
+from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import engine_candidates
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import latency_model
+from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway import registry
 from fireflyspur.gateway import route_table
 from fireflyspur.gateway import routing_config
+from fireflyspur.gateway import update_channel
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 from fireflyspur.platform import config_codec
 
 _REPEATS = 50
+# Numbers of nodes and of failure domains.
+_FLEETS = ((8, 3), (60, 3), (195, 5), (350, 7), (1_000, 7))
 _SERVICE = routing_config.Service(example_engine.SERVICE, example_engine.SPEC)
 
 
@@ -29,18 +35,21 @@
     """Print a line for each part and size."""
     logs.configure("ERROR")
     for count in engine_counts:
-        placer = _loaded_placer(count)
+        selector = _loaded_selector(count)
         for tokens in (5_000, 210_000):
-            wanted = _demand(tokens)
+            demand = _demand(tokens)
             ms = _time_ms(
-                lambda placer=placer, wanted=wanted: placer.choose_engine(
-                    _SERVICE, wanted, frozenset()
+                lambda selector=selector, demand=demand: (
+                    selector.choose_engine(_SERVICE, demand, frozenset())
                 )
             )
             print(f"placement, {count} engines, {tokens} tokens: {ms:.2f} ms")
-    data = _news().SerializeToString()
+    data = _update().SerializeToString()
     ms = _time_ms(lambda: fleet_news.FleetNews().ParseFromString(data))
-    print(f"news of one request: {len(data)} bytes, parsed in {ms:.4f} ms")
+    print(
+        f"update about one request: {len(data)} bytes, parsed in {ms:.4f} ms"
+    )
+    _measure_exchange()
     for accounts in (10, 1_000, 5_200):
         value = _config(accounts)
         ms = _time_ms(
@@ -54,11 +63,46 @@
         )
 
 
-def _time_ms(action: Callable[[], object]) -> float:
-    began = time.process_time()
-    for _ in range(_REPEATS):
+def _measure_exchange() -> None:
+    """Print what one change of load costs in fleets of several sizes."""
+    for nodes, domains in _FLEETS:
+        peers = peer_table.PeerTable("node-0", "domain-0")
+        entries = {
+            f"node-{number}": registry.NodeEntry(
+                addresses.Address("10.0.0.1", number),
+                f"domain-{number % domains}",
+            )
+            for number in range(nodes)
+        }
+        channel = update_channel.UpdateChannel(
+            "node-0",
+            addresses.Address("10.0.0.1", 0),
+            peers,
+            lambda update, contact: None,
+        )
+        add_ms = _time_ms(lambda: peers.add_nodes(entries), repeats=1)
+        # A datagram with a number that was seen before would be ignored.
+        datagrams = iter(
+            [_update(n).SerializeToString() for n in range(1, _REPEATS + 1)]
+        )
+        handle_ms = _time_ms(
+            lambda channel=channel, datagrams=datagrams: (
+                channel.datagram_received(next(datagrams), ("10.0.0.1", 1))
+            )
+        )
+        print(
+            f"exchange, {nodes} nodes in {domains} failure domains:"
+            f" {len(peers.recipients())} recipients of a change of load,"
+            f" handled in {handle_ms:.4f} ms;"
+            f" {len(peers.pools.others) + 1} pools, found in {add_ms:.1f} ms"
+        )
+
+
+def _time_ms(action: Callable[[], object], repeats: int = _REPEATS) -> float:
+    started = time.process_time()
+    for _ in range(repeats):
         action()
-    return (time.process_time() - began) / _REPEATS * 1000
+    return (time.process_time() - started) / repeats * 1000
 
 
 def _memory_kb(value: bytes) -> float:
@@ -77,24 +121,24 @@
     )
 
 
-def _loaded_placer(count: int) -> placement.EndpointSelector:
+def _loaded_selector(count: int) -> placement.EndpointSelector:
     directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
     listed = tuple(map(example_engine.endpoint, range(count)))
     directory.replace(endpoints.EndpointList(listed, clock.now_s()))
-    book = in_flight_table.InFlightTable()
+    table = in_flight_table.InFlightTable()
     for item in listed:
         for number in range(4):
-            book.add(_work(item.instance, number))
-            book.mark_prefilled(f"{item.instance}/{number}")
+            table.add(_request(item.instance, number))
+            table.mark_prefilled(f"{item.instance}/{number}")
     return placement.EndpointSelector(
         directory,
-        book,
-        engine_candidates.EngineCandidates.for_one_pool(directory, book),
+        table,
+        engine_candidates.EngineCandidates.for_one_pool(directory, table),
         example_engine.FAILURE_DOMAIN,
     )
 
 
-def _work(instance: str, number: int) -> in_flight_table.InFlightRequest:
+def _request(instance: str, number: int) -> in_flight_table.InFlightRequest:
     now = clock.now_s()
     return in_flight_table.InFlightRequest(
         key=f"{instance}/{number}",
@@ -111,7 +155,7 @@
     )
 
 
-def _news() -> fleet_news.FleetNews:
+def _update(number: int = 1) -> fleet_news.FleetNews:
     started = fleet_news.WorkStarted(
         number=1_000,
         instance="i-7f3a91c2",
@@ -123,7 +167,7 @@
         target_ms=300,
     )
     return fleet_news.FleetNews(
-        node="front-a-1", incarnation=2**31, number=5_000, started=[started]
+        node="front-a-1", incarnation=2**31, number=number, started=[started]
     )
 
 
