Count only the wait for an endpoint as its silence

Cause: since silence counts from the last progress, the time that a slow caller took to read was counted as silence of the endpoint, so that a sound stream could have been given up.

Change: only time spent waiting for data adds up, until there is progress.

Result: of two tests, the one of a caller that reads slowly failed before.

--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -52,7 +52,8 @@
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
-        self._progress_at_s = clock.now_s()
+        # Time spent waiting for data since the last progress.
+        self._waited_s = 0.0
         self._ends_with_connection = False
         self._uninterrupted_bytes = 0
         self._uninterrupted_parts = 0
@@ -137,7 +138,7 @@
 
         The reader decides what counts: bytes that complete nothing don't.
         """
-        self._progress_at_s = clock.now_s()
+        self._waited_s = 0.0
 
     async def read_chunk(self) -> bytes | None:
         """Read the next chunk of the body; None at its end.
@@ -216,14 +217,14 @@
             ) from error
 
     async def _wait_for_data(self, reading: "asyncio.Future[bytes]") -> None:
-        interval_s = await self._on_silence(self._silent_s())
+        waited_s = self._waited_s
+        started_at_s = clock.now_s()
+        interval_s = await self._on_silence(waited_s)
         while not reading.done():
             await asyncio.wait((reading,), timeout=interval_s)
+            self._waited_s = waited_s + clock.now_s() - started_at_s
             if not reading.done():
-                interval_s = await self._on_silence(self._silent_s())
-
-    def _silent_s(self) -> float:
-        return clock.now_s() - self._progress_at_s
+                interval_s = await self._on_silence(self._waited_s)
 
 
 def _describe(error: Exception) -> str:
--- a/tests/gateway/test_http_exchange.py
+++ b/tests/gateway/test_http_exchange.py
@@ -89,6 +89,53 @@
             self.assertIsInstance(error, TimeoutError)
 
 
+class SilenceTest(testtools.TestCase):
+    """Guards against a sound response cut because its caller reads slowly."""
+
+    @async_tests.in_loop
+    async def test_time_in_which_nothing_is_read_is_no_silence(self):
+        silences = []
+
+        async def record(silent_s):
+            silences.append(silent_s)
+            return 0.02
+
+        block = _chunk(b"x" * 10)
+        with flood_server.FloodServer(_CHUNKED, block, 0.1) as server:
+            exchange = await http_exchange.HttpExchange.connect(
+                server.address, 1.0, record
+            )
+            with contextlib.closing(exchange):
+                exchange.send(b"GET", b"/", [(b"Host", b"h")], b"")
+                await exchange.read_head()
+                for _ in range(3):
+                    await exchange.read_chunk()
+                    exchange.record_progress()
+                    # The caller takes this long to read what it got.
+                    await asyncio.sleep(0.8)
+        self.assertLess(max(silences), 0.5)
+
+    @async_tests.in_loop
+    async def test_waits_without_progress_add_up(self):
+        silences = []
+
+        async def record(silent_s):
+            silences.append(silent_s)
+            return 0.02
+
+        block = _chunk(b"x")
+        with flood_server.FloodServer(_CHUNKED, block, 0.1) as server:
+            exchange = await http_exchange.HttpExchange.connect(
+                server.address, 1.0, record
+            )
+            with contextlib.closing(exchange):
+                exchange.send(b"GET", b"/", [(b"Host", b"h")], b"")
+                await exchange.read_head()
+                for _ in range(6):
+                    await exchange.read_chunk()
+        self.assertGreater(max(silences), 0.4)
+
+
 class EndlessAnswerTest(testtools.TestCase):
     """Guards against a store or an engine that floods a node with bytes."""
 
@@ -121,6 +168,10 @@
             self.assertEqual("unknown", result.value)
 
 
+def _chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
 async def _catch(awaitable):
     try:
         await awaitable
