--- a/src/fireflyspur/gateway/engine_candidates.py
+++ b/src/fireflyspur/gateway/engine_candidates.py
@@ -1,6 +1,7 @@
 """Engines that are compared for a prompt."""
 
 from collections.abc import Sequence
+import dataclasses
 import random
 from typing import TypeVar
 
@@ -18,6 +19,25 @@
 _T = TypeVar("_T")
 
 
+@dataclasses.dataclass(frozen=True)
+class _OwnEngines:
+    """Engines of a service in the own pool.
+
+    :param listed: all engines of the service, from which they were taken
+    :param revision: revision of the pools at that time
+    """
+
+    engines: tuple[endpoints.Endpoint, ...]
+    listed: tuple[endpoints.Endpoint, ...]
+    revision: int
+
+    def is_current(
+        self, listed: tuple[endpoints.Endpoint, ...], revision: int
+    ) -> bool:
+        """Return whether the engines would be the same if found anew."""
+        return self.listed is listed and self.revision == revision
+
+
 class EngineCandidates:
     """Finds the engines that a node may choose from.
 
@@ -38,16 +58,7 @@
         self._table = table
         self._pools = pools
         self._idle = idle
-        # Engines of the own pool by service, with the list and the revision
-        # of the pools that they were taken from.
-        self._own: dict[
-            str,
-            tuple[
-                tuple[endpoints.Endpoint, ...],
-                int,
-                tuple[endpoints.Endpoint, ...],
-            ],
-        ] = {}
+        self._own: dict[str, _OwnEngines] = {}
 
     @classmethod
     def for_one_pool(
@@ -124,15 +135,14 @@
             return ready
         revision = self._pools.revision
         cached = self._own.get(service)
-        if cached is not None and cached[0] is ready and cached[1] == revision:
-            return cached[2]
-        own = tuple(
-            endpoint
-            for endpoint in ready
-            if self._pools.pool_of_endpoint(endpoint) == self._pools.own
-        )
-        self._own[service] = (ready, revision, own)
-        return own
+        if cached is None or not cached.is_current(ready, revision):
+            own = tuple(
+                endpoint
+                for endpoint in ready
+                if self._pools.pool_of_endpoint(endpoint) == self._pools.own
+            )
+            cached = self._own[service] = _OwnEngines(own, ready, revision)
+        return cached.engines
 
 
 def _sample(items: list[_T], count: int) -> list[_T]:
