Search for engines of other pools in linear time

Cause: each engine of a service was compared with each of the own pool, so that the search for any engine elsewhere grew with the product of both.

Change: the own engines are looked up by instance.

--- a/src/fireflyspur/gateway/engine_candidates.py
+++ b/src/fireflyspur/gateway/engine_candidates.py
@@ -100,8 +100,12 @@
         """Return engines of other pools, or a sample of them."""
         if not self._pools.others:
             return []
-        own = self._own_engines(service)
-        others = [e for e in self._directory.ready(service) if e not in own]
+        own = {e.instance for e in self._own_engines(service)}
+        others = [
+            endpoint
+            for endpoint in self._directory.ready(service)
+            if endpoint.instance not in own
+        ]
         return _sample(self.available(others, excluded), _MAX_COMPARED)
 
     def available(
--- a/tests/gateway/test_engine_candidates.py
+++ b/tests/gateway/test_engine_candidates.py
@@ -1,6 +1,7 @@
 """Pattern: one failure domain is full while others have idle engines."""
 
 import dataclasses
+import time
 from unittest import mock
 
 import testtools
@@ -39,11 +40,11 @@
         pools.set_nodes(
             {f"node-{n}": f"zone-{'ab'[n % 2]}" for n in range(_NODES)}
         )
-        candidates = engine_candidates.EngineCandidates(
+        self.candidates = engine_candidates.EngineCandidates(
             self.directory, self.table, pools, self.idle
         )
         self.selector = placement.EndpointSelector(
-            self.directory, self.table, candidates, "zone-a"
+            self.directory, self.table, self.candidates, "zone-a"
         )
         self.list_engines({"a-0": "zone-a", "a-1": "zone-a", "b-0": "zone-b"})
 
@@ -105,6 +106,21 @@
         self.list_engines({"b-0": "zone-b"})
         self.assertEqual("b-0", self.choose())
 
+    def test_search_elsewhere_grows_in_proportion_to_the_engines(self):
+        seconds = {}
+        for count in (400, 1_600):
+            self.now += 1.0
+            self.list_engines(
+                {f"e-{n}": f"zone-{'ab'[n % 2]}" for n in range(count)}
+            )
+            started = time.process_time()
+            for _ in range(10):
+                self.candidates.elsewhere(_SERVICE.name, frozenset())
+            seconds[count] = time.process_time() - started
+        # Four times the engines; a comparison of each with each takes 16
+        # times as long.
+        self.assertLess(seconds[1_600], 10 * seconds[400])
+
     def test_engine_that_is_not_known_to_be_idle_is_not_used(self):
         for instance in ("a-0", "a-1"):
             self.add_prompts(instance, 2, 200_000)
