--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -19,8 +19,8 @@
 _READ_BYTES = 65_536
 _FOLDED_HEADER = re.compile(rb"\n[ \t]")
 _END_OF_HEAD = re.compile(rb"\r?\n\r?\n")
-# A body that arrives more slowly than this on average is given up once the
-# idle timeout has passed: a trickle would hold the connection for hours.
+# Minimum average rate of a body after the idle timeout. At a lower rate, a
+# body within its limit could occupy the connection for hours.
 _MIN_BODY_BYTES_PER_S = 1_024
 _STATUSES_WITHOUT_BODY = (204, 304)
 # SO_LINGER with a time of zero: a close sends a reset.
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -45,7 +45,7 @@
     :param holder: current configuration of this node
     :param directory: endpoints that this node knows
     :param table: in-flight requests of all nodes
-    :param detector: is told at each heartbeat that this process runs
+    :param detector: records at each heartbeat that this process runs
     """
 
     def __init__(
@@ -175,7 +175,10 @@
         self._introduce()
 
     def _introduce(self) -> None:
-        """Tell all nodes about this one; those that start later find it."""
+        """Announce this node to all nodes that registered before it.
+
+        Nodes that register later find it in the registry.
+        """
         self._channel.draft.wants_answer = True
         self._send_heartbeat()
         for pool in self._peers.pools.others:
--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/placement.py
@@ -21,8 +21,8 @@
 _REMOTE_COST = 0.01
 # Numbers of engines that may prefill one prompt together.
 _GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
-# From this share of a prompt's weight on, idle engines of other pools are
-# compared as well.
+# Cost of the best placement in the own pool, as a share of the prompt's
+# weight, from which idle engines of other pools are compared as well.
 _SPILL_COST = 0.1
 # Splitting a prompt into parts shorter than this does not speed it up.
 _MIN_PART_TOKENS = 8_000
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/store_follower.py
@@ -30,7 +30,8 @@
 _LAST_SHARE = 0.75
 # The first nodes of all further pools have the same rank.
 _MAX_POOL_RANK = 2
-# Longest pause before a node that another one told of changes reads them.
+# Maximum delay between the announcement of changes by another node and their
+# read.
 _CATCH_UP_SHARE = 0.05
 # Versions that follow one another within this time are read together.
 _CHANGE_PAUSE_S = 0.15
@@ -160,7 +161,7 @@
         if not self._is_config_read:
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
-            # The node that announced this version told all others.
+            # All nodes have received the announcement of this version.
             self._requested_version = self._link.announced_version
             self._apply_config(await self._registry.wait_config(0))
             await asyncio.sleep(_CHANGE_PAUSE_S)
@@ -190,7 +191,7 @@
         is_first = not self._directory.is_read
         read = await self._registry.read_endpoints()
         seen = self._link.sync.update_from_store(read)
-        # A node that catches up has been told by one that told all others.
+        # Changes that this node catches up with have been announced already.
         if is_due and not is_first:
             self._link.announce_endpoints(seen)
         self._log_recovery("endpoints")
