--- a/tests/gateway/test_faulty_endpoints.py
+++ b/tests/gateway/test_faulty_endpoints.py
@@ -29,6 +29,25 @@
     )
 
 
+def resumable_config(timeout_ms):
+    """Return a configuration with one route, whose streams may be resumed."""
+    route = gateway_fleet.route(
+        "chat",
+        "streaming",
+        "models",
+        stream_resume=True,
+        gap_aim_ms=200,
+        timeout_ms=timeout_ms,
+    )
+    return gateway_fleet.config(routes=[route])
+
+
+def register_flood(fleet, server):
+    """Register a flooding server in place of the first engine."""
+    engine = fleet.engines[0]
+    fleet.register(engine, "models", address=str(server.address))
+
+
 class FloodTest(testtools.TestCase):
     """Guards against one endpoint that stops a node for all its callers."""
 
@@ -39,12 +58,7 @@
         """
         with flood_server.FloodServer(start, block) as server:
             async with gateway_fleet.GatewayFleet(engines=1) as fleet:
-                entry = fleet.engines[0].entry("models")
-                fleet.store.put(
-                    "keyed.servers",
-                    fleet.engines[0].instance,
-                    {**entry, "address": str(server.address)},
-                )
+                register_flood(fleet, server)
                 node = await fleet.start_node()
                 async with loop_watch.watch_loop() as watch:
                     flooded = asyncio.ensure_future(
@@ -89,12 +103,7 @@
         ) as server:
             async with gateway_fleet.GatewayFleet(engines=1) as fleet:
                 fleet.publish(gateway_fleet.config(routes=routes))
-                entry = fleet.engines[0].entry("models")
-                fleet.store.put(
-                    "keyed.servers",
-                    fleet.engines[0].instance,
-                    {**entry, "address": str(server.address)},
-                )
+                register_flood(fleet, server)
                 node = await fleet.start_node()
                 reader, writer = await node.connect()
                 writer.write(
@@ -140,17 +149,7 @@
     async def test_slow_stream_without_an_alternative_is_not_cut(self):
         slow = fake_endpoint.respond_events(3, pause_s=1.2)
         async with gateway_fleet.GatewayFleet(engines=1) as fleet:
-            routes = [
-                gateway_fleet.route(
-                    "chat",
-                    "streaming",
-                    "models",
-                    stream_resume=True,
-                    gap_aim_ms=200,
-                    timeout_ms=9_000,
-                )
-            ]
-            fleet.publish(gateway_fleet.config(routes=routes))
+            fleet.publish(resumable_config(timeout_ms=9_000))
             node = await fleet.start_node()
             fleet.engines[0].default_behaviour = slow
             response = await node.request("/chat/", deadline_ms=9_000)
@@ -161,17 +160,7 @@
     async def test_slow_stream_is_not_cut_after_the_last_attempt(self):
         slow = fake_endpoint.respond_events(3, pause_s=1.2)
         async with gateway_fleet.GatewayFleet(engines=4) as fleet:
-            routes = [
-                gateway_fleet.route(
-                    "chat",
-                    "streaming",
-                    "models",
-                    stream_resume=True,
-                    gap_aim_ms=200,
-                    timeout_ms=15_000,
-                )
-            ]
-            fleet.publish(gateway_fleet.config(routes=routes))
+            fleet.publish(resumable_config(timeout_ms=15_000))
             node = await fleet.start_node()
             for engine in fleet.engines:
                 engine.default_behaviour = slow
--- a/tests/gateway/test_http_exchange.py
+++ b/tests/gateway/test_http_exchange.py
@@ -92,48 +92,46 @@
 class SilenceTest(testtools.TestCase):
     """Guards against a sound response cut because its caller reads slowly."""
 
-    @async_tests.in_loop
-    async def test_time_in_which_nothing_is_read_is_no_silence(self):
+    async def longest_silence(self, data, parts, read_part):
+        """Return the longest silence while parts of a response are read.
+
+        A part with the data arrives every 0.1 s.
+        """
         silences = []
 
         async def record(silent_s):
             silences.append(silent_s)
             return 0.02
 
-        block = _chunk(b"x" * 10)
-        with flood_server.FloodServer(_CHUNKED, block, 0.1) as server:
+        with flood_server.FloodServer(_CHUNKED, _chunk(data), 0.1) as server:
             exchange = await http_exchange.HttpExchange.connect(
                 server.address, 1.0, record
             )
             with contextlib.closing(exchange):
                 exchange.send(b"GET", b"/", [(b"Host", b"h")], b"")
                 await exchange.read_head()
-                for _ in range(3):
-                    await exchange.read_chunk()
-                    exchange.record_progress()
-                    # The caller takes this long to read what it got.
-                    await asyncio.sleep(0.8)
-        self.assertLess(max(silences), 0.5)
+                for _ in range(parts):
+                    await read_part(exchange)
+        return max(silences)
 
     @async_tests.in_loop
-    async def test_waits_without_progress_add_up(self):
-        silences = []
+    async def test_time_in_which_nothing_is_read_is_no_silence(self):
+        async def read_part(exchange):
+            await exchange.read_chunk()
+            exchange.record_progress()
+            # The caller takes this long to read what it got.
+            await asyncio.sleep(0.8)
 
-        async def record(silent_s):
-            silences.append(silent_s)
-            return 0.02
+        silence_s = await self.longest_silence(b"x" * 10, 3, read_part)
+        self.assertLess(silence_s, 0.5)
 
-        block = _chunk(b"x")
-        with flood_server.FloodServer(_CHUNKED, block, 0.1) as server:
-            exchange = await http_exchange.HttpExchange.connect(
-                server.address, 1.0, record
-            )
-            with contextlib.closing(exchange):
-                exchange.send(b"GET", b"/", [(b"Host", b"h")], b"")
-                await exchange.read_head()
-                for _ in range(6):
-                    await exchange.read_chunk()
-        self.assertGreater(max(silences), 0.4)
+    @async_tests.in_loop
+    async def test_waits_without_progress_add_up(self):
+        async def read_part(exchange):
+            await exchange.read_chunk()
+
+        silence_s = await self.longest_silence(b"x", 6, read_part)
+        self.assertGreater(silence_s, 0.4)
 
 
 class EndlessAnswerTest(testtools.TestCase):
