--- a/tests/gateway/test_engine_candidates.py
+++ b/tests/gateway/test_engine_candidates.py
@@ -2,12 +2,8 @@
 
 import dataclasses
 import time
-from unittest import mock
-
-import testtools
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import clock
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import engine_candidates
@@ -18,21 +14,18 @@
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import pool_map
 from fireflyspur.gateway import routing_config
+from tests.support import fake_clock
 
 _SERVICE = routing_config.Service(example_engine.SERVICE, example_engine.SPEC)
 _QUOTE = placement_cost.Demand(5_000, 1_600, 0.3, 0.2, 1.0)
 _NODES = 60
 
 
-class SpillTest(testtools.TestCase):
+class SpillTest(fake_clock.FakeClockTest):
     """Guards against callers that wait while engines elsewhere are idle."""
 
     def setUp(self):
         super().setUp()
-        self.now = 100.0
-        patch = mock.patch.object(clock, "now_s", lambda: self.now)
-        patch.start()
-        self.addCleanup(patch.stop)
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
         self.table = in_flight_table.InFlightTable()
         self.idle = idle_engines.IdleEngines()
--- a/tests/gateway/test_peer_table.py
+++ b/tests/gateway/test_peer_table.py
@@ -1,26 +1,18 @@
 """Detection of live, restarted and silent nodes."""
 
-from unittest import mock
-
-import testtools
-
 from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import registry
+from tests.support import fake_clock
 
 _ADDRESS = addresses.Address("10.0.0.2", 7340)
 
 
-class PeerTableTest(testtools.TestCase):
+class PeerTableTest(fake_clock.FakeClockTest):
     """Guards against the use of datagrams of ended processes."""
 
     def setUp(self):
         super().setUp()
-        self.now = 100.0
-        patch = mock.patch.object(clock, "now_s", lambda: self.now)
-        patch.start()
-        self.addCleanup(patch.stop)
         self.table = peer_table.PeerTable("node-1", "zone-a")
 
     def receive(self, incarnation, number, is_stopping=False, sent_at_s=None):
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -1,22 +1,14 @@
 """Limit on the retries that a node may send."""
 
-from unittest import mock
-
-import testtools
-
-from fireflyspur.gateway import clock
 from fireflyspur.gateway import retry_budget
+from tests.support import fake_clock
 
 
-class RetryBudgetTest(testtools.TestCase):
+class RetryBudgetTest(fake_clock.FakeClockTest):
     """Guards against retries that multiply an overload."""
 
     def setUp(self):
         super().setUp()
-        self.now = 100.0
-        patch = mock.patch.object(clock, "now_s", lambda: self.now)
-        patch.start()
-        self.addCleanup(patch.stop)
 
     def budget(self, nodes=1):
         limits = retry_budget.RetryLimits(0.2, 80.0, 10.0)
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -1,22 +1,14 @@
 """Detection of suspensions of a process."""
 
-from unittest import mock
-
-import testtools
-
-from fireflyspur.gateway import clock
 from fireflyspur.gateway import suspension
+from tests.support import fake_clock
 
 
-class SuspensionDetectorTest(testtools.TestCase):
+class SuspensionDetectorTest(fake_clock.FakeClockTest):
     """Guards against suspensions that go unnoticed or are only assumed."""
 
     def setUp(self):
         super().setUp()
-        self.now = 100.0
-        patch = mock.patch.object(clock, "now_s", lambda: self.now)
-        patch.start()
-        self.addCleanup(patch.stop)
         self.detector = suspension.SuspensionDetector(1.0)
 
     def test_late_ticks_of_a_busy_process_are_no_suspension(self):
--- /dev/null
+++ b/tests/support/fake_clock.py
@@ -0,0 +1,14 @@
+"""Tests that set the gateway's clock."""
+
+import testtools
+
+from fireflyspur.gateway import clock
+
+
+class FakeClockTest(testtools.TestCase):
+    """Replaces the clock of the gateway by ``now``, in seconds."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.enterContext(clock.override(lambda: self.now))
