Take a stream for broken if it ends in an event, or closes before one

Cause: the end of the connection was taken for the end of the stream. Two gaps of the same class were left: a stream that closes before its first event, and one that ends in an event though its chunks or its length are complete.

Change: a stream that ends in an event is broken however it is framed, and so is one that closes without any event.

Result: two new tests of BrokenEndTest failed before (200, complete) and pass now.

--- a/src/fireflyspur/gateway/response_relay.py
+++ b/src/fireflyspur/gateway/response_relay.py
@@ -83,6 +83,7 @@
             it can be resumed after ``last_event_id``
         """
         self._splitter.drop_tail()
+        has_events = False
         while (part := await self._read_part(exchange)) is not None:
             events = self._splitter.feed(part)
             if self._splitter.tail_size > _MAX_EVENT_BYTES:
@@ -92,13 +93,15 @@
             if not events:
                 continue
             if event_splitter.has_content(events):
+                has_events = True
                 exchange.record_progress()
                 self._record_event()
             await self._send_head_once(head)
             await self._connection.send_body(events)
-        self._check_end(exchange)
+        self._check_end(exchange, has_events)
         await self._send_head_once(head)
         if self._splitter.tail:
+            # Blank lines, which end the body that the endpoint sent.
             await self._connection.send_body(self._splitter.tail)
         await self._connection.finish()
 
@@ -122,14 +125,23 @@
             )
         return part
 
-    def _check_end(self, exchange: http_exchange.HttpExchange) -> None:
-        """Check that the end of a connection did not cut off an event.
+    def _check_end(
+        self, exchange: http_exchange.HttpExchange, has_events: bool
+    ) -> None:
+        """Check that the end of a stream did not cut it off.
 
+        :param has_events: whether the endpoint sent a complete event
         :raises BrokenResponseError: if it did
         """
-        if exchange.ends_with_connection and self._splitter.tail.strip():
+        is_closed = exchange.ends_with_connection
+        if self._splitter.tail.strip():
+            raise exceptions.BrokenResponseError(
+                "the stream ended in the middle of an event",
+                is_connection_lost=is_closed,
+            )
+        if is_closed and not has_events:
             raise exceptions.BrokenResponseError(
-                "the connection was closed in the middle of an event",
+                "the connection was closed before the first event",
                 is_connection_lost=True,
             )
 
--- a/tests/gateway/test_faulty_endpoints.py
+++ b/tests/gateway/test_faulty_endpoints.py
@@ -202,6 +202,34 @@
         self.assertTrue(response.is_complete)
         self.assertEqual(events(3), response.body)
 
+    @async_tests.in_loop
+    async def test_stream_that_closes_before_its_first_event_is_incomplete(
+        self,
+    ):
+        async def close_after_head(worker, arrival, stream):
+            await stream.write(fake_endpoint.response_head(arrival, worker))
+
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.default_behaviour = close_after_head
+            response = await node.request("/once/")
+        self.assertFalse(response.status == 200 and response.is_complete)
+
+    @async_tests.in_loop
+    async def test_stream_that_ends_in_an_event_is_incomplete_if_framed(self):
+        async def end_in_event(worker, arrival, stream):
+            body = fake_endpoint.chunk(events(1) + b"id: 2\ndat")
+            await stream.write(stream_head(arrival, worker) + body)
+            await stream.write(b"0\r\n\r\n")
+
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.default_behaviour = end_in_event
+            response = await node.request("/once/")
+        self.assertFalse(response.is_complete)
+
     @async_tests.in_loop
     async def test_caller_that_knows_no_chunks_sees_that_a_stream_broke(self):
         async with gateway_fleet.GatewayFleet(engines=1) as fleet:
