Quarantine parts of prompts that crash engines

Cause: crashes were attributed to the whole request (path, caller, body), and no two of these requests are alike.

Change: crashes are also counted by the parts that prompts share, on all nodes. After three crashes without a complete response between them, prompts with all parts that these crashes have in common are refused at once; a complete response at any node clears its parts. Heartbeats carry the list to nodes that start. A trial follows after 60 s, by one node at a time, later after each crash.

--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -187,7 +187,9 @@
             await self._relay.relay_events(exchange, head)
         else:
             await self._relay.relay_body(exchange, head)
-        return attempt_result.Delivered(head.status)
+        return attempt_result.Delivered(
+            head.status, is_confirmed=not exchange.ends_with_connection
+        )
 
     async def _read_failure(
         self, exchange: http_exchange.HttpExchange, head: messages.ResponseHead
--- a/src/fireflyspur/gateway/attempt_result.py
+++ b/src/fireflyspur/gateway/attempt_result.py
@@ -7,9 +7,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Delivered:
-    """The caller has received the whole response."""
+    """The caller has received the whole response.
+
+    :param is_confirmed: whether its framing shows that it is complete, and
+        not only the end of the connection
+    """
 
     status: int
+    is_confirmed: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoint_monitor.py
@@ -1,6 +1,7 @@
 """Checks of endpoints that may have failed."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from fireflyspur.gateway import address as addresses
@@ -11,7 +12,6 @@
 from fireflyspur.gateway import http_exchange
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import quarantine
 from fireflyspur.gateway import routing_config
 from fireflyspur.gateway import update_channel
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
@@ -34,7 +34,6 @@
     """Checks endpoints that are silent, or whose connections were lost.
 
     :param directory: gets the endpoints that failed or left
-    :param crashes: gets the requests during which an endpoint crashed
     :param table: in-flight requests on endpoints
     :param channel: broadcasts to the other nodes
     """
@@ -42,27 +41,25 @@
     def __init__(
         self,
         directory: endpoint_directory.EndpointDirectory,
-        crashes: quarantine.Quarantine,
         table: in_flight_table.InFlightTable,
         channel: update_channel.UpdateChannel,
     ) -> None:
         self._directory = directory
-        self._crashes = crashes
         self._table = table
         self._channel = channel
         self._checks: set[asyncio.Future[None]] = set()
 
     def check_crash(
-        self, endpoint: endpoints.Endpoint, fingerprint: str
+        self, endpoint: endpoints.Endpoint, on_crash: Callable[[], None]
     ) -> None:
-        """Record a crash if the endpoint accepts no more connections.
+        """Check whether the endpoint accepts no more connections.
 
         The check runs in the background.
 
-        :param fingerprint: fingerprint of the request whose response broke off
+        :param on_crash: called if it accepts none
         """
         check = asyncio.ensure_future(
-            self._check_for_crash(endpoint, fingerprint)
+            self._check_for_crash(endpoint, on_crash)
         )
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
@@ -158,11 +155,11 @@
         await asyncio.gather(*self._checks, return_exceptions=True)
 
     async def _check_for_crash(
-        self, endpoint: endpoints.Endpoint, fingerprint: str
+        self, endpoint: endpoints.Endpoint, on_crash: Callable[[], None]
     ) -> None:
         if not await _is_reachable(endpoint.address):
             self.mark_unreachable(endpoint.instance)
-            self._crashes.record_crash(fingerprint, endpoint.instance)
+            on_crash()
 
     def _broadcast(self, instance: str, event: int) -> None:
         report = fleet_news.EndpointReport(instance=instance, event=event)
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -15,8 +15,10 @@
 from fireflyspur.gateway import idle_reporter
 from fireflyspur.gateway import in_flight_reporter
 from fireflyspur.gateway import in_flight_table
+from fireflyspur.gateway import part_quarantine
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import quarantine
+from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import suspension
 from fireflyspur.gateway import update_channel
@@ -76,6 +78,9 @@
             name, table, self._channel
         )
         self._crashes = quarantine.Quarantine(self._announce_crash)
+        self._parts = part_quarantine.PartQuarantine(
+            lambda: self._channel.fleet_draft, self._trial_rank
+        )
         self._announced_version = 0
         self._idle = idle_engines.IdleEngines()
         self._candidates = engine_candidates.EngineCandidates(
@@ -101,6 +106,11 @@
         """Requests that crashed endpoints."""
         return self._crashes
 
+    @property
+    def parts(self) -> part_quarantine.PartQuarantine:
+        """Parts of prompts that crashed endpoints."""
+        return self._parts
+
     @property
     def channel(self) -> update_channel.UpdateChannel:
         """Channel for updates between the nodes."""
@@ -206,6 +216,8 @@
     def _add_state(self, update: fleet_news.FleetNews) -> None:
         if self._holder.table is not None and not update.HasField("config"):
             update.config.CopyFrom(self._config_seen())
+        if not update.quarantined_parts:
+            update.quarantined_parts.extend(self._parts.describe())
         seen = self._sync.describe()
         if seen is not None and not update.HasField("endpoints"):
             update.endpoints.CopyFrom(seen)
@@ -216,6 +228,11 @@
             version=self._holder.version, age_ms=round(age_ms)
         )
 
+    def _trial_rank(self, part: int) -> int:
+        return reader_rank.rank_of(
+            self._name, self._peers.live_names(), f"part-{part}"
+        )
+
     def _announce_crash(self, fingerprint: str, instance: str) -> None:
         crash = fleet_news.RequestCrash(
             fingerprint=fingerprint, instance=instance
@@ -225,7 +242,8 @@
     def _handle_update(
         self, update: fleet_news.FleetNews, contact: peer_table.Contact
     ) -> None:
-        self._handle_crashes(update)
+        self._handle_crashes(update, contact.delay_s)
+        self._handle_parts(update)
         self._handle_reports(update)
         self._idle.add(update.idle.instances)
         self._add_delay(update, contact.delay_s)
@@ -234,6 +252,8 @@
         if contact.is_stale:
             # Changes of in-flight requests and ages must be applied in order.
             return
+        for seen in update.quarantined_parts:
+            self._parts.update_from_peer(seen)
         self._in_flight.apply_update(update, contact.is_restarted)
         if update.HasField("config"):
             self._handle_config(update.config)
@@ -264,6 +284,8 @@
         """Forward an update of another pool to the own pool."""
         draft = self._channel.draft
         draft.crashes.extend(update.crashes)
+        draft.cleared_parts.extend(update.cleared_parts)
+        draft.tried_parts.extend(update.tried_parts)
         draft.reports.extend(update.reports)
         draft.idle.MergeFrom(update.idle)
         if update.HasField("config"):
@@ -278,9 +300,27 @@
             self._announced_version = seen.version
             self._on_behind()
 
-    def _handle_crashes(self, update: fleet_news.FleetNews) -> None:
+    def _handle_crashes(
+        self, update: fleet_news.FleetNews, delay_s: float
+    ) -> None:
+        sent_at_s = clock.now_s() - delay_s
         for crash in update.crashes:
-            self._crashes.add(crash.fingerprint, crash.instance)
+            if crash.fingerprint:
+                self._crashes.add(crash.fingerprint, crash.instance)
+            self._parts.add_crash(
+                part_quarantine.PartCrash(
+                    tuple(crash.parts),
+                    crash.instance,
+                    sent_at_s=sent_at_s - crash.sent_ago_ms / 1000,
+                    broke_at_s=sent_at_s - crash.broke_ago_ms / 1000,
+                )
+            )
+
+    def _handle_parts(self, update: fleet_news.FleetNews) -> None:
+        for part in update.cleared_parts:
+            self._parts.clear(part)
+        for part in update.tried_parts:
+            self._parts.postpone_trial(part)
 
     def _handle_reports(self, update: fleet_news.FleetNews) -> None:
         for report in update.reports:
--- a/src/fireflyspur/gateway/messages.py
+++ b/src/fireflyspur/gateway/messages.py
@@ -47,6 +47,8 @@
     :param max_output_tokens: maximum number of tokens in the response
     :param api_key: API key of the caller, or None if not given
     :param last_event_id: event after which to resume the stream
+    :param shared_parts: names of the parts of the prompt that other prompts
+        may share, in order
     """
 
     attempt_id: str
@@ -55,6 +57,7 @@
     max_output_tokens: int
     api_key: str | None
     last_event_id: str | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/request_runner.py
@@ -18,6 +18,7 @@
 from fireflyspur.gateway import in_flight_reporter
 from fireflyspur.gateway import memory_reserver
 from fireflyspur.gateway import messages
+from fireflyspur.gateway import part_quarantine
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import quarantine
@@ -64,6 +65,7 @@
     placer: placements.EndpointSelector
     retries: retry_budget.RetryBudget
     crashes: quarantine.Quarantine
+    parts: part_quarantine.PartQuarantine
     memory: memory_reserver.MemoryReserver
     is_draining: Callable[[], bool]
     exits_at_s: Callable[[], float | None]
@@ -92,6 +94,11 @@
         self._fingerprint = quarantine.fingerprint_of(
             plan.request, plan.account_name or plan.info.api_key or ""
         )
+        self._parts = part_quarantine.part_ids(
+            plan.service.name, plan.info.shared_parts
+        )
+        # Clock time of the start of the last attempt.
+        self._attempted_at_s = 0.0
         self._tried: list[str] = []
         self._excluded: list[str] = []
         self._retries = 0
@@ -164,7 +171,11 @@
         if len(self._excluded) >= _MAX_EXCLUDED:
             return False
         if self._deps.crashes.is_quarantined(self._fingerprint):
-            raise self._crashing_error()
+            raise self._crashing_error("the request crashed several endpoints")
+        if self._deps.parts.is_quarantined(self._parts):
+            raise self._crashing_error(
+                "a part of the prompt crashed several endpoints"
+            )
         return True
 
     def _acquire_retry(self) -> bool:
@@ -210,8 +221,10 @@
         :raises FireflyspurError: if no other endpoint may be tried
         """
         match result:
-            case attempt_result.Delivered(status):
+            case attempt_result.Delivered(status, is_confirmed):
                 self._deps.directory.record_success(placement.primary.instance)
+                if is_confirmed:
+                    self._deps.parts.record_success(self._parts)
                 self.log_end(status, None)
                 return True
             case attempt_result.NotSent(reason, instance):
@@ -254,6 +267,7 @@
     ) -> attempt_result.AttemptResult:
         self._tried.append(placement.primary.instance)
         self._placement = placement
+        self._attempted_at_s = clock.now_s()
         with contextlib.ExitStack() as stack:
             on_response_start = self._track_in_flight(stack, placement)
             attempt = attempts.Attempt(
@@ -373,10 +387,20 @@
             return
         self._deps.directory.record_fault(instance, result.reason)
         if result.is_connection_lost:
+            crash = part_quarantine.PartCrash(
+                self._parts,
+                instance,
+                sent_at_s=self._attempted_at_s,
+                broke_at_s=clock.now_s(),
+            )
             self._deps.monitor.check_crash(
-                placement.primary, self._fingerprint
+                placement.primary, lambda: self._record_crash(crash)
             )
 
+    def _record_crash(self, crash: part_quarantine.PartCrash) -> None:
+        self._deps.crashes.record_crash(self._fingerprint, crash.instance)
+        self._deps.parts.record_crash(crash)
+
     def _stall_detector(
         self, placement: placements.Placement
     ) -> http_exchange.SilenceCallback:
@@ -425,8 +449,9 @@
     def _capacity_error(self, reason: str) -> exceptions.NoCapacityError:
         return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
 
-    def _crashing_error(self) -> base_exceptions.FireflyspurError:
-        message = "the request crashed several endpoints"
+    def _crashing_error(
+        self, message: str
+    ) -> base_exceptions.FireflyspurError:
         if self._may_have_run:
             return exceptions.BrokenResponseError(message)
         return exceptions.CrashingRequestError(
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -5,6 +5,8 @@
 from fireflyspur.platform import headers as header_names
 
 _API_KEY_SCHEME = "token "
+# Prompts consist of a few parts.
+_MAX_PARTS = 32
 # Request headers of the caller that are not forwarded. The node sets some of
 # them itself.
 _NOT_FORWARDED = frozenset(
@@ -42,6 +44,9 @@
                 values.get(header_names.AUTHORIZATION.lower(), "")
             ),
             last_event_id=values.get(header_names.LAST_EVENT_ID.lower()),
+            shared_parts=_parse_shared_parts(
+                values.get(header_names.PROMPT_PREFIX.lower(), "")
+            ),
         )
 
     def encode_request(
@@ -99,6 +104,12 @@
     return _parse_int(prompt.strip()) or 0, _parse_int(output.strip()) or 0
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the parts of a prompt without the last, which is its own."""
+    parts = [entry.partition(":")[0].strip() for entry in text.split(",")]
+    return tuple(filter(None, parts[:-1][:_MAX_PARTS]))
+
+
 def _parse_api_key(authorization: str) -> str | None:
     if not authorization.lower().startswith(_API_KEY_SCHEME):
         return None
--- a/src/fireflyspur/platform/headers.py
+++ b/src/fireflyspur/platform/headers.py
@@ -3,6 +3,7 @@
 ATTEMPT_ID = b"X-Fireflyspur-Attempt-Id"
 DEADLINE_MS = b"X-Fireflyspur-Deadline-Ms"
 TOKEN_COUNT = b"X-Fireflyspur-Token-Count"
+PROMPT_PREFIX = b"X-Fireflyspur-Prompt-Prefix"
 LAST_EVENT_ID = b"Last-Event-Id"
 AUTHORIZATION = b"Authorization"
 # Proves that the endpoint itself sent the response.
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -124,6 +124,22 @@
         self.assertEqual(0, info.prompt_tokens)
         self.assertEqual(0, info.max_output_tokens)
 
+    def test_last_part_of_a_prompt_is_its_own(self):
+        info = self.decode(
+            (b"X-Fireflyspur-Prompt-Prefix", b"5c1e:800, 91bd:410,e440:250")
+        )
+        self.assertEqual(("5c1e", "91bd"), info.shared_parts)
+
+    def test_invalid_prompt_prefixes_name_no_parts(self):
+        for value in (b"", b",,,", b":,:", b"5c1e:800", b"\xff\xfe"):
+            info = self.decode((b"X-Fireflyspur-Prompt-Prefix", value))
+            self.assertEqual((), info.shared_parts)
+
+    def test_parts_of_a_prompt_are_bounded(self):
+        value = b",".join(b"%x:1" % n for n in range(500))
+        info = self.decode((b"X-Fireflyspur-Prompt-Prefix", value))
+        self.assertEqual(32, len(info.shared_parts))
+
     def test_other_authorization_scheme_is_ignored(self):
         info = self.decode((b"Authorization", b"Bearer abc"))
         self.assertIsNone(info.api_key)
