Keep the rates that endpoints name, by all nodes together

Cause: nothing read the header in which an endpoint in need names the requests a second that it takes from all nodes. Four nodes sent 160 requests in 4 s to an endpoint that takes 2 a second; 17 may come.

Change: each node counts the requests to such an endpoint that it sends and hears of, and sends while the rate has room; the exchange of requests that stands is enough for it. Limits are announced when they change and in heartbeats. Work goes to endpoints with room; else the request is refused at once with rate_limited, and the times to return follow at the rate.

--- a/src/fireflyspur/experiment/node_model.py
+++ b/src/fireflyspur/experiment/node_model.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import in_flight_reporter
 from fireflyspur.gateway import in_flight_table
+from fireflyspur.gateway import rate_limits
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 # Time for which updates are collected, including the network latency.
@@ -67,7 +68,7 @@
         self.table = in_flight_table.InFlightTable()
         outbox = _Outbox(name, time, lambda update: send(self, update))
         self.reporter = in_flight_reporter.InFlightReporter(
-            name, self.table, outbox
+            name, self.table, outbox, rate_limits.RateLimits.unlimited()
         )
         self.policy = policies.build(policy, self.directory, self.table)
 
--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/attempt.py
@@ -34,6 +34,7 @@
     :param codec: encodes and decodes the headers
     :param relay: relays the response to the caller
     :param memory: reserves memory on helpers
+    :param on_head: called with what the head of a response says
     :param on_response_start: called when a successful response starts
     :param watch_silence: returns the callback that decides how long to wait
         for a silent response
@@ -45,6 +46,7 @@
         codec: messages.Codec,
         relay: response_relay.ResponseRelay,
         memory: memory_reserver.MemoryReserver,
+        on_head: Callable[[messages.ResponseInfo], None],
         on_response_start: Callable[[], None],
         watch_silence: Callable[
             [placements.Placement], http_exchange.SilenceCallback
@@ -54,6 +56,7 @@
         self._codec = codec
         self._relay = relay
         self._memory = memory
+        self._on_head = on_head
         self._on_response_start = on_response_start
         self._watch_silence = watch_silence
 
@@ -169,6 +172,8 @@
             raise exceptions.BrokenResponseError(
                 "the response belongs to another attempt"
             )
+        if head.status != _OTHER_INSTANCE:
+            self._on_head(info)
         if info.is_not_run or head.status == _OTHER_INSTANCE:
             return attempt_result.NotRun(
                 f"status {head.status}",
--- a/src/fireflyspur/gateway/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoint_directory.py
@@ -55,6 +55,11 @@
         """When the latest list was read, or None before the first."""
         return self._read_at_s
 
+    @property
+    def instances(self) -> Iterable[str]:
+        """Instances of all listed endpoints."""
+        return self._endpoints.keys()
+
     def age_s(self) -> float:
         """Return the age of the list in seconds."""
         if self._read_at_s is None:
--- a/src/fireflyspur/gateway/engine_candidates.py
+++ b/src/fireflyspur/gateway/engine_candidates.py
@@ -10,6 +10,7 @@
 from fireflyspur.gateway import idle_engines
 from fireflyspur.gateway import in_flight_table
 from fireflyspur.gateway import pool_map
+from fireflyspur.gateway import rate_limits
 
 # Maximum number of engines to compare for one prompt. The best of a sample of
 # this size is nearly as good as the best of all, and the time per selection
@@ -45,6 +46,7 @@
     :param table: in-flight requests on the engines of the own pool
     :param pools: pools of the fleet
     :param idle: idle engines of other pools
+    :param limits: rates that endpoints name
     """
 
     def __init__(
@@ -53,11 +55,13 @@
         table: in_flight_table.InFlightTable,
         pools: pool_map.PoolMap,
         idle: idle_engines.IdleEngines,
+        limits: rate_limits.RateLimits,
     ) -> None:
         self._directory = directory
         self._table = table
         self._pools = pools
         self._idle = idle
+        self._limits = limits
         self._own: dict[str, _OwnEngines] = {}
 
     @classmethod
@@ -68,7 +72,13 @@
     ) -> "EngineCandidates":
         """Return candidates for a fleet that is one pool."""
         pools = pool_map.PoolMap("", "")
-        return cls(directory, table, pools, idle_engines.IdleEngines())
+        return cls(
+            directory,
+            table,
+            pools,
+            idle_engines.IdleEngines(),
+            rate_limits.RateLimits.unlimited(),
+        )
 
     def in_pool(
         self, service: str, excluded: frozenset[str]
@@ -91,6 +101,7 @@
             and not self._table.count(endpoint.instance)
             and not self._directory.is_paused(endpoint.instance)
             and endpoint.instance not in excluded
+            and self._limits.allows(endpoint)
         ]
         return _sample(found, _MAX_COMPARED)
 
@@ -115,13 +126,18 @@
 
         If all of them are paused, a paused one is better than none.
         """
-        usable = [
+        allowed = [
             endpoint
             for endpoint in listed
             if endpoint.instance not in excluded
-            and not self._directory.is_paused(endpoint.instance)
+            and self._limits.allows(endpoint)
+        ]
+        usable = [
+            endpoint
+            for endpoint in allowed
+            if not self._directory.is_paused(endpoint.instance)
         ]
-        return usable or [e for e in listed if e.instance not in excluded]
+        return usable or allowed
 
     def find_idle(self, service: str, count: int) -> list[str]:
         """Return some idle engines of the own pool."""
@@ -130,6 +146,7 @@
             for endpoint in self._own_engines(service)
             if not self._table.count(endpoint.instance)
             and not self._directory.is_paused(endpoint.instance)
+            and not self._limits.is_limited(endpoint)
         ]
         return _sample(idle, count)
 
--- a/src/fireflyspur/gateway/exceptions.py
+++ b/src/fireflyspur/gateway/exceptions.py
@@ -76,6 +76,13 @@
     http_status = 503
 
 
+class RateLimitedError(exceptions.FireflyspurError):
+    """All endpoints have reached the rates that they name."""
+
+    code = "rate_limited"
+    http_status = 503
+
+
 class MemoryRefusedError(exceptions.FireflyspurError):
     """An engine did not confirm a reservation of memory; no prompt was sent.
 
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import config_holder
+from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_sync
 from fireflyspur.gateway import engine_candidates
@@ -18,6 +19,7 @@
 from fireflyspur.gateway import part_quarantine
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import quarantine
+from fireflyspur.gateway import rate_limits
 from fireflyspur.gateway import reader_rank
 from fireflyspur.gateway import registry as registries
 from fireflyspur.gateway import suspension
@@ -74,8 +76,14 @@
             name, address, self._peers, self._handle_update
         )
         self._sync = endpoint_sync.EndpointSync(directory)
+        self._limits = rate_limits.RateLimits(
+            lambda: self._channel.fleet_draft,
+            directory.find_named,
+            self._is_own,
+            self._limit_share,
+        )
         self._in_flight = in_flight_reporter.InFlightReporter(
-            name, table, self._channel
+            name, table, self._channel, self._limits
         )
         self._crashes = quarantine.Quarantine(self._announce_crash)
         self._parts = part_quarantine.PartQuarantine(
@@ -84,7 +92,7 @@
         self._announced_version = 0
         self._idle = idle_engines.IdleEngines()
         self._candidates = engine_candidates.EngineCandidates(
-            directory, table, self._peers.pools, self._idle
+            directory, table, self._peers.pools, self._idle, self._limits
         )
         self._idle_reporter = idle_reporter.IdleReporter(
             name, holder, self._candidates, self._peers, self._channel
@@ -111,6 +119,11 @@
         """Parts of prompts that crashed endpoints."""
         return self._parts
 
+    @property
+    def limits(self) -> rate_limits.RateLimits:
+        """Rates that endpoints name for all nodes."""
+        return self._limits
+
     @property
     def channel(self) -> update_channel.UpdateChannel:
         """Channel for updates between the nodes."""
@@ -203,6 +216,7 @@
             await asyncio.sleep(HEARTBEAT_S)
             self._detector.tick()
             self._in_flight_table.expire(clock.now_s())
+            self._limits.keep_only(self._directory.instances)
             self._peers.log_silent_peers()
             self._send_heartbeat()
             self._idle_reporter.report()
@@ -218,6 +232,8 @@
             update.config.CopyFrom(self._config_seen())
         if not update.quarantined_parts:
             update.quarantined_parts.extend(self._parts.describe())
+        if not update.limits:
+            update.limits.extend(self._limits.describe())
         seen = self._sync.describe()
         if seen is not None and not update.HasField("endpoints"):
             update.endpoints.CopyFrom(seen)
@@ -228,6 +244,19 @@
             version=self._holder.version, age_ms=round(age_ms)
         )
 
+    def _is_own(self, endpoint: endpoints.Endpoint) -> bool:
+        pools = self._peers.pools
+        return pools.pool_of_endpoint(endpoint) == pools.own
+
+    def _limit_share(self) -> rate_limits.FleetShare:
+        """Return the share of a limit that this node may use.
+
+        Nodes that this one does not hear may use the rest.
+        """
+        nodes = len(self._peers.recipients()) + 1
+        heard = min(1.0, len(self._peers.live_names()) / nodes)
+        return rate_limits.FleetShare(heard, 1 + len(self._peers.pools.others))
+
     def _trial_rank(self, part: int) -> int:
         return reader_rank.rank_of(
             self._name, self._peers.live_names(), f"part-{part}"
@@ -254,6 +283,8 @@
             return
         for seen in update.quarantined_parts:
             self._parts.update_from_peer(seen)
+        for limit in update.limits:
+            self._limits.update_from_peer(limit, contact.delay_s)
         self._in_flight.apply_update(update, contact.is_restarted)
         if update.HasField("config"):
             self._handle_config(update.config)
@@ -285,6 +316,7 @@
         draft = self._channel.draft
         draft.crashes.extend(update.crashes)
         draft.cleared_parts.extend(update.cleared_parts)
+        draft.limits.extend(update.limits)
         draft.tried_parts.extend(update.tried_parts)
         draft.reports.extend(update.reports)
         draft.idle.MergeFrom(update.idle)
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -173,6 +173,7 @@
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
                 parts=self._link.parts,
+                limits=self._link.limits,
                 memory=self._memory_reserver,
                 is_draining=lambda: self._drain.is_begun,
                 exits_at_s=lambda: self._drain.deadline_s,
--- a/src/fireflyspur/gateway/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/in_flight_reporter.py
@@ -12,6 +12,7 @@
 from fireflyspur.gateway import latency_model
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway import rate_limits
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 # The end of a prefill is reported for prompts of at least this length; for
@@ -37,6 +38,7 @@
     :param node_name: name of this node
     :param table: in-flight requests of all nodes
     :param outbox: sends updates to the other nodes
+    :param limits: counts the requests to endpoints that name a rate
     """
 
     def __init__(
@@ -44,10 +46,12 @@
         node_name: str,
         table: in_flight_table.InFlightTable,
         outbox: UpdateOutbox,
+        limits: rate_limits.RateLimits,
     ) -> None:
         self._node_name = node_name
         self._table = table
         self._outbox = outbox
+        self._limits = limits
         self._numbers = itertools.count(1)
         # Endpoints of the own entries, by number.
         self._endpoints: dict[int, endpoints.Endpoint] = {}
@@ -101,6 +105,7 @@
         started.number = number
         self._endpoints[number] = endpoint
         self._table.add(to_in_flight(self._node_name, started))
+        self._limits.add_start(endpoint.instance)
         for draft in self._outbox.drafts_for(endpoint):
             draft.started.append(started)
         try:
@@ -134,6 +139,7 @@
             self._table.remove_all(_key(update.node, ""))
         for started in update.started:
             self._table.add(to_in_flight(update.node, started))
+            self._limits.add_start(started.instance)
         for number in update.read:
             self._table.mark_prefilled(_key(update.node, number))
         for number in update.ended:
--- a/src/fireflyspur/gateway/messages.py
+++ b/src/fireflyspur/gateway/messages.py
@@ -118,6 +118,9 @@
         the request fail, or None
     :param is_encoded: whether the body has a content encoding, so that it
         is not the bytes that the endpoint produced
+    :param rate_limit: requests a second that the endpoint takes from all
+        nodes together; None if it names no limit, or an invalid one
+    :param is_rate_limit_invalid: whether it names a limit that cannot be used
     """
 
     is_sealed: bool
@@ -126,6 +129,8 @@
     instance: str | None
     failed_member: str | None
     is_encoded: bool
+    rate_limit: float | None = None
+    is_rate_limit_invalid: bool = False
 
 
 class Codec(abc.ABC):
--- /dev/null
+++ b/src/fireflyspur/gateway/rate_limits.py
@@ -0,0 +1,294 @@
+"""Rate limits that endpoints name for all nodes together."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.observability import logs
+
+# An endpoint that names a lower rate, such as zero, still gets a request now
+# and then: only its responses tell that the limit has ended.
+_MIN_RATE_PER_S = 0.05
+# Requests of this time may be sent at once.
+_BURST_S = 0.5
+# Nodes of other pools send nothing if their share is lower: many small shares
+# used at the same moment would exceed the limit.
+_MIN_FOREIGN_RATE_PER_S = 0.5
+_MAX_WAIT_AFTER_RISE_S = 1.0
+# A changed limit is announced at most once in this time for each endpoint.
+_ANNOUNCE_INTERVAL_S = 0.2
+# Bound of a heartbeat.
+_MAX_SHARED_LIMITS = 32
+# Bounds of memory; the oldest limits are removed first.
+_MAX_LIMITS = 4_096
+# Requests that were refused at the same moment return over at least this
+# time.
+_MIN_RETURN_SPREAD_S = 0.1
+# Time after which a caller may find another node, in the endpoint's pool.
+_FOREIGN_RETRY_S = 0.25
+
+_log = logs.log_for("limits")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Limit:
+    """The last word of an endpoint on its rate.
+
+    :param requests_per_s: None if the limit has ended
+    :param heard_at_s: clock time of the response that named it
+    :param born_ms: start of the endpoint in Unix ms, or 0 if not known
+    :param next_at_s: clock time at which all requests that are known here
+        have been due, at the rate that this node may use
+    """
+
+    requests_per_s: float | None
+    heard_at_s: float
+    born_ms: int
+    next_at_s: float
+    announced_at_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetShare:
+    """Share of a limit that this node may use.
+
+    :param heard: share of the nodes of the pool that this node hears
+    :param pools: number of pools of the fleet
+    """
+
+    heard: float
+    pools: int
+
+
+class RateLimits:
+    """Keeps the rates of all endpoints that name one.
+
+    Each node counts the requests that it sends to such an endpoint, and those
+    that others report. In the pool of the endpoint, all are reported, so
+    that the pool uses what is left of the rate. Nodes of other pools only
+    hear of their own pool, which uses its share.
+
+    :param publish: returns the draft of the next update for all nodes
+    :param find: returns the endpoint with an instance, or None
+    :param is_own: returns whether an endpoint is in the pool of this node
+    :param share: returns the share of this node
+    """
+
+    def __init__(
+        self,
+        publish: Callable[[], fleet_news.FleetNews],
+        find: Callable[[str], endpoints.Endpoint | None],
+        is_own: Callable[[endpoints.Endpoint], bool],
+        share: Callable[[], FleetShare],
+    ) -> None:
+        self._publish = publish
+        self._find = find
+        self._is_own = is_own
+        self._share = share
+        self._limits: dict[str, _Limit] = {}
+        self._next_return_s = 0.0
+        # Endpoints whose invalid limit has been logged.
+        self._invalid: set[str] = set()
+
+    @classmethod
+    def unlimited(cls) -> "RateLimits":
+        """Return limits of a fleet whose endpoints name none."""
+        return cls(
+            fleet_news.FleetNews,
+            lambda _: None,
+            lambda _: True,
+            lambda: FleetShare(1.0, 1),
+        )
+
+    def record(
+        self, endpoint: endpoints.Endpoint, requests_per_s: float | None
+    ) -> None:
+        """Record what a response of an endpoint says of its rate.
+
+        :param requests_per_s: None if it names no limit
+        """
+        if requests_per_s is None and endpoint.instance not in self._limits:
+            return
+        if requests_per_s is not None:
+            requests_per_s = max(_MIN_RATE_PER_S, requests_per_s)
+        now = clock.now_s()
+        previous = self._limits.get(endpoint.instance)
+        born_ms = endpoint.born_ms or 0
+        self._update(endpoint.instance, requests_per_s, now, born_ms)
+        limit = self._limits[endpoint.instance]
+        is_changed = (
+            previous is None
+            or previous.requests_per_s != requests_per_s
+            or previous.born_ms != born_ms
+        )
+        is_due = now - limit.announced_at_s >= _ANNOUNCE_INTERVAL_S
+        is_end = requests_per_s is None
+        if is_changed and (is_due or is_end):
+            self._limits[endpoint.instance] = dataclasses.replace(
+                limit, announced_at_s=now
+            )
+            self._publish().limits.append(
+                self._describe(endpoint.instance, now)
+            )
+
+    def record_invalid(self, endpoint: endpoints.Endpoint) -> None:
+        """Log that an endpoint names an invalid limit.
+
+        What it said before stays in force.
+        """
+        if endpoint.instance not in self._invalid:
+            self._invalid.add(endpoint.instance)
+            _log.warning("Limit not valid", instance=endpoint.instance)
+
+    def update_from_peer(
+        self, seen: fleet_news.EndpointLimit, delay_s: float
+    ) -> None:
+        """Apply a limit that another node heard of, unless it is older."""
+        heard_at_s = clock.now_s() - delay_s - seen.heard_ago_ms / 1000
+        previous = self._limits.get(seen.instance)
+        if previous is not None and previous.heard_at_s >= heard_at_s:
+            return
+        self._update(
+            seen.instance,
+            seen.requests_per_s or None,
+            heard_at_s,
+            seen.born_ms,
+        )
+
+    def add_start(self, instance: str) -> None:
+        """Count a request that this or another node sends to an endpoint."""
+        if instance not in self._limits:
+            return
+        endpoint = self._find(instance)
+        rate = 0.0 if endpoint is None else self._rate_per_s(endpoint)
+        if not rate:
+            return
+        limit = self._limits[instance]
+        next_at_s = max(limit.next_at_s, clock.now_s()) + 1 / rate
+        self._limits[instance] = dataclasses.replace(
+            limit, next_at_s=next_at_s
+        )
+
+    def allows(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether a request may be sent to an endpoint now."""
+        if endpoint.instance not in self._limits:
+            return True
+        return self._wait_s(endpoint) <= 0
+
+    def is_limited(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether the limit of an endpoint is in force."""
+        limit = self._limits.get(endpoint.instance)
+        if limit is None or limit.requests_per_s is None:
+            return False
+        # A process that started later has not said so.
+        return limit.born_ms == (endpoint.born_ms or 0)
+
+    def retry_after_s(
+        self, listed: Sequence[endpoints.Endpoint]
+    ) -> float | None:
+        """Return when to return after a refusal, in the order of refusals.
+
+        :param listed: the endpoints that might serve the request
+        :returns: None if one of them allows a request now
+        """
+        wait_s = min(map(self._wait_s, listed), default=0.0)
+        if wait_s <= 0:
+            return None
+        if wait_s == float("inf"):
+            return _FOREIGN_RETRY_S
+        now = clock.now_s()
+        rate = sum(self._rate_per_s(endpoint) for endpoint in listed)
+        earliest_s = max(now + wait_s, self._next_return_s)
+        self._next_return_s = earliest_s + 1 / rate
+        spread_s = max(_MIN_RETURN_SPREAD_S, 1 / rate)
+        return earliest_s - now + random.uniform(0, spread_s)
+
+    def describe(self) -> list[fleet_news.EndpointLimit]:
+        """Return the limits in force, for other nodes."""
+        now = clock.now_s()
+        instances = [
+            instance
+            for instance, limit in self._limits.items()
+            if limit.requests_per_s is not None
+        ]
+        return [
+            self._describe(instance, now)
+            for instance in instances[-_MAX_SHARED_LIMITS:]
+        ]
+
+    def keep_only(self, instances: Iterable[str]) -> None:
+        """Drop the limits of endpoints that are not listed any more."""
+        listed = set(instances)
+        self._invalid &= listed
+        for instance in self._limits.keys() - listed:
+            del self._limits[instance]
+
+    def _update(
+        self,
+        instance: str,
+        requests_per_s: float | None,
+        heard_at_s: float,
+        born_ms: int,
+    ) -> None:
+        previous = self._limits.pop(instance, None)
+        is_same = previous is not None and previous.born_ms == born_ms
+        next_at_s = announced_at_s = 0.0
+        if is_same:
+            next_at_s = previous.next_at_s
+            announced_at_s = previous.announced_at_s
+        old = previous.requests_per_s if is_same else None
+        if requests_per_s is not None and requests_per_s > (old or 0.0):
+            # The wait at a low rate must not outlast it for long.
+            next_at_s = min(next_at_s, clock.now_s() + _MAX_WAIT_AFTER_RISE_S)
+        if old != requests_per_s:
+            _log.info(
+                "Limit changed",
+                instance=instance,
+                requests_per_s=requests_per_s,
+                before_per_s=old,
+            )
+        self._limits[instance] = _Limit(
+            requests_per_s, heard_at_s, born_ms, next_at_s, announced_at_s
+        )
+        if old is None:
+            # What was sent before is not known.
+            self.add_start(instance)
+        while len(self._limits) > _MAX_LIMITS:
+            del self._limits[next(iter(self._limits))]
+
+    def _wait_s(self, endpoint: endpoints.Endpoint) -> float:
+        """Return the time until a request may be sent to an endpoint."""
+        if not self.is_limited(endpoint):
+            return 0.0
+        rate = self._rate_per_s(endpoint)
+        if not rate:
+            return float("inf")
+        ahead_s = self._limits[endpoint.instance].next_at_s - clock.now_s()
+        burst = max(1.0, _BURST_S * rate)
+        return ahead_s - (burst - 1) / rate
+
+    def _rate_per_s(self, endpoint: endpoints.Endpoint) -> float:
+        """Return the rate at which nodes that this one hears may send."""
+        if not self.is_limited(endpoint):
+            return 0.0
+        rate = self._limits[endpoint.instance].requests_per_s
+        share = self._share()
+        rate *= share.heard
+        if self._is_own(endpoint):
+            return rate
+        rate /= share.pools
+        return rate if rate >= _MIN_FOREIGN_RATE_PER_S else 0.0
+
+    def _describe(self, instance: str, now: float) -> fleet_news.EndpointLimit:
+        limit = self._limits[instance]
+        return fleet_news.EndpointLimit(
+            instance=instance,
+            requests_per_s=limit.requests_per_s or 0.0,
+            heard_ago_ms=max(0, round((now - limit.heard_at_s) * 1000)),
+            born_ms=limit.born_ms,
+        )
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/request_runner.py
@@ -10,6 +10,7 @@
 from fireflyspur.gateway import attempt as attempts
 from fireflyspur.gateway import attempt_result
 from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import endpoint_monitor
 from fireflyspur.gateway import exceptions
@@ -22,6 +23,7 @@
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import quarantine
+from fireflyspur.gateway import rate_limits
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import request_report
 from fireflyspur.gateway import request_timeouts
@@ -66,6 +68,7 @@
     retries: retry_budget.RetryBudget
     crashes: quarantine.Quarantine
     parts: part_quarantine.PartQuarantine
+    limits: rate_limits.RateLimits
     memory: memory_reserver.MemoryReserver
     is_draining: Callable[[], bool]
     exits_at_s: Callable[[], float | None]
@@ -97,6 +100,8 @@
         self._parts = part_quarantine.part_ids(
             plan.service.name, plan.info.shared_parts
         )
+        # When to return if the rates of all endpoints are used up.
+        self._limited_retry_s: float | None = None
         # Clock time of the start of the last attempt.
         self._attempted_at_s = 0.0
         self._tried: list[str] = []
@@ -207,6 +212,10 @@
         if placement is None and not excluded:
             any_ready = self._deps.directory.ready(plan.service.name)
             self._reason = _NO_ROOM if any_ready else _NONE_READY
+        if placement is None:
+            self._limited_retry_s = self._deps.limits.retry_after_s(
+                self._deps.directory.ready(plan.service.name)
+            )
         return placement
 
     async def _handle_result(
@@ -275,6 +284,7 @@
                 self._deps.codec,
                 self._relay,
                 self._deps.memory,
+                lambda info: self._record_limit(placement.primary, info),
                 on_response_start,
                 self._stall_detector,
             )
@@ -288,6 +298,16 @@
                     self._may_have_run = may_have_run
             return result
 
+    def _record_limit(
+        self, endpoint: endpoints.Endpoint, info: messages.ResponseInfo
+    ) -> None:
+        if info.instance not in (None, endpoint.instance):
+            return
+        if info.is_rate_limit_invalid:
+            self._deps.limits.record_invalid(endpoint)
+        else:
+            self._deps.limits.record(endpoint, info.rate_limit)
+
     def _track_in_flight(
         self, stack: contextlib.ExitStack, placement: placements.Placement
     ) -> Callable[[], None]:
@@ -446,7 +466,12 @@
         await self._relay.send_failure(result.head, result.body)
         self.log_end(status, None)
 
-    def _capacity_error(self, reason: str) -> exceptions.NoCapacityError:
+    def _capacity_error(self, reason: str) -> base_exceptions.FireflyspurError:
+        if self._limited_retry_s is not None:
+            return exceptions.RateLimitedError(
+                "all endpoints have reached the rates that they name",
+                retry_after_s=self._limited_retry_s,
+            )
         return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
 
     def _crashing_error(
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -1,9 +1,12 @@
 """Encoding and decoding of the platform's HTTP headers."""
 
+import re
+
 from fireflyspur.gateway import hop_headers
 from fireflyspur.gateway import messages
 from fireflyspur.platform import headers as header_names
 
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _API_KEY_SCHEME = "token "
 # Prompts consist of a few parts.
 _MAX_PARTS = 32
@@ -77,6 +80,12 @@
     ) -> messages.ResponseInfo:
         """Decode the headers of an endpoint's response."""
         values = _decode_values(head.headers)
+        limits = [
+            value.decode("latin-1").strip()
+            for name, value in head.headers
+            if name.lower() == header_names.SERVER_LIMIT.lower()
+        ]
+        rate_limit = _parse_decimal(limits[0]) if len(limits) == 1 else None
         return messages.ResponseInfo(
             is_sealed=header_names.RESPONSE_SEAL.lower() in values,
             is_not_run=header_names.NOT_EXECUTED.lower() in values,
@@ -84,6 +93,8 @@
             instance=values.get(header_names.INSTANCE_ID.lower()),
             failed_member=values.get(header_names.AT_SERVER.lower()),
             is_encoded=header_names.CONTENT_ENCODING.lower() in values,
+            rate_limit=rate_limit,
+            is_rate_limit_invalid=bool(limits) and rate_limit is None,
         )
 
 
@@ -98,6 +109,10 @@
     return int(text) if text and text.isdecimal() else None
 
 
+def _parse_decimal(text: str) -> float | None:
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def _parse_token_count(text: str | None) -> tuple[int, int]:
     """Return the prompt tokens and the maximum output tokens."""
     prompt, _, output = (text or "").partition(",")
--- a/src/fireflyspur/platform/headers.py
+++ b/src/fireflyspur/platform/headers.py
@@ -16,5 +16,7 @@
 PRIORITY = b"X-Fireflyspur-Request-Priority"
 HELPERS = b"X-Fireflyspur-Helpers"
 CONTENT_ENCODING = b"Content-Encoding"
+# Requests a second that the server takes from all nodes together.
+SERVER_LIMIT = b"Server-Limit"
 # Identifies the server that made the request to a group of servers fail.
 AT_SERVER = b"At-Server"
--- a/tests/gateway/test_engine_candidates.py
+++ b/tests/gateway/test_engine_candidates.py
@@ -13,6 +13,7 @@
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import pool_map
+from fireflyspur.gateway import rate_limits
 from fireflyspur.gateway import routing_config
 from tests.support import fake_clock
 
@@ -34,7 +35,11 @@
             {f"node-{n}": f"zone-{'ab'[n % 2]}" for n in range(_NODES)}
         )
         self.candidates = engine_candidates.EngineCandidates(
-            self.directory, self.table, pools, self.idle
+            self.directory,
+            self.table,
+            pools,
+            self.idle,
+            rate_limits.RateLimits.unlimited(),
         )
         self.selector = placement.EndpointSelector(
             self.directory, self.table, self.candidates, "zone-a"
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -6,6 +6,7 @@
 
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import messages
 from fireflyspur.gateway import routing_config
 from fireflyspur.platform import config_codec
 from fireflyspur.platform import endpoint_codec
@@ -124,6 +125,22 @@
         self.assertEqual(0, info.prompt_tokens)
         self.assertEqual(0, info.max_output_tokens)
 
+    def test_rate_limit_is_a_plain_decimal(self):
+        for value, rate in ((b"2", 2.0), (b"0.5", 0.5), (b"0", 0.0)):
+            info = self.decode_limit(value)
+            self.assertEqual((rate, False), info)
+        for value in (b"-1", b"nan", b"inf", b"9" * 400, b"", b"1e3", b"+2"):
+            self.assertEqual((None, True), self.decode_limit(value))
+        self.assertEqual((None, True), self.decode_limit(b"2", b"2"))
+        self.assertEqual((None, False), self.decode_limit())
+
+    def decode_limit(self, *values):
+        headers = [(b"Server-Limit", value) for value in values]
+        info = header_codec.HeaderCodec().decode_response(
+            messages.ResponseHead(200, headers)
+        )
+        return info.rate_limit, info.is_rate_limit_invalid
+
     def test_last_part_of_a_prompt_is_its_own(self):
         info = self.decode(
             (b"X-Fireflyspur-Prompt-Prefix", b"5c1e:800, 91bd:410,e440:250")
