Acquire another trial if the engine of the first is lost or full

Cause: a suspect first acquires a trial on an engine and then has it chosen. If the engine is lost or fills up while the trial is recorded in the log, the router chooses another one, and the request ended.

Change: the trial is released and another one acquired, within the time limit.

Result: test_trial_is_acquired_again_if_its_engine_is_lost fails before with just that error, and passes.

--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -35,6 +35,8 @@
 # run". The response waits for it up to this time.
 _CANCEL_WAIT_S = 0.25
 _INTERRUPT_WAIT_S = 0.5
+# A full engine may still be a candidate for the next trial.
+_TRIAL_PAUSE_S = 0.1
 _MAX_REFUSALS = 8
 _MAX_ATTEMPTS = 16
 _RETRY_AFTER_S = 1.0
@@ -154,23 +156,8 @@
             deps.router.view.add(placement)
             placed = _PlacedAttempt(placement, group)
         elif deps.quarantine.is_suspect(self._fingerprint):
-            trial = await stack.enter_async_context(
-                deps.quarantine.trials.acquire(
-                    self._fingerprint,
-                    self._trial_candidates,
-                    self._deadline,
-                    self._check_quarantine,
-                )
-            )
-            avoid = set(self._candidates()) - {trial.engine}
-            placement = deps.router.choose(self._route(), avoid)
-            placed = _PlacedAttempt(placement, None, trial.is_recorded)
-            if placement.engine != trial.engine:
-                deps.router.finish(placement)
-                raise routing_exceptions.NoEngineError(
-                    f"engine {trial.engine} accepts no more requests",
-                    retry_after_s=_RETRY_AFTER_S,
-                )
+            placed = await self._place_trial(stack)
+            placement = placed.placement
         else:
             avoid = {*self._failed_engines, *deps.quarantine.trials.engines()}
             placement = deps.router.choose(self._route(), avoid)
@@ -178,6 +165,40 @@
         stack.callback(deps.router.finish, placement)
         return placed
 
+    async def _place_trial(
+        self, stack: contextlib.AsyncExitStack
+    ) -> _PlacedAttempt:
+        """Place the prompt on an engine on which it has a trial.
+
+        If the engine is lost or fills up while the trial is recorded in the
+        log, another trial is acquired.
+
+        :param stack: gets the trial
+        """
+        router = self._deps.router
+        while True:
+            self._check_deadline()
+            async with contextlib.AsyncExitStack() as trial_stack:
+                trial = await trial_stack.enter_async_context(
+                    self._deps.quarantine.trials.acquire(
+                        self._fingerprint,
+                        self._trial_candidates,
+                        self._deadline,
+                        self._check_quarantine,
+                    )
+                )
+                avoid = set(self._candidates()) - {trial.engine}
+                placement = router.choose(self._route(), avoid)
+                if placement.engine == trial.engine:
+                    stack.push_async_exit(trial_stack.pop_all())
+                    return _PlacedAttempt(placement, None, trial.is_recorded)
+                router.finish(placement)
+            _log.info(
+                "Engine {} accepts no more requests, another trial follows",
+                trial.engine,
+            )
+            await asyncio.sleep(_TRIAL_PAUSE_S)
+
     def _create_attempt(
         self,
         engine: engine_client.EngineAddress,
--- a/tests/engines/test_prompt_runner.py
+++ b/tests/engines/test_prompt_runner.py
@@ -7,6 +7,8 @@
 
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import exceptions
+from fireflyspur.engines import engine_crash
+from fireflyspur.engines import quarantine
 from fireflyspur.engines import releaser
 from fireflyspur.engines import retry_budget
 from tests.support import fake_engines
@@ -83,6 +85,34 @@
         self.assertEqual([], client.starts)
 
 
+class TestSuspects(testtools.TestCase):
+    def test_trial_is_acquired_again_if_its_engine_is_lost(self):
+        """Guards against a suspect that ends with an engine it never ran on.
+
+        The engine is lost while the trial on it is recorded in the log.
+        """
+        lost = []
+
+        async def append(value):
+            if not lost:
+                lost.append(value["engine"])
+                parts.runner._parts.router.view.mark_unreachable(lost[0])
+            return False
+
+        client = fake_engines.FakeClient([0, 1, 2])
+        request = fake_engines.make_request()
+        parts = fake_engines.make_parts(client, 3)
+        parts.quarantine.trials._stream.append = append
+        fingerprint = quarantine.fingerprint_of(request)
+        parts.quarantine.receive(
+            engine_crash.EngineCrash("crash-1", "e9", "1", (fingerprint,))
+        )
+        errors = asyncio.run(fake_engines.run_all(parts, [request]))
+        self.assertEqual(([None], 1), (errors, len(lost)))
+        [(engine, _)] = client.starts
+        self.assertNotIn(engine, lost)
+
+
 class TestReleaser(testtools.TestCase):
     def release(self, failures, deadline):
         client = fake_engines.FakeClient([])
