Announce the last of quick changes of a rate, and space returns by nodes

Cause: a limit that changed within 0.2 s of its last announcement was not announced unless it changed again, so other pools kept the old one; each node gave refused callers times to return as if it were the only node, and without an end.

Change: the rate that was announced last is kept and compared; the step between returns grows with the nodes that refuse, up to 20 s in all.

Result: two new tests of test_rate_limits.

--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet_link.py
@@ -254,8 +254,9 @@
         Nodes that this one does not hear may use the rest.
         """
         nodes = len(self._peers.recipients()) + 1
-        heard = min(1.0, len(self._peers.live_names()) / nodes)
-        return rate_limits.FleetShare(heard, 1 + len(self._peers.pools.others))
+        live = len(self._peers.live_names())
+        pools = 1 + len(self._peers.pools.others)
+        return rate_limits.FleetShare(min(1.0, live / nodes), pools, live)
 
     def _trial_rank(self, part: int) -> int:
         return reader_rank.rank_of(
--- a/src/fireflyspur/gateway/rate_limits.py
+++ b/src/fireflyspur/gateway/rate_limits.py
@@ -29,6 +29,8 @@
 # Requests that were refused at the same moment return over at least this
 # time.
 _MIN_RETURN_SPREAD_S = 0.1
+# Callers that can't be served within this time are not told an even later one.
+_MAX_RETURN_S = 20.0
 # Time after which a caller may find another node, in the endpoint's pool.
 _FOREIGN_RETRY_S = 0.25
 
@@ -44,6 +46,8 @@
     :param born_ms: start of the endpoint in Unix ms, or 0 if not known
     :param next_at_s: clock time at which all requests that are known here
         have been due, at the rate that this node may use
+    :param announced_at_s: clock time of the last announcement by this node
+    :param announced_per_s: rate that any node announced last
     """
 
     requests_per_s: float | None
@@ -51,6 +55,7 @@
     born_ms: int
     next_at_s: float
     announced_at_s: float = 0.0
+    announced_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,10 +64,12 @@
 
     :param heard: share of the nodes of the pool that this node hears
     :param pools: number of pools of the fleet
+    :param nodes: number of nodes that this node hears, with itself
     """
 
     heard: float
     pools: int
+    nodes: int = 1
 
 
 class RateLimits:
@@ -116,25 +123,13 @@
             return
         if requests_per_s is not None:
             requests_per_s = max(_MIN_RATE_PER_S, requests_per_s)
-        now = clock.now_s()
-        previous = self._limits.get(endpoint.instance)
-        born_ms = endpoint.born_ms or 0
-        self._update(endpoint.instance, requests_per_s, now, born_ms)
-        limit = self._limits[endpoint.instance]
-        is_changed = (
-            previous is None
-            or previous.requests_per_s != requests_per_s
-            or previous.born_ms != born_ms
+        self._update(
+            endpoint.instance,
+            requests_per_s,
+            clock.now_s(),
+            endpoint.born_ms or 0,
         )
-        is_due = now - limit.announced_at_s >= _ANNOUNCE_INTERVAL_S
-        is_end = requests_per_s is None
-        if is_changed and (is_due or is_end):
-            self._limits[endpoint.instance] = dataclasses.replace(
-                limit, announced_at_s=now
-            )
-            self._publish().limits.append(
-                self._describe(endpoint.instance, now)
-            )
+        self._announce(endpoint.instance)
 
     def record_invalid(self, endpoint: endpoints.Endpoint) -> None:
         """Log that an endpoint names an invalid limit.
@@ -159,6 +154,10 @@
             heard_at_s,
             seen.born_ms,
         )
+        self._limits[seen.instance] = dataclasses.replace(
+            self._limits[seen.instance],
+            announced_per_s=seen.requests_per_s or None,
+        )
 
     def add_start(self, instance: str) -> None:
         """Count a request that this or another node sends to an endpoint."""
@@ -203,9 +202,12 @@
             return _FOREIGN_RETRY_S
         now = clock.now_s()
         rate = sum(self._rate_per_s(endpoint) for endpoint in listed)
+        # The other nodes refuse as many.
+        step_s = self._share().nodes / rate
         earliest_s = max(now + wait_s, self._next_return_s)
-        self._next_return_s = earliest_s + 1 / rate
-        spread_s = max(_MIN_RETURN_SPREAD_S, 1 / rate)
+        earliest_s = min(earliest_s, now + _MAX_RETURN_S)
+        self._next_return_s = earliest_s + step_s
+        spread_s = max(_MIN_RETURN_SPREAD_S, step_s)
         return earliest_s - now + random.uniform(0, spread_s)
 
     def describe(self) -> list[fleet_news.EndpointLimit]:
@@ -238,9 +240,11 @@
         previous = self._limits.pop(instance, None)
         is_same = previous is not None and previous.born_ms == born_ms
         next_at_s = announced_at_s = 0.0
+        announced_per_s = None
         if is_same:
             next_at_s = previous.next_at_s
             announced_at_s = previous.announced_at_s
+            announced_per_s = previous.announced_per_s
         old = previous.requests_per_s if is_same else None
         if requests_per_s is not None and requests_per_s > (old or 0.0):
             # The wait at a low rate must not outlast it for long.
@@ -253,7 +257,12 @@
                 before_per_s=old,
             )
         self._limits[instance] = _Limit(
-            requests_per_s, heard_at_s, born_ms, next_at_s, announced_at_s
+            requests_per_s,
+            heard_at_s,
+            born_ms,
+            next_at_s,
+            announced_at_s,
+            announced_per_s,
         )
         if old is None:
             # What was sent before is not known.
@@ -261,6 +270,20 @@
         while len(self._limits) > _MAX_LIMITS:
             del self._limits[next(iter(self._limits))]
 
+    def _announce(self, instance: str) -> None:
+        """Tell all nodes of a limit that changed."""
+        limit, now = self._limits[instance], clock.now_s()
+        if limit.requests_per_s == limit.announced_per_s:
+            return
+        is_due = now - limit.announced_at_s >= _ANNOUNCE_INTERVAL_S
+        if is_due or limit.requests_per_s is None:
+            self._limits[instance] = dataclasses.replace(
+                limit,
+                announced_at_s=now,
+                announced_per_s=limit.requests_per_s,
+            )
+            self._publish().limits.append(self._describe(instance, now))
+
     def _wait_s(self, endpoint: endpoints.Endpoint) -> float:
         """Return the time until a request may be sent to an endpoint."""
         if not self.is_limited(endpoint):
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -114,6 +114,26 @@
             self.limits.record(self.endpoint, 1.0 + number)
         self.assertLessEqual(len(self.sent.limits), 6)
 
+    def test_last_of_quick_changes_is_announced(self):
+        self.limits.record(self.endpoint, 5.0)
+        self.now += 0.1
+        self.limits.record(self.endpoint, 2.0)
+        self.now += 0.2
+        self.limits.record(self.endpoint, 2.0)
+        self.assertEqual(2.0, self.sent.limits[-1].requests_per_s)
+        self.now += 1.0
+        self.limits.record(self.endpoint, 2.0)
+        self.assertEqual(2, len(self.sent.limits))
+
+    def test_callers_of_all_nodes_return_at_the_rate(self):
+        self.limits = make_limits(share=rate_limits.FleetShare(1.0, 1, 4))
+        self.limits.record(self.endpoint, 2.0)
+        waits = [self.limits.retry_after_s([self.endpoint]) for _ in range(9)]
+        self.assertGreater(waits[-1], 16.0)
+        for _ in range(100):
+            wait_s = self.limits.retry_after_s([self.endpoint])
+        self.assertLess(wait_s, 23.0)
+
     def test_invalid_limit_changes_nothing(self):
         self.limits.record(self.endpoint, 2.0)
         self.limits.record_invalid(self.endpoint)
