Keep heartbeats with limits and quarantined parts within one datagram

Cause: up to 32 limits and 16 parts of some 35 B each, with the rest of a heartbeat, exceed the 1,200 B of a datagram that is not fragmented, and each goes to up to 48 nodes a second.

Change: 8 limits and 4 parts, others in each heartbeat.

Result: with 50 of each in force they take less than 800 B (new test).

--- a/src/fireflyspur/gateway/part_quarantine.py
+++ b/src/fireflyspur/gateway/part_quarantine.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 import dataclasses
 import hashlib
+import random
 
 from fireflyspur.gateway import clock
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
@@ -28,8 +29,8 @@
 _TRIAL_S = 15.0
 # Bounds of memory; the oldest parts are removed first.
 _MAX_PARTS = 10_000
-# Bound of a heartbeat.
-_MAX_SHARED_PARTS = 16
+# Parts in a heartbeat, which must fit in one datagram.
+_MAX_SHARED_PARTS = 4
 
 _log = logs.log_for("crashes")
 
@@ -189,7 +190,10 @@
             )
 
     def describe(self) -> list[fleet_news.QuarantinedPart]:
-        """Return the parts that crashed engines last, for other nodes."""
+        """Return quarantined parts, for other nodes.
+
+        If there are many, each heartbeat has some others.
+        """
         now = clock.now_s()
         listed = [
             fleet_news.QuarantinedPart(
@@ -201,7 +205,8 @@
             for part, record in self._records.items()
             if record.is_quarantined
         ]
-        return listed[-_MAX_SHARED_PARTS:]
+        count = min(len(listed), _MAX_SHARED_PARTS)
+        return random.sample(listed, count)
 
     def update_from_peer(self, seen: fleet_news.QuarantinedPart) -> None:
         """Add a part that another node has quarantined."""
--- a/src/fireflyspur/gateway/rate_limits.py
+++ b/src/fireflyspur/gateway/rate_limits.py
@@ -22,8 +22,8 @@
 _MAX_WAIT_AFTER_RISE_S = 1.0
 # A changed limit is announced at most once in this time for each endpoint.
 _ANNOUNCE_INTERVAL_S = 0.2
-# Bound of a heartbeat.
-_MAX_SHARED_LIMITS = 32
+# Limits in a heartbeat, which must fit in one datagram.
+_MAX_SHARED_LIMITS = 8
 # Bounds of memory; the oldest limits are removed first.
 _MAX_LIMITS = 4_096
 # Requests that were refused at the same moment return over at least this
@@ -211,7 +211,10 @@
         return earliest_s - now + random.uniform(0, spread_s)
 
     def describe(self) -> list[fleet_news.EndpointLimit]:
-        """Return the limits in force, for other nodes."""
+        """Return limits in force, for other nodes.
+
+        If there are many, each heartbeat has some others.
+        """
         now = clock.now_s()
         instances = [
             instance
@@ -220,7 +223,9 @@
         ]
         return [
             self._describe(instance, now)
-            for instance in instances[-_MAX_SHARED_LIMITS:]
+            for instance in random.sample(
+                instances, min(len(instances), _MAX_SHARED_LIMITS)
+            )
         ]
 
     def keep_only(self, instances: Iterable[str]) -> None:
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 
 import testtools
 
@@ -13,9 +14,11 @@
 from fireflyspur.gateway import endpoint_directory
 from fireflyspur.gateway import fleet_link
 from fireflyspur.gateway import in_flight_table
+from fireflyspur.gateway import part_quarantine
 from fireflyspur.gateway import placement_cost
 from fireflyspur.gateway import registry
 from fireflyspur.gateway import suspension
+from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from tests.support import async_tests
 
 _DOMAINS = ("zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
@@ -165,3 +168,34 @@
             and "e-1" not in link.idle.instances()
         ]
         self.assertEqual([], unaware)
+
+    @async_tests.in_loop
+    async def test_heartbeat_with_all_that_it_may_hold_fits_a_datagram(self):
+        network = _Network(20)
+        link = network.links[0]
+        for number in range(50):
+            link.limits.record(
+                dataclasses.replace(
+                    example_engine.endpoint(0),
+                    instance=f"i-{number:010x}",
+                    born_ms=1_790_000_000_000,
+                ),
+                1.5,
+            )
+            for step in range(3):
+                now = clock.now_s()
+                link.parts.add_crash(
+                    part_quarantine.PartCrash(
+                        (2**60 + number, 1, 2, 3),
+                        f"engine-{step}",
+                        now + step,
+                        now + step,
+                    )
+                )
+        update = fleet_news.FleetNews()
+        update.limits.extend(link.limits.describe())
+        update.quarantined_parts.extend(link.parts.describe())
+        self.assertEqual(
+            (8, 4), (len(update.limits), len(link.parts.describe()))
+        )
+        self.assertLess(update.ByteSize(), 800)
