Read what arrived in time though this node was held up

What callers saw: 408 'the headers were not received in time', though they had sent all in time.

Cause: the node, not the caller, was late. The timer of asyncio cancels a read in the same turn in which its bytes are found in the socket.

Change: a read that input has completed when the time is up counts. If the node was held up, the rest of the head or body gets once as long again, up to its time limit; after that, a late read ends it as before.

--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/caller_connection.py
@@ -12,6 +12,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import hop_headers
+from fireflyspur.gateway import io_wait
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import routing_config
 
@@ -22,6 +23,8 @@
 # Minimum average rate of a body after the idle timeout. At a lower rate, a
 # body within its limit could occupy the connection for hours.
 _MIN_BODY_BYTES_PER_S = 1_024
+# A time limit that expires later than this was held up by this process.
+_MIN_HELD_UP_S = 0.05
 _STATUSES_WITHOUT_BODY = (204, 304)
 # SO_LINGER with a time of zero: a close sends a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -47,6 +50,9 @@
         self._raw_head = b""
         self._is_close_delimited = False
         self._is_receiving = False
+        # Once this process was held up: clock time until which the current
+        # head or body may take, if that is later than its time limit.
+        self._extended_to_s: float | None = None
 
     @property
     def is_receiving(self) -> bool:
@@ -173,12 +179,14 @@
             if not await self._wait_for_first_byte():
                 return None
             event = self._connection.next_event()
+        self._extended_to_s = None
+        limit_s = self._limits().header_timeout_s
+        deadline_s = clock.now_s() + limit_s
         try:
-            async with asyncio.timeout(self._limits().header_timeout_s):
-                while event is h11.NEED_DATA:
-                    if not await self._receive():
-                        return None
-                    event = self._connection.next_event()
+            while event is h11.NEED_DATA:
+                if not await self._receive_before(deadline_s, limit_s):
+                    return None
+                event = self._connection.next_event()
         except TimeoutError as error:
             raise exceptions.MalformedRequestError(
                 "the headers were not received in time", 408
@@ -198,7 +206,7 @@
                 remaining_s = started_at_s + limit_s - clock.now_s()
                 if remaining_s <= 0:
                     return False
-                await asyncio.wait((reading,), timeout=remaining_s)
+                await io_wait.wait_for_input(reading, remaining_s)
                 limit_s = max(limit_s, self._limits().idle_timeout_s)
             return reading.result()
         finally:
@@ -210,6 +218,7 @@
             response = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._connection.send(response))
         body = bytearray()
+        self._extended_to_s = None
         started_at_s = clock.now_s()
         while True:
             allowed_s = (
@@ -241,10 +250,11 @@
                     return event
                 if event is not h11.NEED_DATA:
                     raise iostream.StreamClosedError
-                timeout_s = min(idle_timeout_s, deadline_s - clock.now_s())
-                async with asyncio.timeout(timeout_s):
-                    if not await self._receive():
-                        raise iostream.StreamClosedError
+                if not await self._receive_before(
+                    min(deadline_s, clock.now_s() + idle_timeout_s),
+                    idle_timeout_s,
+                ):
+                    raise iostream.StreamClosedError
         except h11.RemoteProtocolError as error:
             raise exceptions.MalformedRequestError(str(error)) from error
         except TimeoutError as error:
@@ -252,6 +262,33 @@
                 "the body was not received in time", 408
             ) from error
 
+    async def _receive_before(self, deadline_s: float, limit_s: float) -> bool:
+        """Read more bytes; False if the caller has disconnected.
+
+        If this process was held up until after the deadline, what arrived
+        meanwhile counts, and the rest gets as long again, up to the limit.
+
+        :param limit_s: time limit that the deadline comes from
+        :raises TimeoutError: if nothing arrives in time
+        """
+        if self._extended_to_s is not None:
+            deadline_s = max(deadline_s, self._extended_to_s)
+        remaining_s = deadline_s - clock.now_s()
+        if remaining_s <= 0 and self._extended_to_s is not None:
+            raise TimeoutError
+        reading = asyncio.ensure_future(self._receive())
+        try:
+            await io_wait.wait_for_input(reading, remaining_s)
+            if not reading.done():
+                raise TimeoutError
+            now = clock.now_s()
+            late_s = now - deadline_s
+            if late_s > _MIN_HELD_UP_S and self._extended_to_s is None:
+                self._extended_to_s = now + min(late_s, limit_s)
+            return reading.result()
+        finally:
+            reading.cancel()
+
     async def _receive(self) -> bool:
         """Read more bytes; False if the caller has disconnected."""
         try:
--- a/tests/integration/test_platform_process.py
+++ b/tests/integration/test_platform_process.py
@@ -88,6 +88,74 @@
         self.assertLess(elapsed_s, 1.5)
 
 
+class HeldUpTest(_ProcessTest):
+    """Guards against callers that are blamed for a node that was held up."""
+
+    async def pause_while_sending(self, cut):
+        """Return responses to requests whose rest arrives during a pause.
+
+        :param cut: number of bytes that arrive during the pause
+        """
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            fleet.publish(config(1, gateway_fleet.KEY))
+            async with self.node(fleet) as node:
+                await node.wait_until_ready()
+                connections = [await node.connect() for _ in range(5)]
+                data = gateway_fleet.request_bytes(
+                    "/safe/", body=b"x" * 1_000, deadline_ms=4_000
+                )
+                for _, writer in connections:
+                    writer.write(data[:-cut])
+                await asyncio.sleep(0.1)
+                node.send_signal(signal.SIGSTOP)
+                for _, writer in connections:
+                    writer.write(data[-cut:])
+                # Longer than the time limits of heads and idle connections.
+                await asyncio.sleep(1.2)
+                node.send_signal(signal.SIGCONT)
+                responses = [
+                    await gateway_fleet.read_response(reader)
+                    for reader, _ in connections
+                ]
+                for _, writer in connections:
+                    writer.close()
+        return responses
+
+    @async_tests.in_loop
+    async def test_head_that_arrived_during_a_pause_is_read(self):
+        responses = await self.pause_while_sending(cut=1_050)
+        self.assertEqual([200] * 5, [r.status for r in responses])
+
+    @async_tests.in_loop
+    async def test_body_that_arrived_during_a_pause_is_read(self):
+        responses = await self.pause_while_sending(cut=500)
+        self.assertEqual([200] * 5, [r.status for r in responses])
+
+    @async_tests.in_loop
+    async def test_request_on_an_idle_connection_is_read_after_a_pause(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            fleet.publish(config(1, gateway_fleet.KEY))
+            async with self.node(fleet) as node:
+                await node.wait_until_ready()
+                data = gateway_fleet.request_bytes("/safe/", deadline_ms=4_000)
+                connections = [await node.connect() for _ in range(5)]
+                for reader, writer in connections:
+                    writer.write(data)
+                    await gateway_fleet.read_response(reader)
+                node.send_signal(signal.SIGSTOP)
+                for _, writer in connections:
+                    writer.write(data)
+                await asyncio.sleep(1.2)
+                node.send_signal(signal.SIGCONT)
+                responses = [
+                    await gateway_fleet.read_response(reader)
+                    for reader, _ in connections
+                ]
+                for _, writer in connections:
+                    writer.close()
+        self.assertEqual([200] * 5, [r.status for r in responses])
+
+
 class RestartTest(_ProcessTest):
     """Guards against a restarted node that trusts what peers remember."""
 
