Use a connection that an endpoint accepted while this node was held up

What callers saw: an endpoint that had accepted at once was taken for one that did not accept in time, so another was tried or the caller got a 503.

Change: a connect that has succeeded when the time is up counts.

--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/http_exchange.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway import address as addresses
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import exceptions
+from fireflyspur.gateway import io_wait
 from fireflyspur.gateway import messages
 from fireflyspur.gateway import socket_options
 
@@ -76,8 +77,11 @@
         """
         stream = iostream.IOStream(socket.socket())
         try:
-            async with asyncio.timeout(timeout_s):
-                await stream.connect((address.host, address.port))
+            connecting = stream.connect((address.host, address.port))
+            await io_wait.wait_for_input(connecting, timeout_s)
+            if not connecting.done():
+                raise TimeoutError
+            await connecting
             socket_options.apply(stream)
         except (OSError, iostream.StreamClosedError) as error:
             stream.close()
--- a/tests/gateway/test_http_exchange.py
+++ b/tests/gateway/test_http_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import testtools
 
@@ -134,6 +135,22 @@
         self.assertGreater(silence_s, 0.4)
 
 
+class HeldUpTest(testtools.TestCase):
+    """Guards against an endpoint that is blamed for a node held up."""
+
+    @async_tests.in_loop
+    async def test_connection_that_was_accepted_in_time_is_used(self):
+        with flood_server.FloodServer(b"", b"", pause_s=1.0) as server:
+            connecting = asyncio.ensure_future(
+                http_exchange.HttpExchange.connect(server.address, 0.25)
+            )
+            await asyncio.sleep(0)
+            # Holds up the event loop, as a long step of another task would.
+            time.sleep(0.5)
+            exchange = await connecting
+            exchange.close()
+
+
 class EndlessAnswerTest(testtools.TestCase):
     """Guards against a store or an engine that floods a node with bytes."""
 
