--- a/tests/gateway/test_named_limits.py
+++ b/tests/gateway/test_named_limits.py
@@ -14,20 +14,6 @@
 _MOST = 1.5 * _LIMIT_PER_S * _SECONDS + 5
 
 
-def respond_limited(*values):
-    """Return a behaviour whose responses name limits."""
-    lines = [f"Server-Limit: {value}" for value in values]
-
-    async def behaviour(worker, arrival, stream):
-        body = b"done"
-        head = fake_endpoint.response_head(
-            arrival, worker, f"Content-Length: {len(body)}", *lines
-        )
-        await stream.write(head + body)
-
-    return behaviour
-
-
 class NamedLimitTest(testtools.TestCase):
     """Guards against an endpoint in need that the fleet keeps flooding."""
 
@@ -56,7 +42,7 @@
     async def test_limit_is_kept_by_all_nodes_together(self):
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
             desk = fleet.desks[0]
-            desk.default_behaviour = respond_limited(_LIMIT_PER_S)
+            desk.default_behaviour = fake_endpoint.respond_with_limits(_LIMIT_PER_S)
             nodes = await self.start_nodes(fleet, 4)
             await self.send_for(nodes, 0.5)
             desk.arrivals.clear()
@@ -73,7 +59,7 @@
     async def test_work_goes_to_endpoints_with_room(self):
         async with gateway_fleet.GatewayFleet(desks=3) as fleet:
             limited = fleet.desks[0]
-            limited.default_behaviour = respond_limited(0.5)
+            limited.default_behaviour = fake_endpoint.respond_with_limits(0.5)
             nodes = await self.start_nodes(fleet, 2)
             responses = await self.send_for(nodes, 3.0)
         self.assertEqual({200}, {r.status for r in responses})
@@ -83,7 +69,7 @@
     async def test_node_that_starts_later_keeps_the_limit(self):
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
             desk = fleet.desks[0]
-            desk.default_behaviour = respond_limited(0.25)
+            desk.default_behaviour = fake_endpoint.respond_with_limits(0.25)
             (first,) = await self.start_nodes(fleet, 1)
             await self.send_for([first], 0.3)
             second = await fleet.start_node(node_name="node-2")
@@ -96,7 +82,7 @@
     async def test_limit_ends_with_the_first_answer_that_names_none(self):
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
             desk = fleet.desks[0]
-            desk.default_behaviour = respond_limited(5)
+            desk.default_behaviour = fake_endpoint.respond_with_limits(5)
             (node,) = await self.start_nodes(fleet, 1)
             await self.send_for([node], 0.5)
             desk.default_behaviour = fake_endpoint.respond_plain
@@ -117,7 +103,7 @@
         ):
             async with gateway_fleet.GatewayFleet(desks=1) as fleet:
                 desk = fleet.desks[0]
-                desk.default_behaviour = respond_limited(*values)
+                desk.default_behaviour = fake_endpoint.respond_with_limits(*values)
                 (node,) = await self.start_nodes(fleet, 1)
                 responses = await self.send_for([node], 0.2)
             self.assertEqual({200}, {r.status for r in responses}, values)
--- a/tests/support/fake_endpoint.py
+++ b/tests/support/fake_endpoint.py
@@ -187,6 +187,18 @@
     return behaviour
 
 
+def respond_with_limits(*values):
+    """Return a behaviour whose responses name rate limits."""
+    lines = [f"Server-Limit: {value}" for value in values]
+
+    async def behaviour(worker, arrival, stream):
+        body = b"done"
+        extra = (f"Content-Length: {len(body)}", *lines)
+        await stream.write(response_head(arrival, worker, *extra) + body)
+
+    return behaviour
+
+
 async def never_respond(worker, arrival, stream):
     """Keep the connection open without an answer."""
     await asyncio.Event().wait()
