Let urgent callers return first to endpoints that name a rate, and count these

Cause: times to return were given in the order of refusals alone, so urgent callers waited behind less urgent ones; no metric showed how many endpoints name a rate; one whose rate changes with each response wrote a line each time.

--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -104,6 +104,7 @@
             in_progress=lambda: self._caller_server.in_progress,
             config_age_s=self._config_holder.age_s,
             endpoints_age_s=self._directory.age_s,
+            limited_endpoints=lambda: self._link.limits.count,
         )
         self._forwarder = self._build_forwarder(codec, in_flight)
         self._caller_server = self._build_server(self._forwarder.serve)
--- a/src/fireflyspur/gateway/gateway_metrics.py
+++ b/src/fireflyspur/gateway/gateway_metrics.py
@@ -22,6 +22,7 @@
     :param in_progress: returns the number of requests in progress
     :param config_age_s: returns the age of the configuration
     :param endpoints_age_s: returns the age of the list of endpoints
+    :param limited_endpoints: returns the number of endpoints that name a rate
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         in_progress: Callable[[], float],
         config_age_s: Callable[[], float],
         endpoints_age_s: Callable[[], float],
+        limited_endpoints: Callable[[], float],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._requests = self._counter(
@@ -61,6 +63,11 @@
                 endpoints_age_s,
                 "Age of the list of endpoints.",
             ),
+            (
+                "limited_endpoints",
+                limited_endpoints,
+                "Endpoints whose named rate limit is in force.",
+            ),
         ):
             gauge = prometheus_client.Gauge(
                 f"{_PREFIX}_{name}", help_text, registry=self._registry
--- a/src/fireflyspur/gateway/rate_limits.py
+++ b/src/fireflyspur/gateway/rate_limits.py
@@ -22,6 +22,9 @@
 _MAX_WAIT_AFTER_RISE_S = 1.0
 # A changed limit is announced at most once in this time for each endpoint.
 _ANNOUNCE_INTERVAL_S = 0.2
+# A limit may change with each response; its changes are logged at most once
+# in this time for each endpoint.
+_LOG_INTERVAL_S = 1.0
 # Limits in a heartbeat, which must fit in one datagram.
 _MAX_SHARED_LIMITS = 8
 # Bounds of memory; the oldest limits are removed first.
@@ -48,6 +51,8 @@
         have been due, at the rate that this node may use
     :param announced_at_s: clock time of the last announcement by this node
     :param announced_per_s: rate that any node announced last
+    :param logged_at_s: clock time of the last log line
+    :param logged_per_s: rate that was logged last
     """
 
     requests_per_s: float | None
@@ -56,6 +61,8 @@
     next_at_s: float
     announced_at_s: float = 0.0
     announced_per_s: float | None = None
+    logged_at_s: float = float("-inf")
+    logged_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,10 +105,18 @@
         self._is_own = is_own
         self._share = share
         self._limits: dict[str, _Limit] = {}
-        self._next_return_s = 0.0
+        # Time of the last return that a refused caller was given, by priority.
+        self._next_return_s: dict[int, float] = {}
         # Endpoints whose invalid limit has been logged.
         self._invalid: set[str] = set()
 
+    @property
+    def count(self) -> int:
+        """Number of endpoints whose limit is in force."""
+        return sum(
+            limit.requests_per_s is not None for limit in self._limits.values()
+        )
+
     @classmethod
     def unlimited(cls) -> "RateLimits":
         """Return limits of a fleet whose endpoints name none."""
@@ -188,11 +203,15 @@
         return limit.born_ms == (endpoint.born_ms or 0)
 
     def retry_after_s(
-        self, listed: Sequence[endpoints.Endpoint]
+        self, listed: Sequence[endpoints.Endpoint], priority: int
     ) -> float | None:
-        """Return when to return after a refusal, in the order of refusals.
+        """Return when to return after a refusal.
+
+        Callers return in the order of their refusals; more urgent ones do not
+        wait for less urgent ones.
 
         :param listed: the endpoints that might serve the request
+        :param priority: priority of the request; 0 is the most urgent
         :returns: None if one of them allows a request now
         """
         wait_s = min(map(self._wait_s, listed), default=0.0)
@@ -204,9 +223,12 @@
         rate = sum(self._rate_per_s(endpoint) for endpoint in listed)
         # The other nodes refuse as many.
         step_s = self._share().nodes / rate
-        earliest_s = max(now + wait_s, self._next_return_s)
+        earliest_s = now + wait_s
+        for other, next_s in self._next_return_s.items():
+            if other <= priority:
+                earliest_s = max(earliest_s, next_s)
         earliest_s = min(earliest_s, now + _MAX_RETURN_S)
-        self._next_return_s = earliest_s + step_s
+        self._next_return_s[priority] = earliest_s + step_s
         spread_s = max(_MIN_RETURN_SPREAD_S, step_s)
         return earliest_s - now + random.uniform(0, spread_s)
 
@@ -243,38 +265,42 @@
         born_ms: int,
     ) -> None:
         previous = self._limits.pop(instance, None)
-        is_same = previous is not None and previous.born_ms == born_ms
-        next_at_s = announced_at_s = 0.0
-        announced_per_s = None
-        if is_same:
-            next_at_s = previous.next_at_s
-            announced_at_s = previous.announced_at_s
-            announced_per_s = previous.announced_per_s
-        old = previous.requests_per_s if is_same else None
+        if previous is None or previous.born_ms != born_ms:
+            previous = _Limit(None, heard_at_s, born_ms, next_at_s=0.0)
+        old, next_at_s = previous.requests_per_s, previous.next_at_s
         if requests_per_s is not None and requests_per_s > (old or 0.0):
             # The wait at a low rate must not outlast it for long.
             next_at_s = min(next_at_s, clock.now_s() + _MAX_WAIT_AFTER_RISE_S)
-        if old != requests_per_s:
-            _log.info(
-                "Limit changed",
-                instance=instance,
-                requests_per_s=requests_per_s,
-                before_per_s=old,
-            )
-        self._limits[instance] = _Limit(
-            requests_per_s,
-            heard_at_s,
-            born_ms,
-            next_at_s,
-            announced_at_s,
-            announced_per_s,
+        self._limits[instance] = dataclasses.replace(
+            previous,
+            requests_per_s=requests_per_s,
+            heard_at_s=heard_at_s,
+            next_at_s=next_at_s,
         )
+        self._log_change(instance)
         if old is None:
             # What was sent before is not known.
             self.add_start(instance)
         while len(self._limits) > _MAX_LIMITS:
             del self._limits[next(iter(self._limits))]
 
+    def _log_change(self, instance: str) -> None:
+        limit, now = self._limits[instance], clock.now_s()
+        if limit.requests_per_s == limit.logged_per_s:
+            return
+        if now - limit.logged_at_s < _LOG_INTERVAL_S:
+            return
+        self._limits[instance] = dataclasses.replace(
+            limit, logged_at_s=now, logged_per_s=limit.requests_per_s
+        )
+        _log.info(
+            "Limit changed",
+            instance=instance,
+            requests_per_s=limit.requests_per_s,
+            before_per_s=limit.logged_per_s,
+            age_ms=round((now - limit.heard_at_s) * 1000),
+        )
+
     def _announce(self, instance: str) -> None:
         """Tell all nodes of a limit that changed."""
         limit, now = self._limits[instance], clock.now_s()
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/request_runner.py
@@ -214,7 +214,7 @@
             self._reason = _NO_ROOM if any_ready else _NONE_READY
         if placement is None:
             self._limited_retry_s = self._deps.limits.retry_after_s(
-                self._deps.directory.ready(plan.service.name)
+                self._deps.directory.ready(plan.service.name), plan.priority
             )
         return placement
 
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -3,6 +3,7 @@
 import testtools
 
 from tests.support import async_tests
+from tests.support import fake_endpoint
 from tests.support import gateway_fleet
 
 
@@ -33,3 +34,15 @@
             text = await node.metrics()
         self.assertIn("fireflyspur_config_age_seconds", text)
         self.assertIn("fireflyspur_endpoints_age_seconds", text)
+
+    @async_tests.in_loop
+    async def test_endpoints_that_name_a_rate_are_counted(self):
+        async with gateway_fleet.GatewayFleet(desks=1) as fleet:
+            limits = fake_endpoint.respond_with_limits(0.1)
+            fleet.desks[0].default_behaviour = limits
+            node = await fleet.start_node()
+            for _ in range(3):
+                await node.request("/safe/")
+            text = await node.metrics()
+        self.assertIn("fireflyspur_limited_endpoints 1.0", text)
+        self.assertIn('refusals_total{code="rate_limited"} 2.0', text)
--- a/tests/gateway/test_named_limits.py
+++ b/tests/gateway/test_named_limits.py
@@ -42,7 +42,9 @@
     async def test_limit_is_kept_by_all_nodes_together(self):
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
             desk = fleet.desks[0]
-            desk.default_behaviour = fake_endpoint.respond_with_limits(_LIMIT_PER_S)
+            desk.default_behaviour = fake_endpoint.respond_with_limits(
+                _LIMIT_PER_S
+            )
             nodes = await self.start_nodes(fleet, 4)
             await self.send_for(nodes, 0.5)
             desk.arrivals.clear()
@@ -103,7 +105,9 @@
         ):
             async with gateway_fleet.GatewayFleet(desks=1) as fleet:
                 desk = fleet.desks[0]
-                desk.default_behaviour = fake_endpoint.respond_with_limits(*values)
+                desk.default_behaviour = fake_endpoint.respond_with_limits(
+                    *values
+                )
                 (node,) = await self.start_nodes(fleet, 1)
                 responses = await self.send_for([node], 0.2)
             self.assertEqual({200}, {r.status for r in responses}, values)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -14,6 +14,7 @@
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.gateway import rate_limits
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from tests.support import captured_logs
 from tests.support import fake_clock
 
 _WINDOW_S = 4.0
@@ -128,10 +129,12 @@
     def test_callers_of_all_nodes_return_at_the_rate(self):
         self.limits = make_limits(share=rate_limits.FleetShare(1.0, 1, 4))
         self.limits.record(self.endpoint, 2.0)
-        waits = [self.limits.retry_after_s([self.endpoint]) for _ in range(9)]
+        waits = [
+            self.limits.retry_after_s([self.endpoint], 1) for _ in range(9)
+        ]
         self.assertGreater(waits[-1], 16.0)
         for _ in range(100):
-            wait_s = self.limits.retry_after_s([self.endpoint])
+            wait_s = self.limits.retry_after_s([self.endpoint], 1)
         self.assertLess(wait_s, 23.0)
 
     def test_invalid_limit_changes_nothing(self):
@@ -148,11 +151,40 @@
     def test_refused_callers_return_one_after_the_other(self):
         self.limits.record(self.endpoint, 2.0)
         self.limits.add_start(self.endpoint.instance)
-        waits = [self.limits.retry_after_s([self.endpoint]) for _ in range(20)]
+        waits = [
+            self.limits.retry_after_s([self.endpoint], 1) for _ in range(20)
+        ]
         for number, wait_s in enumerate(waits):
             self.assertGreaterEqual(wait_s, 0.5 * number)
             self.assertLess(wait_s, 0.5 * number + 2.0)
 
+    def test_urgent_callers_do_not_wait_for_less_urgent_ones(self):
+        self.limits.record(self.endpoint, 2.0)
+        self.limits.add_start(self.endpoint.instance)
+        for _ in range(10):
+            self.limits.retry_after_s([self.endpoint], 3)
+        urgent_s = self.limits.retry_after_s([self.endpoint], 1)
+        later_s = self.limits.retry_after_s([self.endpoint], 3)
+        self.assertLess(urgent_s, 2.0)
+        self.assertGreater(later_s, 5.0)
+
+    def test_changes_with_each_response_are_logged_once_a_second(self):
+        with captured_logs.capture() as records:
+            for number in range(500):
+                self.now += 0.01
+                self.limits.record(self.endpoint, 1.0 + number)
+            self.now += 1.0
+            self.limits.record(self.endpoint, None)
+        self.assertLessEqual(len(records), 8)
+        self.assertIsNone(records[-1]["extra"]["requests_per_s"])
+
+    def test_limits_in_force_are_counted(self):
+        self.assertEqual(0, self.limits.count)
+        self.limits.record(self.endpoint, 1.0)
+        self.assertEqual(1, self.limits.count)
+        self.limits.record(self.endpoint, None)
+        self.assertEqual(0, self.limits.count)
+
     def test_memory_is_bounded(self):
         for number in range(5_000):
             endpoint = dataclasses.replace(
