Keep the rates that engines name on the product's own interface as well

Change: an engine names max_requests_per_s in its load report. A few owners of the engine, by rendezvous hash, divide the rate; other nodes send it nothing. Prompts go to engines with room first and are refused at once, with the new code engines_rate_limited, if none has any. The stand-in names a rate on demand, and the demo shows it. Pacing and the times of return are shared with the gateway (package rates).

--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -23,7 +23,6 @@
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.observability import logs
 from fireflyspur.routing import engine_view
-from fireflyspur.routing import exceptions as routing_exceptions
 from fireflyspur.routing import load_report
 from fireflyspur.routing import router as routers
 
@@ -365,11 +364,7 @@
     def _trial_candidates(self) -> list[str]:
         names = self._candidates()
         if not names:
-            raise routing_exceptions.NoEngineError(
-                f"no engine with model {self._request.model} accepts requests"
-                " now",
-                retry_after_s=_RETRY_AFTER_S,
-            )
+            raise self._deps.router.refusal(self._route())
         return [n for n in names if n not in self._failed_engines] or names
 
     def _members(self) -> list[group_reserver.Member]:
--- a/src/fireflyspur/gateway/rate_limits.py
+++ b/src/fireflyspur/gateway/rate_limits.py
@@ -10,12 +10,12 @@
 from fireflyspur.gateway import endpoint as endpoints
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
+from fireflyspur.rates import pacing
+from fireflyspur.rates import return_schedule
 
 # An endpoint that names a lower rate, such as zero, still gets a request now
 # and then: only its responses tell that the limit has ended.
 _MIN_RATE_PER_S = 0.05
-# Requests of this time may be sent at once.
-_BURST_S = 0.5
 # Nodes of other pools send nothing if their share is lower: many small shares
 # used at the same moment would exceed the limit.
 _MIN_FOREIGN_RATE_PER_S = 0.5
@@ -29,11 +29,6 @@
 _MAX_SHARED_LIMITS = 8
 # Bounds of memory; the oldest limits are removed first.
 _MAX_LIMITS = 4_096
-# Requests that were refused at the same moment return over at least this
-# time.
-_MIN_RETURN_SPREAD_S = 0.1
-# Callers that can't be served within this time are not told an even later one.
-_MAX_RETURN_S = 20.0
 # Time after which a caller may find another node, in the endpoint's pool.
 _FOREIGN_RETRY_S = 0.25
 
@@ -47,8 +42,8 @@
     :param requests_per_s: None if the limit has ended
     :param heard_at_s: clock time of the response that named it
     :param born_ms: start of the endpoint in Unix ms, or 0 if not known
-    :param next_at_s: clock time at which all requests that are known here
-        have been due, at the rate that this node may use
+    :param paced: all requests that are known here, at the rate that this
+        node may use
     :param announced_at_s: clock time of the last announcement by this node
     :param announced_per_s: rate that any node announced last
     :param logged_at_s: clock time of the last log line
@@ -58,7 +53,7 @@
     requests_per_s: float | None
     heard_at_s: float
     born_ms: int
-    next_at_s: float
+    paced: pacing.Pacing = pacing.Pacing()
     announced_at_s: float = 0.0
     announced_per_s: float | None = None
     logged_at_s: float = float("-inf")
@@ -105,8 +100,7 @@
         self._is_own = is_own
         self._share = share
         self._limits: dict[str, _Limit] = {}
-        # Time of the last return that a refused caller was given, by priority.
-        self._next_return_s: dict[int, float] = {}
+        self._returns = return_schedule.ReturnSchedule()
         # Endpoints whose invalid limit has been logged.
         self._invalid: set[str] = set()
 
@@ -183,9 +177,8 @@
         if not rate:
             return
         limit = self._limits[instance]
-        next_at_s = max(limit.next_at_s, clock.now_s()) + 1 / rate
         self._limits[instance] = dataclasses.replace(
-            limit, next_at_s=next_at_s
+            limit, paced=limit.paced.add_request(rate, clock.now_s())
         )
 
     def allows(self, endpoint: endpoints.Endpoint) -> bool:
@@ -207,9 +200,6 @@
     ) -> float | None:
         """Return when to return after a refusal.
 
-        Callers return in the order of their refusals; more urgent ones do not
-        wait for less urgent ones.
-
         :param listed: the endpoints that might serve the request
         :param priority: priority of the request; 0 is the most urgent
         :returns: None if one of them allows a request now
@@ -219,18 +209,10 @@
             return None
         if wait_s == float("inf"):
             return _FOREIGN_RETRY_S
-        now = clock.now_s()
         rate = sum(self._rate_per_s(endpoint) for endpoint in listed)
         # The other nodes refuse as many.
         step_s = self._share().nodes / rate
-        earliest_s = now + wait_s
-        for other, next_s in self._next_return_s.items():
-            if other <= priority:
-                earliest_s = max(earliest_s, next_s)
-        earliest_s = min(earliest_s, now + _MAX_RETURN_S)
-        self._next_return_s[priority] = earliest_s + step_s
-        spread_s = max(_MIN_RETURN_SPREAD_S, step_s)
-        return earliest_s - now + random.uniform(0, spread_s)
+        return self._returns.add(priority, wait_s, step_s, clock.now_s())
 
     def describe(self) -> list[fleet_news.EndpointLimit]:
         """Return limits in force, for other nodes.
@@ -266,16 +248,16 @@
     ) -> None:
         previous = self._limits.pop(instance, None)
         if previous is None or previous.born_ms != born_ms:
-            previous = _Limit(None, heard_at_s, born_ms, next_at_s=0.0)
-        old, next_at_s = previous.requests_per_s, previous.next_at_s
+            previous = _Limit(None, heard_at_s, born_ms)
+        old, paced = previous.requests_per_s, previous.paced
         if requests_per_s is not None and requests_per_s > (old or 0.0):
             # The wait at a low rate must not outlast it for long.
-            next_at_s = min(next_at_s, clock.now_s() + _MAX_WAIT_AFTER_RISE_S)
+            paced = paced.limit_wait(_MAX_WAIT_AFTER_RISE_S, clock.now_s())
         self._limits[instance] = dataclasses.replace(
             previous,
             requests_per_s=requests_per_s,
             heard_at_s=heard_at_s,
-            next_at_s=next_at_s,
+            paced=paced,
         )
         self._log_change(instance)
         if old is None:
@@ -322,9 +304,8 @@
         rate = self._rate_per_s(endpoint)
         if not rate:
             return float("inf")
-        ahead_s = self._limits[endpoint.instance].next_at_s - clock.now_s()
-        burst = max(1.0, _BURST_S * rate)
-        return ahead_s - (burst - 1) / rate
+        paced = self._limits[endpoint.instance].paced
+        return paced.wait_s(rate, clock.now_s())
 
     def _rate_per_s(self, endpoint: endpoints.Endpoint) -> float:
         """Return the rate at which nodes that this one hears may send."""
--- a/src/fireflyspur/node/node_builder.py
+++ b/src/fireflyspur/node/node_builder.py
@@ -58,8 +58,10 @@
         self._engine_client = engine_client.EngineClient(
             self._http, self._name
         )
-        self._view = engine_view.EngineView(self._catalog, self._name)
         self._live_names: Callable[[], list[str]] = lambda: [self._name]
+        self._view = engine_view.EngineView(
+            self._catalog, self._name, lambda: self._live_names()
+        )
         self._router = router.Router(
             self._catalog,
             self._view,
--- a/src/fireflyspur/routing/engine_view.py
+++ b/src/fireflyspur/routing/engine_view.py
@@ -8,6 +8,7 @@
 from fireflyspur.generated import records
 from fireflyspur.membership import rendezvous
 from fireflyspur.records import catalog as catalogs
+from fireflyspur.routing import engine_rates
 from fireflyspur.routing import leaving_endpoints
 from fireflyspur.routing import load_report
 
@@ -43,14 +44,24 @@
 
     :param catalog: the current records
     :param node_name: name of the node, which determines its subset of engines
+    :param live_names: returns the names of the live nodes; None for this node
+        alone
     """
 
-    def __init__(self, catalog: catalogs.Catalog, node_name: str = "") -> None:
+    def __init__(
+        self,
+        catalog: catalogs.Catalog,
+        node_name: str = "",
+        live_names: Callable[[], list[str]] | None = None,
+    ) -> None:
         self._catalog = catalog
         self._node_name = node_name
         self._outstanding: dict[str, list[Placement]] = {}
         self._pending_prefills: dict[str, list[Placement]] = {}
         self._loads: dict[str, load_report.LoadReport] = {}
+        self._rates = engine_rates.EngineRates(
+            node_name, live_names or (lambda: [node_name])
+        )
         self._leaving = leaving_endpoints.LeavingEndpoints()
         self._unreachable_until: dict[str, float] = {}
         self._return_listeners: list[Callable[[str, str], None]] = []
@@ -61,6 +72,11 @@
         self._monitored: list[str] = []
         self._serving: dict[tuple[str, str], list[str]] = {}
 
+    @property
+    def rates(self) -> engine_rates.EngineRates:
+        """Rates that engines name."""
+        return self._rates
+
     def specs(self) -> dict[str, records.EngineSpec]:
         """Return the engines of the catalog by name."""
         if self._specs_offset != self._catalog.offset:
@@ -82,6 +98,17 @@
 
     def candidates(self, model: str, adapter: str) -> list[str]:
         """Return the engines that may get a new prompt, in order of name."""
+        return [
+            name
+            for name in self.serving(model, adapter)
+            if self._rates.allows(name)
+        ]
+
+    def serving(self, model: str, adapter: str) -> list[str]:
+        """Return the engines that serve a model, in order of name.
+
+        Some of them may have reached the rate that they name.
+        """
         now = time.monotonic()
         specs = self.specs()
         return [
@@ -96,7 +123,7 @@
 
     def is_served_elsewhere(self, name: str, model: str) -> bool:
         """Return whether another engine may get prompts of a model."""
-        return any(n != name for n in self.candidates(model, ""))
+        return any(n != name for n in self.serving(model, ""))
 
     def outstanding(self, name: str) -> list[Placement]:
         """Return this node's unfinished placements on an engine."""
@@ -112,6 +139,7 @@
         self._pending_prefills.setdefault(placement.engine, []).append(
             placement
         )
+        self._rates.add_request(placement.engine)
 
     def end_prefill(self, placement: Placement) -> None:
         """Mark the prefill of a placement as finished."""
@@ -133,8 +161,10 @@
         self._unreachable_until.pop(name, None)
         self._update_leaving(name, report)
         if previous and previous.incarnation != report.incarnation:
+            self._rates.remove(name)
             for listener in self._restart_listeners:
                 listener(name)
+        self._rates.record(name, report)
 
     def add_restart_listener(self, listener: Callable[[str], None]) -> None:
         """Add a function to call with the name of each restarted engine."""
--- a/src/fireflyspur/routing/exceptions.py
+++ b/src/fireflyspur/routing/exceptions.py
@@ -15,3 +15,10 @@
 
     code = "no_engine_available"
     http_status = 503
+
+
+class EnginesRateLimitedError(exceptions.FireflyspurError):
+    """All engines have reached the rates that they name."""
+
+    code = "engines_rate_limited"
+    http_status = 503
--- a/src/fireflyspur/routing/load_report.py
+++ b/src/fireflyspur/routing/load_report.py
@@ -1,9 +1,13 @@
 """Load reports of engines."""
 
 import dataclasses
+import math
 import time
 from typing import Any
 
+# Beyond any rate that an engine can take.
+_MAX_RATE_PER_S = 1e9
+
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
@@ -23,6 +27,9 @@
     :param leaving: whether the engine accepts no new requests
     :param sampled_at: time of the report by the engine's clock, or None if
         not reported
+    :param max_requests_per_s: requests a second that the engine takes from
+        all nodes together, or None if it names no limit
+    :param has_invalid_rate: whether it names a limit that is no such number
     """
 
     received_at: float
@@ -37,6 +44,8 @@
     incarnation: str = ""
     leaving: bool = False
     sampled_at: float | None = None
+    max_requests_per_s: float | None = None
+    has_invalid_rate: bool = False
 
     def prefill_ahead_of(self, priority: int) -> int:
         """Return the waiting prompt tokens that come before a new prompt.
@@ -58,6 +67,8 @@
     :param values: the decoded JSON object
     """
     models = values.get("models")
+    rate = values.get("max_requests_per_s")
+    is_rate = rate is None or _is_rate(rate)
     return LoadReport(
         received_at=time.monotonic(),
         waiting_prefill_tokens=int(values.get("waiting_prefill_tokens", 0)),
@@ -74,4 +85,12 @@
         incarnation=str(values.get("incarnation", "")),
         leaving=bool(values.get("leaving", False)),
         sampled_at=values.get("time"),
+        max_requests_per_s=rate if is_rate else None,
+        has_invalid_rate=not is_rate,
     )
+
+
+def _is_rate(value: Any) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return 0 <= value < _MAX_RATE_PER_S and math.isfinite(value)
--- a/src/fireflyspur/routing/router.py
+++ b/src/fireflyspur/routing/router.py
@@ -8,6 +8,7 @@
 import time
 
 from fireflyspur.clients import engine_client
+from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.generated import records
 from fireflyspur.membership import rendezvous
 from fireflyspur.records import catalog as catalogs
@@ -133,6 +134,8 @@
         look idle to every node at once, and few prompts would get it.
 
         :raises NoEngineError: if no engine can accept the prompt now
+        :raises EnginesRateLimitedError: if only the rates that they name
+            prevent it
         """
         names = self._candidates(request, ())
         now = time.monotonic()
@@ -158,6 +161,8 @@
         :param workload: result of :meth:`workload`, or None to compute it
         :returns: the placement, which the caller ends with :meth:`finish`
         :raises NoEngineError: if no engine can accept the prompt now
+        :raises EnginesRateLimitedError: if only the rates that they name
+            prevent it
         """
         workload = workload or self.workload(request)
         names = self._candidates(request, avoid)
@@ -174,6 +179,25 @@
         prediction = self._predictor.predict(name, workload, now)
         return self._place(prediction, workload, now)
 
+    def refusal(
+        self, request: RouteRequest
+    ) -> base_exceptions.FireflyspurError:
+        """Return the error for a prompt that no engine may get now."""
+        retry_after_s = self._view.rates.retry_after_s(
+            self._view.serving(request.model, request.adapter),
+            request.priority,
+        )
+        if retry_after_s is not None:
+            return exceptions.EnginesRateLimitedError(
+                f"all engines with model {request.model} have reached the"
+                " rates that they name",
+                retry_after_s=retry_after_s,
+            )
+        return exceptions.NoEngineError(
+            f"no engine with model {request.model} accepts requests now",
+            retry_after_s=_RETRY_AFTER_S,
+        )
+
     def record_first_token(self, placement: engine_view.Placement) -> None:
         """Record that the first token of a placement was received."""
         self._view.end_prefill(placement)
@@ -228,10 +252,7 @@
         names = self._view.candidates(request.model, request.adapter)
         names = [n for n in names if n not in avoid] or names
         if not names:
-            raise exceptions.NoEngineError(
-                f"no engine with model {request.model} accepts requests now",
-                retry_after_s=_RETRY_AFTER_S,
-            )
+            raise self.refusal(request)
         return names
 
     def _long_engines(self, names: list[str]) -> set[str]:
--- a/src/fireflyspur/standins/engine/engine.py
+++ b/src/fireflyspur/standins/engine/engine.py
@@ -358,6 +358,7 @@
             "models": None if held.serves_any else sorted(held.models),
             "incarnation": self.incarnation,
             "leaving": held.is_leaving,
+            "max_requests_per_s": self.faults.max_requests_per_s or None,
         }
 
 
--- a/src/fireflyspur/standins/engine/settings.py
+++ b/src/fireflyspur/standins/engine/settings.py
@@ -86,6 +86,7 @@
     :param refuse_orders: answer every order with 503
     :param slow_factor: how many times slower each step is
     :param freeze_load: go on sending the load report of this moment
+    :param max_requests_per_s: rate that the load report names; 0 for none
     """
 
     crash_on: str = ""
@@ -97,3 +98,4 @@
     refuse_orders: bool = False
     slow_factor: float = 1.0
     freeze_load: bool = False
+    max_requests_per_s: float = 0.0
--- a/tests/tools/test_demo.py
+++ b/tests/tools/test_demo.py
@@ -36,3 +36,4 @@
         )
         self.assertEqual(0, result.returncode, result.stderr[-2000:])
         self.assertIn("the service ran it 1 time(s)", result.stdout)
+        self.assertIn("prompts after it had named its rate", result.stdout)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -44,6 +44,10 @@
 # The parts that fail, after this many requests have been sent.
 _NODE_KILLED_AFTER = 12
 _ENGINE_KILLED_AFTER = 24
+# The engine that names a rate then, in prompts a second.
+_LIMITED_ENGINE = _ENGINES[1]
+_ENGINE_LIMITED_AFTER = 28
+_LIMIT_PER_S = 1.0
 _SETTLE_S = 30.0
 _POLL_S = 0.05
 
@@ -75,6 +79,7 @@
         self._random = random.Random(1)
         self._live_nodes = list(_NODES)
         self._clients: dict[str, openai.AsyncOpenAI] = {}
+        self._prompts_before_limit = 0
 
     def start(self) -> None:
         """Start the processes, publish the records and wait for nodes."""
@@ -132,6 +137,15 @@
             f" it {effects} time(s)"
         )
 
+    def describe_limited_engine(self) -> str:
+        """Return what the engine got that named a rate, for a person."""
+        count = self._count_prompts(_LIMITED_ENGINE)
+        return (
+            f"{_LIMITED_ENGINE} got {count - self._prompts_before_limit} of"
+            f" {_REQUESTS - _ENGINE_LIMITED_AFTER} prompts after it had named"
+            " its rate"
+        )
+
     def stop(self) -> dict[str, int]:
         """Stop the nodes gracefully.
 
@@ -217,6 +231,8 @@
             if number == _ENGINE_KILLED_AFTER:
                 print(f"request {number}: engine {_ENGINES[0]} is killed")
                 self._fleet.process(_ENGINES[0]).kill()
+            if number == _ENGINE_LIMITED_AFTER:
+                self._limit_engine()
             words = _WORDS_PER_PROMPT[number % len(_WORDS_PER_PROMPT)]
             tasks.append(asyncio.ensure_future(self._call(number, words)))
             await asyncio.sleep(1 / _REQUESTS_PER_S)
@@ -226,6 +242,19 @@
         print(f"request {_NODE_KILLED_AFTER}: node {name} is killed")
         self._fleet.process(name).kill()
 
+    def _limit_engine(self) -> None:
+        print(
+            f"request {_ENGINE_LIMITED_AFTER}: {_LIMITED_ENGINE} names a rate"
+            f" of {_LIMIT_PER_S:g} a second"
+        )
+        self._prompts_before_limit = self._count_prompts(_LIMITED_ENGINE)
+        url = f"{self._fleet.url(_LIMITED_ENGINE)}/faults"
+        fleets.call(url, "POST", {"max_requests_per_s": _LIMIT_PER_S})
+
+    def _count_prompts(self, engine: str) -> int:
+        stats = fleets.call(f"{self._fleet.url(engine)}/stats")
+        return len(stats["streams"])
+
     async def _call(self, number: int, words: int) -> Result:
         """Send a prompt, again through another node when one is gone."""
         prompt = f"{number} " + "word " * words
@@ -311,6 +340,7 @@
         results = asyncio.run(demo.run())
         _wait(lambda: demo.engine_streams() == 0, "the engines hold nothing")
         print(report(results, demo.engine_streams()))
+        print(demo.describe_limited_engine())
         print(demo.order_twice())
         codes = demo.stop()
         print(f"exit codes of the nodes: {json.dumps(codes)}")
