Measure what named rates cost a choice of engines

tools.measure_gateway prints the choice with and without a rate on all engines, now also for the 172 engines of the large deployment. Its test expects the two new lines.

--- a/src/fireflyspur/gateway/engine_candidates.py
+++ b/src/fireflyspur/gateway/engine_candidates.py
@@ -69,15 +69,19 @@
         cls,
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
+        limits: rate_limits.RateLimits | None = None,
     ) -> "EngineCandidates":
-        """Return candidates for a fleet that is one pool."""
+        """Return candidates for a fleet that is one pool.
+
+        :param limits: rates that endpoints name; None if they name none
+        """
         pools = pool_map.PoolMap("", "")
         return cls(
             directory,
             table,
             pools,
             idle_engines.IdleEngines(),
-            rate_limits.RateLimits.unlimited(),
+            limits or rate_limits.RateLimits.unlimited(),
         )
 
     def in_pool(
--- a/tests/tools/test_measure_gateway.py
+++ b/tests/tools/test_measure_gateway.py
@@ -20,7 +20,7 @@
             for line in output.getvalue().splitlines()
         ]
         self.assertEqual(
-            ["placement"] * 2
+            ["placement"] * 4
             + ["update about one request"]
             + ["exchange"] * 5
             + ["configuration"] * 3,
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -17,6 +17,7 @@
 from fireflyspur.gateway import peer_table
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway import rate_limits
 from fireflyspur.gateway import registry
 from fireflyspur.gateway import route_table
 from fireflyspur.gateway import routing_config
@@ -31,19 +32,12 @@
 _SERVICE = routing_config.Service(example_engine.SERVICE, example_engine.SPEC)
 
 
-def main(engine_counts: Sequence[int] = (21, 69, 800)) -> None:
+def main(engine_counts: Sequence[int] = (21, 69, 172, 800)) -> None:
     """Print a line for each part and size."""
     logs.configure("ERROR")
     for count in engine_counts:
-        selector = _loaded_selector(count)
-        for tokens in (5_000, 210_000):
-            demand = _demand(tokens)
-            ms = _time_ms(
-                lambda selector=selector, demand=demand: (
-                    selector.choose_engine(_SERVICE, demand, frozenset())
-                )
-            )
-            print(f"placement, {count} engines, {tokens} tokens: {ms:.2f} ms")
+        for is_limited in (False, True):
+            _measure_placement(count, is_limited)
     data = _update().SerializeToString()
     ms = _time_ms(lambda: fleet_news.FleetNews().ParseFromString(data))
     print(
@@ -63,6 +57,25 @@
         )
 
 
+def _measure_placement(count: int, is_limited: bool) -> None:
+    """Print what a choice among engines costs.
+
+    :param is_limited: whether all engines name a rate, which allows a request
+    """
+    selector = _loaded_selector(count, is_limited)
+    for tokens in (5_000, 210_000):
+        demand = _demand(tokens)
+        ms = _time_ms(
+            lambda demand=demand: selector.choose_engine(
+                _SERVICE, demand, frozenset()
+            )
+        )
+        suffix = ", all with a rate" if is_limited else ""
+        print(
+            f"placement, {count} engines{suffix}, {tokens} tokens: {ms:.2f} ms"
+        )
+
+
 def _measure_exchange() -> None:
     """Print what one change of load costs in fleets of several sizes."""
     for nodes, domains in _FLEETS:
@@ -121,7 +134,9 @@
     )
 
 
-def _loaded_selector(count: int) -> placement.EndpointSelector:
+def _loaded_selector(
+    count: int, is_limited: bool
+) -> placement.EndpointSelector:
     directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
     listed = tuple(map(example_engine.endpoint, range(count)))
     directory.replace(endpoints.EndpointList(listed, clock.now_s()))
@@ -130,10 +145,20 @@
         for number in range(4):
             table.add(_request(item.instance, number))
             table.mark_prefilled(f"{item.instance}/{number}")
+    limits = rate_limits.RateLimits(
+        fleet_news.FleetNews,
+        directory.find_named,
+        lambda _: True,
+        lambda: rate_limits.FleetShare(1.0, 1),
+    )
+    for item in listed if is_limited else ():
+        limits.record(item, 1_000.0)
     return placement.EndpointSelector(
         directory,
         table,
-        engine_candidates.EngineCandidates.for_one_pool(directory, table),
+        engine_candidates.EngineCandidates.for_one_pool(
+            directory, table, limits
+        ),
         example_engine.FAILURE_DOMAIN,
     )
 
