Take dependencies and reports of attempts out of the request runner

What other parts learn from an attempt (faults, crashes, limits) is in attempt_reporter, the objects that all requests share in request_dependencies. No behaviour changes; tests of gateway and platform pass.

--- /dev/null
+++ b/src/fireflyspur/gateway/attempt_reporter.py
@@ -0,0 +1,153 @@
+"""Reports of attempts to the parts of a node that learn from them."""
+
+from fireflyspur.gateway import attempt_result
+from fireflyspur.gateway import clock
+from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import part_quarantine
+from fireflyspur.gateway import placement as placements
+from fireflyspur.gateway import quarantine
+from fireflyspur.gateway import request_dependencies
+from fireflyspur.gateway import request_plan
+from fireflyspur.observability import logs
+
+_log = logs.log_for("requests")
+
+
+class AttemptReporter:
+    """Logs and reports how the attempts of one request ended.
+
+    :param deps: objects that all requests share
+    :param plan: the request
+    """
+
+    def __init__(
+        self,
+        deps: request_dependencies.RequestDependencies,
+        plan: request_plan.RequestPlan,
+    ) -> None:
+        self._deps = deps
+        self._attempt_id = plan.info.attempt_id
+        self._fingerprint = quarantine.fingerprint_of(
+            plan.request, plan.account_name or plan.info.api_key or ""
+        )
+        self._parts = part_quarantine.part_ids(
+            plan.service.name, plan.info.shared_parts
+        )
+
+    def find_crash_reason(self) -> str | None:
+        """Return why the request may not be sent to an endpoint, or None."""
+        if self._deps.crashes.is_quarantined(self._fingerprint):
+            return "the request crashed several endpoints"
+        if self._deps.parts.is_quarantined(self._parts):
+            return "a part of the prompt crashed several endpoints"
+        return None
+
+    def report_limit(
+        self, endpoint: endpoints.Endpoint, info: messages.ResponseInfo
+    ) -> None:
+        """Report the rate limit that a response names, or that it names none.
+
+        :param endpoint: the endpoint that was asked
+        :param info: headers of the response
+        """
+        if info.instance not in (None, endpoint.instance):
+            return
+        if info.is_rate_limit_invalid:
+            self._deps.limits.record_invalid(endpoint)
+        else:
+            self._deps.limits.record(endpoint, info.rate_limit)
+
+    def report_delivered(
+        self, placement: placements.Placement, is_confirmed: bool
+    ) -> None:
+        """Report a response that the caller got.
+
+        :param is_confirmed: whether it is certain that it was complete
+        """
+        self._deps.directory.record_success(placement.primary.instance)
+        if is_confirmed:
+            self._deps.parts.record_success(self._parts)
+
+    def report_not_sent(self, result: attempt_result.NotSent) -> None:
+        """Report an attempt that was not sent."""
+        _log.info(
+            "Request not sent",
+            request=self._attempt_id,
+            instance=result.instance,
+            reason=result.reason,
+        )
+        if result.is_unreachable:
+            self._deps.monitor.mark_unreachable(result.instance)
+
+    def report_not_run(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.NotRun,
+    ) -> str | None:
+        """Report the endpoint that made the attempt fail.
+
+        :returns: instance of the other group member that made it fail, or
+            None
+        """
+        instance = placement.primary.instance
+        failed_member = None
+        if result.failed_member is not None:
+            failed_member = self._deps.directory.find_named(
+                result.failed_member
+            )
+        _log.info(
+            "Endpoint did not run request",
+            request=self._attempt_id,
+            instance=instance,
+            reason=result.reason,
+            blamed=result.failed_member,
+        )
+        if failed_member is not None and failed_member.instance != instance:
+            self._deps.monitor.mark_failed(
+                failed_member.instance, result.reason
+            )
+            return failed_member.instance
+        if result.is_replaced:
+            self._deps.monitor.mark_left(instance, result.reason)
+        elif not result.is_full:
+            self._deps.directory.record_fault(instance, result.reason)
+        return None
+
+    def report_broken(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.Broken,
+        sent_at_s: float,
+        last_event_id: str | None,
+    ) -> None:
+        """Report a response that broke off, and whether it was a crash.
+
+        :param sent_at_s: clock time of the start of the attempt
+        :param last_event_id: id of the last event that the caller got, if any
+        """
+        instance = placement.primary.instance
+        _log.warning(
+            "Answer of endpoint broken",
+            request=self._attempt_id,
+            instance=instance,
+            reason=result.reason,
+            event=last_event_id,
+        )
+        if result.failed_member is not None:
+            return
+        self._deps.directory.record_fault(instance, result.reason)
+        if result.is_connection_lost:
+            crash = part_quarantine.PartCrash(
+                self._parts,
+                instance,
+                sent_at_s=sent_at_s,
+                broke_at_s=clock.now_s(),
+            )
+            self._deps.monitor.check_crash(
+                placement.primary, lambda: self._record_crash(crash)
+            )
+
+    def _record_crash(self, crash: part_quarantine.PartCrash) -> None:
+        self._deps.crashes.record_crash(self._fingerprint, crash.instance)
+        self._deps.parts.record_crash(crash)
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway import clock
 from fireflyspur.gateway import exceptions
 from fireflyspur.gateway import messages
+from fireflyspur.gateway import request_dependencies
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import request_runner
 from fireflyspur.gateway import response_relay
@@ -28,7 +29,7 @@
     :param deps: shared objects of all requests
     """
 
-    def __init__(self, deps: request_runner.RequestDependencies) -> None:
+    def __init__(self, deps: request_dependencies.RequestDependencies) -> None:
         self._deps = deps
 
     async def serve(
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/gateway.py
@@ -22,8 +22,8 @@
 from fireflyspur.gateway import node_drain
 from fireflyspur.gateway import placement
 from fireflyspur.gateway import registry as registries
+from fireflyspur.gateway import request_dependencies
 from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import request_runner
 from fireflyspur.gateway import request_timeouts
 from fireflyspur.gateway import retry_budget
 from fireflyspur.gateway import settings as gateway_settings
@@ -158,7 +158,7 @@
         self, codec: messages.Codec, in_flight: in_flight_table.InFlightTable
     ) -> forwarder.Forwarder:
         return forwarder.Forwarder(
-            request_runner.RequestDependencies(
+            request_dependencies.RequestDependencies(
                 planner=request_plan.RequestPlanner(
                     self._config_holder, codec
                 ),
--- /dev/null
+++ b/src/fireflyspur/gateway/request_dependencies.py
@@ -0,0 +1,49 @@
+"""Objects that all requests of a node share."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway import endpoint_monitor
+from fireflyspur.gateway import gateway_metrics
+from fireflyspur.gateway import in_flight_reporter
+from fireflyspur.gateway import memory_reserver
+from fireflyspur.gateway import messages
+from fireflyspur.gateway import part_quarantine
+from fireflyspur.gateway import placement as placements
+from fireflyspur.gateway import quarantine
+from fireflyspur.gateway import rate_limits
+from fireflyspur.gateway import request_plan
+from fireflyspur.gateway import request_timeouts
+from fireflyspur.gateway import retry_budget
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestDependencies:
+    """Shared objects that requests are served with.
+
+    :param is_draining: returns whether the node is stopping
+    :param timeouts: limits the time of each request
+    :param exits_at_s: returns the clock time at which the process ends, or
+        None until a stop begins
+    :param wait_until_current: waits until the configuration and the endpoints
+        are current again after this process was suspended
+    """
+
+    planner: request_plan.RequestPlanner
+    codec: messages.Codec
+    directory: endpoint_directory.EndpointDirectory
+    in_flight: in_flight_reporter.InFlightReporter
+    placer: placements.EndpointSelector
+    retries: retry_budget.RetryBudget
+    crashes: quarantine.Quarantine
+    parts: part_quarantine.PartQuarantine
+    limits: rate_limits.RateLimits
+    memory: memory_reserver.MemoryReserver
+    is_draining: Callable[[], bool]
+    exits_at_s: Callable[[], float | None]
+    timeouts: request_timeouts.RequestTimeouts
+    wait_until_current: Callable[[], Awaitable[None]]
+    monitor: endpoint_monitor.EndpointMonitor
+    metrics: gateway_metrics.GatewayMetrics
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/request_runner.py
@@ -1,36 +1,24 @@
 """Running of one request through attempts at endpoints."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import dataclasses
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway import attempt as attempts
+from fireflyspur.gateway import attempt_reporter
 from fireflyspur.gateway import attempt_result
 from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import endpoint_monitor
 from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import gateway_metrics
 from fireflyspur.gateway import http_exchange
-from fireflyspur.gateway import in_flight_reporter
-from fireflyspur.gateway import memory_reserver
 from fireflyspur.gateway import messages
-from fireflyspur.gateway import part_quarantine
 from fireflyspur.gateway import placement as placements
 from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import quarantine
-from fireflyspur.gateway import rate_limits
+from fireflyspur.gateway import request_dependencies
 from fireflyspur.gateway import request_plan
 from fireflyspur.gateway import request_report
-from fireflyspur.gateway import request_timeouts
 from fireflyspur.gateway import response_relay
-from fireflyspur.gateway import retry_budget
 from fireflyspur.gateway import stall_detector
-from fireflyspur.observability import logs
 
 # An endpoint stops processing at the deadline and reports it; this is the
 # time for that response to arrive.
@@ -45,38 +33,6 @@
 _NONE_READY = "no endpoint is ready"
 _NO_ROOM = "no endpoint has room"
 
-_log = logs.log_for("requests")
-
-
-@dataclasses.dataclass(frozen=True)
-class RequestDependencies:
-    """Shared objects that requests are served with.
-
-    :param is_draining: returns whether the node is stopping
-    :param timeouts: limits the time of each request
-    :param exits_at_s: returns the clock time at which the process ends, or
-        None until a stop begins
-    :param wait_until_current: waits until the configuration and the endpoints
-        are current again after this process was suspended
-    """
-
-    planner: request_plan.RequestPlanner
-    codec: messages.Codec
-    directory: endpoint_directory.EndpointDirectory
-    in_flight: in_flight_reporter.InFlightReporter
-    placer: placements.EndpointSelector
-    retries: retry_budget.RetryBudget
-    crashes: quarantine.Quarantine
-    parts: part_quarantine.PartQuarantine
-    limits: rate_limits.RateLimits
-    memory: memory_reserver.MemoryReserver
-    is_draining: Callable[[], bool]
-    exits_at_s: Callable[[], float | None]
-    timeouts: request_timeouts.RequestTimeouts
-    wait_until_current: Callable[[], Awaitable[None]]
-    monitor: endpoint_monitor.EndpointMonitor
-    metrics: gateway_metrics.GatewayMetrics
-
 
 class RequestRunner:
     """Tries endpoints for one request until one responds.
@@ -87,19 +43,14 @@
 
     def __init__(
         self,
-        deps: RequestDependencies,
+        deps: request_dependencies.RequestDependencies,
         plan: request_plan.RequestPlan,
         relay: response_relay.ResponseRelay,
     ) -> None:
         self._deps = deps
         self._plan = plan
         self._relay = relay
-        self._fingerprint = quarantine.fingerprint_of(
-            plan.request, plan.account_name or plan.info.api_key or ""
-        )
-        self._parts = part_quarantine.part_ids(
-            plan.service.name, plan.info.shared_parts
-        )
+        self._reporter = attempt_reporter.AttemptReporter(deps, plan)
         # When to return if the rates of all endpoints are used up.
         self._limited_retry_s: float | None = None
         # Clock time of the start of the last attempt.
@@ -175,12 +126,9 @@
             return False
         if len(self._excluded) >= _MAX_EXCLUDED:
             return False
-        if self._deps.crashes.is_quarantined(self._fingerprint):
-            raise self._crashing_error("the request crashed several endpoints")
-        if self._deps.parts.is_quarantined(self._parts):
-            raise self._crashing_error(
-                "a part of the prompt crashed several endpoints"
-            )
+        crash_reason = self._reporter.find_crash_reason()
+        if crash_reason is not None:
+            raise self._crashing_error(crash_reason)
         return True
 
     def _acquire_retry(self) -> bool:
@@ -231,24 +179,31 @@
         """
         match result:
             case attempt_result.Delivered(status, is_confirmed):
-                self._deps.directory.record_success(placement.primary.instance)
-                if is_confirmed:
-                    self._deps.parts.record_success(self._parts)
+                self._reporter.report_delivered(placement, is_confirmed)
                 self.log_end(status, None)
                 return True
             case attempt_result.NotSent(reason, instance):
                 self._reason = reason
                 self._excluded.append(instance)
                 self._tried.pop()
-                self._handle_not_sent(result)
+                self._reporter.report_not_sent(result)
             case attempt_result.NotRun(reason):
                 self._reason = reason
-                failed_member = self._handle_not_run(placement, result)
+                failed_member = self._reporter.report_not_run(
+                    placement, result
+                )
                 if failed_member is not None:
                     self._excluded.append(failed_member)
             case attempt_result.Broken(reason):
                 self._reason = reason
-                self._handle_broken(placement, result)
+                self._reporter.report_broken(
+                    placement,
+                    result,
+                    self._attempted_at_s,
+                    self._relay.last_event_id,
+                )
+                if result.failed_member is not None:
+                    self._excluded.append(result.failed_member)
                 if not self._plan.route.may_repeat:
                     raise exceptions.BrokenResponseError(reason)
             case attempt_result.Rejected(head):
@@ -284,7 +239,9 @@
                 self._deps.codec,
                 self._relay,
                 self._deps.memory,
-                lambda info: self._record_limit(placement.primary, info),
+                lambda info: self._reporter.report_limit(
+                    placement.primary, info
+                ),
                 on_response_start,
                 self._stall_detector,
             )
@@ -298,16 +255,6 @@
                     self._may_have_run = may_have_run
             return result
 
-    def _record_limit(
-        self, endpoint: endpoints.Endpoint, info: messages.ResponseInfo
-    ) -> None:
-        if info.instance not in (None, endpoint.instance):
-            return
-        if info.is_rate_limit_invalid:
-            self._deps.limits.record_invalid(endpoint)
-        else:
-            self._deps.limits.record(endpoint, info.rate_limit)
-
     def _track_in_flight(
         self, stack: contextlib.ExitStack, placement: placements.Placement
     ) -> Callable[[], None]:
@@ -345,82 +292,6 @@
 
         return record_response_start
 
-    def _handle_not_sent(self, result: attempt_result.NotSent) -> None:
-        _log.info(
-            "Request not sent",
-            request=self._plan.info.attempt_id,
-            instance=result.instance,
-            reason=result.reason,
-        )
-        if result.is_unreachable:
-            self._deps.monitor.mark_unreachable(result.instance)
-
-    def _handle_not_run(
-        self,
-        placement: placements.Placement,
-        result: attempt_result.NotRun,
-    ) -> str | None:
-        """Report the endpoint that made the attempt fail.
-
-        :returns: instance of the other group member that made it fail, or
-            None
-        """
-        instance = placement.primary.instance
-        failed_member = None
-        if result.failed_member is not None:
-            failed_member = self._deps.directory.find_named(
-                result.failed_member
-            )
-        _log.info(
-            "Endpoint did not run request",
-            request=self._plan.info.attempt_id,
-            instance=instance,
-            reason=result.reason,
-            blamed=result.failed_member,
-        )
-        if failed_member is not None and failed_member.instance != instance:
-            self._deps.monitor.mark_failed(
-                failed_member.instance, result.reason
-            )
-            return failed_member.instance
-        if result.is_replaced:
-            self._deps.monitor.mark_left(instance, result.reason)
-        elif not result.is_full:
-            self._deps.directory.record_fault(instance, result.reason)
-        return None
-
-    def _handle_broken(
-        self,
-        placement: placements.Placement,
-        result: attempt_result.Broken,
-    ) -> None:
-        instance = placement.primary.instance
-        _log.warning(
-            "Answer of endpoint broken",
-            request=self._plan.info.attempt_id,
-            instance=instance,
-            reason=result.reason,
-            event=self._relay.last_event_id,
-        )
-        if result.failed_member is not None:
-            self._excluded.append(result.failed_member)
-            return
-        self._deps.directory.record_fault(instance, result.reason)
-        if result.is_connection_lost:
-            crash = part_quarantine.PartCrash(
-                self._parts,
-                instance,
-                sent_at_s=self._attempted_at_s,
-                broke_at_s=clock.now_s(),
-            )
-            self._deps.monitor.check_crash(
-                placement.primary, lambda: self._record_crash(crash)
-            )
-
-    def _record_crash(self, crash: part_quarantine.PartCrash) -> None:
-        self._deps.crashes.record_crash(self._fingerprint, crash.instance)
-        self._deps.parts.record_crash(crash)
-
     def _stall_detector(
         self, placement: placements.Placement
     ) -> http_exchange.SilenceCallback:
