--- a/src/fireflyspur/node/handlers/admin.py
+++ b/src/fireflyspur/node/handlers/admin.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from fireflyspur.node import context
-from fireflyspur.node.handlers import base
+from fireflyspur.node.handlers import json_error_handler
 
 
-class AdminHandler(base.JsonErrorHandler):
+class AdminHandler(json_error_handler.JsonErrorHandler):
     """Base class of the handlers on the admin port."""
 
     def initialize(self, node: context.NodeContext) -> None:
--- a/src/fireflyspur/node/handlers/base.py
+++ b/src/fireflyspur/node/handlers/base.py
@@ -1,11 +1,10 @@
-"""Base classes and errors of the HTTP handlers."""
+"""Base classes of the handlers for callers."""
 
 import asyncio
 import contextlib
 import math
 import time
 from typing import Any
-import uuid
 
 import msgspec
 from tornado import iostream
@@ -13,9 +12,11 @@
 
 from fireflyspur.admission import authenticator
 from fireflyspur.admission import exceptions as admission_exceptions
-from fireflyspur.errors import exceptions
+from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict
 from fireflyspur.node import context
+from fireflyspur.node.handlers import exceptions
+from fireflyspur.node.handlers import json_error_handler
 from fireflyspur.node.handlers import request_summary
 from fireflyspur.observability import logs
 
@@ -30,109 +31,8 @@
 _log = logs.log_for("http")
 
 
-class NotFoundError(exceptions.FireflyspurError):
-    """No resource has this path."""
-
-    code = "not_found"
-    http_status = 404
-
-
-class MethodNotAllowedError(exceptions.FireflyspurError):
-    """The resource does not support this method."""
-
-    code = "method_not_allowed"
-    http_status = 405
-
-
-class HeadersTooLargeError(exceptions.FireflyspurError):
-    """The request's headers exceed the size limit of the node."""
-
-    code = "headers_too_large"
-    http_status = 431
-
-
-class BodyTimeoutError(exceptions.FireflyspurError):
-    """The body did not arrive within the request's time limit."""
-
-    code = "body_timeout"
-    http_status = 408
-
-
-def error_body(error: Exception, request_id: str) -> dict[str, Any]:
-    """Return the body of an error response.
-
-    :param error: the error
-    :param request_id: ID of the failed request
-    """
-    code, error_verdict = "internal_error", verdict.Verdict.MAY_HAVE_RUN
-    message = "the node failed to handle the request"
-    if isinstance(error, exceptions.FireflyspurError):
-        code, error_verdict, message = error.code, error.verdict, str(error)
-    return {
-        "error": {
-            "code": code,
-            "type": code,
-            "message": message,
-            "request_id": request_id,
-            "verdict": str(error_verdict),
-        }
-    }
-
-
-class JsonErrorHandler(web.RequestHandler):
-    """Base class of handlers that report errors as JSON."""
-
-    def initialize(self) -> None:
-        """Set the handler up for one request."""
-        self._request_id = f"req-{uuid.uuid4()}"
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Send the error as a JSON response."""
-        error = kwargs.get("exc_info", (None, None, None))[1]
-        if self.request.method not in self.SUPPORTED_METHODS:
-            # Tornado responds before it reads the body, then closes the
-            # connection.
-            self.set_header("Connection", "close")
-        self.finish(self.set_error(error or Exception(), status_code))
-
-    def set_error(self, error: Exception, status_code: int = 500) -> bytes:
-        """Set the status and headers of an error response.
-
-        :returns: the body of the response
-        """
-        match error:
-            case exceptions.FireflyspurError():
-                status_code = error.http_status
-                if error.retry_after_s is not None:
-                    seconds = max(1, math.ceil(error.retry_after_s))
-                    self.set_header("Retry-After", str(seconds))
-            case web.HTTPError(status_code=404):
-                error = NotFoundError(
-                    f"no resource has the path {self.request.path:.200}"
-                )
-            case web.HTTPError(status_code=405):
-                error = MethodNotAllowedError(
-                    f"the resource does not support {self.request.method:.20}"
-                )
-                self.set_header("Allow", ", ".join(self._methods()))
-            case web.HTTPError():
-                error = exceptions.InvalidInputError(str(error))
-        self.set_status(status_code)
-        self.set_header("Content-Type", "application/json")
-        self.set_header("X-Request-Id", self._request_id)
-        return msgspec.json.encode(error_body(error, self._request_id))
-
-    def _methods(self) -> list[str]:
-        return [
-            name
-            for name in self.SUPPORTED_METHODS
-            if getattr(type(self), name.lower())
-            is not getattr(web.RequestHandler, name.lower())
-        ]
-
-
 @web.stream_request_body
-class CallerHandler(JsonErrorHandler):
+class CallerHandler(json_error_handler.JsonErrorHandler):
     """Base class of the handlers for callers.
 
     Admits the request and reads its body within the node's byte budget.
@@ -172,7 +72,7 @@
             task.add_done_callback(lambda _: self._clean_up())
         try:
             self.admit()
-        except exceptions.FireflyspurError as error:
+        except base_exceptions.FireflyspurError as error:
             self._refuse(error)
 
     def admit(self) -> None:
@@ -198,7 +98,9 @@
         self._body_timer = asyncio.get_running_loop().call_later(
             self.timeout_s(account),
             self._refuse,
-            BodyTimeoutError("the body did not arrive within the time limit"),
+            exceptions.BodyTimeoutError(
+                "the body did not arrive within the time limit"
+            ),
         )
 
     def data_received(self, chunk: bytes) -> None:
@@ -209,7 +111,7 @@
         if size > self._reserved_bytes:
             try:
                 self._acquire_body(size - self._reserved_bytes)
-            except exceptions.FireflyspurError as error:
+            except base_exceptions.FireflyspurError as error:
                 self._refuse(error)
                 return
         self._received_bytes = size
@@ -243,7 +145,7 @@
                 msgspec.json.decode, body, type=body_type
             )
         except msgspec.MsgspecError as error:
-            raise exceptions.InvalidInputError(
+            raise base_exceptions.InvalidInputError(
                 f"the body is not valid: {error}"
             ) from error
 
@@ -271,7 +173,7 @@
         except ValueError:
             value = 0.0
         if not math.isfinite(value) or value <= 0:
-            raise exceptions.InvalidInputError(
+            raise base_exceptions.InvalidInputError(
                 "Request-Timeout: expected a positive number of seconds,"
                 f" found {raw!r:.40}"
             )
@@ -287,14 +189,14 @@
 
     def record_error(self, error: Exception) -> None:
         """Record an error for the request's log line and metrics."""
-        body = error_body(error, self._request_id)["error"]
+        body = json_error_handler.error_body(error, self._request_id)["error"]
         self._summary.code = body["code"]
         self._summary.verdict = body["verdict"]
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log unexpected exceptions as errors, all others for debugging."""
         match value:
-            case exceptions.FireflyspurError():
+            case base_exceptions.FireflyspurError():
                 _log.debug("Request {} failed: {}", self._request_id, value)
             case iostream.StreamClosedError() | web.HTTPError():
                 _log.debug("Request {} ended: {}", self._request_id, value)
@@ -326,11 +228,11 @@
             for name, value in self.request.headers.get_all()
         )
         if size > limit:
-            raise HeadersTooLargeError(
+            raise exceptions.HeadersTooLargeError(
                 f"the headers are larger than {limit} bytes"
             )
 
-    def _refuse(self, error: exceptions.FireflyspurError) -> None:
+    def _refuse(self, error: base_exceptions.FireflyspurError) -> None:
         """Respond at once and discard the rest of the body."""
         if self._is_refused or self._finished:
             return
@@ -405,16 +307,6 @@
     def admit(self) -> None:
         """Refuse the request."""
         self._check_headers()
-        raise NotFoundError(
-            f"no resource has the path {self.request.path:.200}"
-        )
-
-
-class UnknownAdminPathHandler(JsonErrorHandler):
-    """Responds with 404 to unknown paths on the admin port."""
-
-    def prepare(self) -> None:
-        """Refuse the request."""
-        raise NotFoundError(
+        raise exceptions.NotFoundError(
             f"no resource has the path {self.request.path:.200}"
         )
--- a/src/fireflyspur/node/handlers/completions.py
+++ b/src/fireflyspur/node/handlers/completions.py
@@ -18,6 +18,7 @@
 from fireflyspur.errors import verdict
 from fireflyspur.generated import records
 from fireflyspur.node.handlers import base
+from fireflyspur.node.handlers import json_error_handler
 from fireflyspur.node.handlers import openai_api
 from fireflyspur.routing import exceptions as routing_exceptions
 from fireflyspur.routing import prefix_index
@@ -249,7 +250,7 @@
         if self._finished:
             # The whole response was written, but the caller has not read it.
             return
-        body = base.error_body(error, self.request_id)
+        body = json_error_handler.error_body(error, self.request_id)
         with contextlib.suppress(iostream.StreamClosedError):
             # The openai client raises an exception for an event whose data
             # has the key "error"; other clients check the event's name.
--- a/src/fireflyspur/node/handlers/health.py
+++ b/src/fireflyspur/node/handlers/health.py
@@ -1,10 +1,10 @@
 """Health checks for the load balancer."""
 
 from fireflyspur.node import context
-from fireflyspur.node.handlers import base
+from fireflyspur.node.handlers import json_error_handler
 
 
-class HealthHandler(base.JsonErrorHandler):
+class HealthHandler(json_error_handler.JsonErrorHandler):
     """``GET /healthz``: liveness of the process."""
 
     def get(self) -> None:
@@ -12,7 +12,7 @@
         self.finish({"status": "ok"})
 
 
-class ReadyHandler(base.JsonErrorHandler):
+class ReadyHandler(json_error_handler.JsonErrorHandler):
     """``GET /readyz``: whether the node accepts requests."""
 
     def initialize(self, node: context.NodeContext) -> None:
--- a/src/fireflyspur/node/http_server.py
+++ b/src/fireflyspur/node/http_server.py
@@ -9,6 +9,7 @@
 from fireflyspur.node.handlers import base
 from fireflyspur.node.handlers import completions
 from fireflyspur.node.handlers import health
+from fireflyspur.node.handlers import json_error_handler
 from fireflyspur.node.handlers import models
 from fireflyspur.node.handlers import services
 
@@ -53,7 +54,7 @@
             ("/admin/view", admin.ViewHandler, arguments),
             ("/admin/audit", admin.AuditHandler, arguments),
         ],
-        default_handler_class=base.UnknownAdminPathHandler,
+        default_handler_class=json_error_handler.UnknownAdminPathHandler,
         log_function=lambda handler: None,
     )
 
