--- a/src/fireflyspur/engines/engine_parts.py
+++ b/src/fireflyspur/engines/engine_parts.py
@@ -8,11 +8,11 @@
 from fireflyspur.engines import engine_crash
 from fireflyspur.engines import group_reserver
 from fireflyspur.engines import holding_sweeper
-from fireflyspur.engines import prompt_run
 from fireflyspur.engines import prompt_runner
 from fireflyspur.engines import quarantine as quarantines
 from fireflyspur.engines import releaser as releasers
 from fireflyspur.engines import retry_budget
+from fireflyspur.engines import run_dependencies
 from fireflyspur.records import catalog as catalogs
 from fireflyspur.routing import router as routers
 
@@ -56,7 +56,7 @@
             publish,
         )
         self.runner = prompt_runner.PromptRunner(
-            prompt_run.RunDependencies(
+            run_dependencies.RunDependencies(
                 client,
                 router,
                 owner,
--- a/src/fireflyspur/engines/prompt_run.py
+++ b/src/fireflyspur/engines/prompt_run.py
@@ -3,28 +3,24 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
-import dataclasses
 import time
 from typing import Any
 
-from fireflyspur.audit import audit_trail
 from fireflyspur.clients import engine_client
 from fireflyspur.clients import exceptions as client_exceptions
 from fireflyspur.engines import attempt as attempts
+from fireflyspur.engines import attempt_placer
 from fireflyspur.engines import crash_reporter
 from fireflyspur.engines import exceptions
-from fireflyspur.engines import group_reserver
 from fireflyspur.engines import prompt_request
 from fireflyspur.engines import quarantine as quarantines
-from fireflyspur.engines import releaser as releasers
-from fireflyspur.engines import retry_budget
+from fireflyspur.engines import run_dependencies
 from fireflyspur.engines import token_delivery
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.observability import logs
 from fireflyspur.routing import engine_view
 from fireflyspur.routing import load_report
-from fireflyspur.routing import router as routers
 
 # Time reserved so that an error reaches the caller before the deadline.
 _RESPONSE_MARGIN_S = 0.02
@@ -34,8 +30,6 @@
 # run". The response waits for it up to this time.
 _CANCEL_WAIT_S = 0.25
 _INTERRUPT_WAIT_S = 0.5
-# A full engine may still be a candidate for the next trial.
-_TRIAL_PAUSE_S = 0.1
 _MAX_REFUSALS = 8
 _MAX_ATTEMPTS = 16
 _RETRY_AFTER_S = 1.0
@@ -43,27 +37,6 @@
 _log = logs.log_for("engines")
 
 
-@dataclasses.dataclass(frozen=True)
-class RunDependencies:
-    """Dependencies that all prompts of a node share."""
-
-    client: engine_client.EngineClient
-    router: routers.Router
-    owner: str
-    budget: retry_budget.RetryBudget
-    quarantine: quarantines.Quarantine
-    reserver: group_reserver.GroupReserver
-    releaser: releasers.Releaser
-    trail: audit_trail.AuditTrail
-
-
-@dataclasses.dataclass(frozen=True)
-class _PlacedAttempt:
-    placement: engine_view.Placement
-    group: group_reserver.Group | None = None
-    is_trial: bool = False
-
-
 class PromptRun:
     """Runs one prompt and retries failed attempts.
 
@@ -72,7 +45,9 @@
     """
 
     def __init__(
-        self, deps: RunDependencies, request: prompt_request.PromptRequest
+        self,
+        deps: run_dependencies.RunDependencies,
+        request: prompt_request.PromptRequest,
     ) -> None:
         self._deps = deps
         self._request = request
@@ -82,7 +57,14 @@
         self._delivery = token_delivery.TokenDelivery(request.request_id)
         self._deadline = request.deadline - _RESPONSE_MARGIN_S
         self._attempts: list[attempts.Attempt] = []
-        self._failed_engines: list[str] = []
+        self._placer = attempt_placer.AttemptPlacer(
+            deps,
+            request,
+            self._fingerprint,
+            self._deadline,
+            self._check_deadline,
+            self._check_quarantine,
+        )
         self._refusals = 0
 
     async def lines(self) -> AsyncIterator[engine_client.StreamLine]:
@@ -106,7 +88,7 @@
     async def _run_attempt(self) -> AsyncIterator[engine_client.StreamLine]:
         """Yield the lines of one attempt; return if it is to be retried."""
         async with contextlib.AsyncExitStack() as stack:
-            placed = await self._place_attempt(stack)
+            placed = await self._placer.place(stack)
             engine = self._deps.router.view.address(placed.placement.engine)
             active = stack.enter_context(
                 self._deps.quarantine.reporter.track(
@@ -137,71 +119,10 @@
         else:
             router.finish(placement, line)
 
-    async def _place_attempt(
-        self, stack: contextlib.AsyncExitStack
-    ) -> _PlacedAttempt:
-        deps = self._deps
-        self._check_quarantine()
-        needed_tokens = self._request.prompt_tokens + self._request.max_tokens
-        if self._needs_group(needed_tokens):
-            group = await stack.enter_async_context(
-                deps.reserver.reserve(
-                    needed_tokens, self._members, self._deadline
-                )
-            )
-            placement = engine_view.Placement(
-                group.lead.name, self._request.prompt_tokens, needed_tokens
-            )
-            deps.router.view.add(placement)
-            placed = _PlacedAttempt(placement, group)
-        elif deps.quarantine.is_suspect(self._fingerprint):
-            placed = await self._place_trial(stack)
-            placement = placed.placement
-        else:
-            avoid = {*self._failed_engines, *deps.quarantine.trials.engines()}
-            placement = deps.router.choose(self._route(), avoid)
-            placed = _PlacedAttempt(placement)
-        stack.callback(deps.router.finish, placement)
-        return placed
-
-    async def _place_trial(
-        self, stack: contextlib.AsyncExitStack
-    ) -> _PlacedAttempt:
-        """Place the prompt on an engine on which it has a trial.
-
-        If the engine is lost or fills up while the trial is recorded in the
-        log, another trial is acquired.
-
-        :param stack: gets the trial
-        """
-        router = self._deps.router
-        while True:
-            self._check_deadline()
-            async with contextlib.AsyncExitStack() as trial_stack:
-                trial = await trial_stack.enter_async_context(
-                    self._deps.quarantine.trials.acquire(
-                        self._fingerprint,
-                        self._trial_candidates,
-                        self._deadline,
-                        self._check_quarantine,
-                    )
-                )
-                avoid = set(self._candidates()) - {trial.engine}
-                placement = router.choose(self._route(), avoid)
-                if placement.engine == trial.engine:
-                    stack.push_async_exit(trial_stack.pop_all())
-                    return _PlacedAttempt(placement, None, trial.is_recorded)
-                router.finish(placement)
-            _log.info(
-                "Engine {} accepts no more requests, another trial follows",
-                trial.engine,
-            )
-            await asyncio.sleep(_TRIAL_PAUSE_S)
-
     def _create_attempt(
         self,
         engine: engine_client.EngineAddress,
-        placed: _PlacedAttempt,
+        placed: attempt_placer.PlacedAttempt,
         active: crash_reporter.ActiveAttempt,
     ) -> attempts.Attempt:
         request, group = self._request, placed.group
@@ -288,7 +209,7 @@
                 )
             await self._deps.quarantine.reporter.check(active)
             return
-        self._failed_engines.append(engine.name)
+        self._placer.add_failed(engine.name)
         has_crashed = False
         if isinstance(error, client_exceptions.EngineConnectionLostError):
             has_crashed = await self._deps.quarantine.reporter.check(active)
@@ -302,8 +223,8 @@
             has_crashed or self._deps.budget.try_spend()
         ):
             raise exceptions.AttemptsExhaustedError(
-                f"{len(self._failed_engines)} attempts failed, the last one on"
-                f" {engine.name}: {error}",
+                f"{len(self._placer.failed_engines)} attempts failed, the last"
+                f" one on {engine.name}: {error}",
                 retry_after_s=_RETRY_AFTER_S,
             ) from error
 
@@ -313,7 +234,7 @@
         error: base_exceptions.FireflyspurError,
     ) -> None:
         view = self._deps.router.view
-        self._failed_engines.append(engine.name)
+        self._placer.add_failed(engine.name)
         match error:
             case client_exceptions.EngineRefusedError(reason="leaving"):
                 view.mark_engine_leaving(engine.name)
@@ -322,8 +243,7 @@
             case _:
                 view.mark_unreachable(engine.name)
         self._refusals += 1
-        untried = set(self._candidates()) - set(self._failed_engines)
-        if self._refusals >= _MAX_REFUSALS or not untried:
+        if self._refusals >= _MAX_REFUSALS or not self._placer.has_untried():
             raise exceptions.EnginesBusyError(
                 f"{self._refusals} engines refused the prompt, the last one"
                 f" {engine.name}: {error}",
@@ -356,55 +276,6 @@
             retry_after_s=error.retry_after_s,
         )
 
-    def _candidates(self) -> list[str]:
-        return self._deps.router.view.candidates(
-            self._request.model, self._request.adapter
-        )
-
-    def _trial_candidates(self) -> list[str]:
-        names = self._candidates()
-        if not names:
-            raise self._deps.router.refusal(self._route())
-        return [n for n in names if n not in self._failed_engines] or names
-
-    def _members(self) -> list[group_reserver.Member]:
-        view = self._deps.router.view
-        specs = view.specs()
-        return [
-            group_reserver.Member(view.address(n), specs[n].memory_tokens)
-            for n in self._candidates()
-            if n not in self._failed_engines
-        ]
-
-    def _needs_group(self, tokens: int) -> bool:
-        """Return whether no single engine has enough memory.
-
-        :raises PromptTooLargeError: if all engines together have too little
-        """
-        sizes = [
-            spec.memory_tokens
-            for spec in self._deps.router.view.specs().values()
-            if self._request.model in spec.models
-        ]
-        if sizes and tokens > sum(sizes):
-            raise exceptions.PromptTooLargeError(
-                f"the prompt needs {tokens} tokens of memory, and the engines"
-                f" of model {self._request.model} have {sum(sizes)}"
-            )
-        return bool(sizes) and tokens > max(sizes)
-
-    def _route(self) -> routers.RouteRequest:
-        request = self._request
-        return routers.RouteRequest(
-            request.model,
-            request.adapter,
-            request.prompt,
-            request.prompt_tokens,
-            request.max_tokens,
-            request.priority,
-            request.prefix_digests,
-        )
-
 
 _FAILURES = (
     client_exceptions.EngineUnavailableError,
--- a/src/fireflyspur/engines/prompt_runner.py
+++ b/src/fireflyspur/engines/prompt_runner.py
@@ -7,6 +7,7 @@
 from fireflyspur.clients import engine_client
 from fireflyspur.engines import prompt_request
 from fireflyspur.engines import prompt_run
+from fireflyspur.engines import run_dependencies
 
 
 class PromptRunner:
@@ -15,7 +16,7 @@
     :param parts: shared dependencies
     """
 
-    def __init__(self, parts: prompt_run.RunDependencies) -> None:
+    def __init__(self, parts: run_dependencies.RunDependencies) -> None:
         self._parts = parts
 
     async def run(
