--- a/src/fireflyspur/console/commands/platform.py
+++ b/src/fireflyspur/console/commands/platform.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from fireflyspur.console import command
-from fireflyspur.gateway import gateway
-from fireflyspur.gateway import settings as gateway_settings
+from fireflyspur.gateway.node import gateway
+from fireflyspur.gateway.node import settings as gateway_settings
 from fireflyspur.observability import logs
 from fireflyspur.platform import header_codec
 from fireflyspur.platform import order_client
--- a/src/fireflyspur/experiment/engine_model.py
+++ b/src/fireflyspur/experiment/engine_model.py
@@ -4,8 +4,8 @@
 import dataclasses
 import math
 
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.scheduling import latency_model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflyspur/experiment/example_engine.py
+++ b/src/fireflyspur/experiment/example_engine.py
@@ -1,8 +1,8 @@
 """Example engine for experiments, measurements and tests."""
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 
 SERVICE = "models"
 FAILURE_DOMAIN = "zone-a"
--- a/src/fireflyspur/experiment/fleet_simulation.py
+++ b/src/fireflyspur/experiment/fleet_simulation.py
@@ -10,11 +10,11 @@
 from fireflyspur.experiment import simulated_request
 from fireflyspur.experiment import traffic
 from fireflyspur.experiment import virtual_time
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.scheduling import latency_model
+from fireflyspur.gateway.scheduling import placement as placements
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 # A caller retries a refused request after this time.
--- a/src/fireflyspur/experiment/node_model.py
+++ b/src/fireflyspur/experiment/node_model.py
@@ -4,11 +4,11 @@
 
 from fireflyspur.experiment import policies
 from fireflyspur.experiment import virtual_time
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import in_flight_reporter
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import rate_limits
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.scheduling import in_flight_reporter
+from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 # Time for which updates are collected, including the network latency.
--- a/src/fireflyspur/experiment/policies.py
+++ b/src/fireflyspur/experiment/policies.py
@@ -4,12 +4,12 @@
 from typing import Protocol
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import placement
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.scheduling import engine_candidates
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import placement
+from fireflyspur.gateway.scheduling import placement_cost
 
 
 class Policy(Protocol):
--- a/src/fireflyspur/experiment/simulated_request.py
+++ b/src/fireflyspur/experiment/simulated_request.py
@@ -4,8 +4,8 @@
 
 from fireflyspur.experiment import node_model
 from fireflyspur.experiment import traffic
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway.scheduling import placement as placements
+from fireflyspur.gateway.scheduling import placement_cost
 
 
 class SimulatedRequest:
--- /dev/null
+++ b/src/fireflyspur/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers."""
--- a/src/fireflyspur/gateway/caller_connection.py
+++ b/src/fireflyspur/gateway/callers/caller_connection.py
@@ -9,12 +9,12 @@
 import h11
 from tornado import iostream
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import hop_headers
-from fireflyspur.gateway import io_wait
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.callers import hop_headers
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import io_wait
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.configuration import routing_config
 
 # A read takes up to the usual size of a socket buffer.
 _READ_BYTES = 65_536
--- a/src/fireflyspur/gateway/caller_server.py
+++ b/src/fireflyspur/gateway/callers/caller_server.py
@@ -10,11 +10,11 @@
 from tornado import iostream
 from tornado import tcpserver
 
-from fireflyspur.gateway import caller_connection
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import routing_config
-from fireflyspur.gateway import socket_options
+from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.common import socket_options
+from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.observability import logs
 
 # Only the end of a traceback is logged, as it names the failing line.
--- a/src/fireflyspur/gateway/hop_headers.py
+++ b/src/fireflyspur/gateway/callers/hop_headers.py
@@ -1,6 +1,6 @@
 """Hop-by-hop headers, which apply to a single connection."""
 
-from fireflyspur.gateway import messages
+from fireflyspur.gateway.common import messages
 
 _HOP_BY_HOP = frozenset(
     (
--- /dev/null
+++ b/src/fireflyspur/gateway/common/__init__.py
@@ -0,0 +1,1 @@
+"""What all packages of the gateway use."""
--- a/src/fireflyspur/gateway/messages.py
+++ b/src/fireflyspur/gateway/common/messages.py
@@ -3,7 +3,7 @@
 import abc
 import dataclasses
 
-from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway.common import address as addresses
 
 # Names and values in the order in which they were received.
 Headers = list[tuple[bytes, bytes]]
--- a/src/fireflyspur/gateway/registry.py
+++ b/src/fireflyspur/gateway/common/registry.py
@@ -3,9 +3,9 @@
 import abc
 import dataclasses
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/src/fireflyspur/gateway/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration in force, and how it is read from the store."""
--- a/src/fireflyspur/gateway/config_holder.py
+++ b/src/fireflyspur/gateway/configuration/config_holder.py
@@ -1,8 +1,8 @@
 """The current configuration of a node."""
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import route_table
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import route_table
+from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.observability import logs
 
 _log = logs.log_for("config")
--- a/src/fireflyspur/gateway/route_table.py
+++ b/src/fireflyspur/gateway/configuration/route_table.py
@@ -2,7 +2,7 @@
 
 import random
 
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
 
 
 class RouteTable:
--- a/src/fireflyspur/gateway/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -6,14 +6,14 @@
 import random
 
 from fireflyspur.errors import exceptions as base_exceptions
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import fleet_link
-from fireflyspur.gateway import reader_rank
-from fireflyspur.gateway import registry as registries
-from fireflyspur.gateway import suspension
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import registry as registries
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.fleet import fleet_link
+from fireflyspur.gateway.node import suspension
 from fireflyspur.observability import logs
 
 # Maximum time that a call waits in the store for a new configuration, in
--- /dev/null
+++ b/src/fireflyspur/gateway/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints: what is known of them, and what they may get."""
--- a/src/fireflyspur/gateway/endpoint.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway.common import address as addresses
 
 
 class EndpointState(enum.StrEnum):
--- a/src/fireflyspur/gateway/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.observability import logs
 
 _log = logs.log_for("endpoints")
--- a/src/fireflyspur/gateway/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -4,16 +4,16 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import routing_config
-from fireflyspur.gateway import update_channel
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.fleet import update_channel
+from fireflyspur.gateway.requests import http_exchange
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
--- a/src/fireflyspur/gateway/endpoint_sync.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_sync.py
@@ -2,10 +2,10 @@
 
 import hashlib
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 
--- a/src/fireflyspur/gateway/part_quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/part_quarantine.py
@@ -6,7 +6,7 @@
 import hashlib
 import random
 
-from fireflyspur.gateway import clock
+from fireflyspur.gateway.common import clock
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
--- a/src/fireflyspur/gateway/quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/quarantine.py
@@ -4,8 +4,8 @@
 import dataclasses
 import hashlib
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import messages
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import messages
 from fireflyspur.observability import logs
 
 # Crashes after which a request is not run again. A single one can be caused by
--- a/src/fireflyspur/gateway/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -6,8 +6,8 @@
 import dataclasses
 import random
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 from fireflyspur.rates import pacing
--- /dev/null
+++ b/src/fireflyspur/gateway/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange between the nodes of a fleet."""
--- a/src/fireflyspur/gateway/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -5,25 +5,25 @@
 import dataclasses
 
 from fireflyspur.errors import exceptions as base_exceptions
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import endpoint_sync
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import idle_engines
-from fireflyspur.gateway import idle_reporter
-from fireflyspur.gateway import in_flight_reporter
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import part_quarantine
-from fireflyspur.gateway import peer_table
-from fireflyspur.gateway import quarantine
-from fireflyspur.gateway import rate_limits
-from fireflyspur.gateway import reader_rank
-from fireflyspur.gateway import registry as registries
-from fireflyspur.gateway import suspension
-from fireflyspur.gateway import update_channel
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import registry as registries
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_sync
+from fireflyspur.gateway.endpoints import part_quarantine
+from fireflyspur.gateway.endpoints import quarantine
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.fleet import peer_table
+from fireflyspur.gateway.fleet import update_channel
+from fireflyspur.gateway.node import suspension
+from fireflyspur.gateway.scheduling import engine_candidates
+from fireflyspur.gateway.scheduling import idle_engines
+from fireflyspur.gateway.scheduling import idle_reporter
+from fireflyspur.gateway.scheduling import in_flight_reporter
+from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
--- a/src/fireflyspur/gateway/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -5,10 +5,10 @@
 import dataclasses
 import random
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import pool_map
-from fireflyspur.gateway import registry
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.fleet import pool_map
 from fireflyspur.observability import logs
 
 # A node sends a heartbeat each second. On a healthy network three lost
--- a/src/fireflyspur/gateway/pool_map.py
+++ b/src/fireflyspur/gateway/fleet/pool_map.py
@@ -6,7 +6,7 @@
 import dataclasses
 import hashlib
 
-from fireflyspur.gateway import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 
 # Nodes that exchange each change of their load. The cost for a node grows with
 # this number, and not with the size of the fleet.
--- a/src/fireflyspur/gateway/update_channel.py
+++ b/src/fireflyspur/gateway/fleet/update_channel.py
@@ -6,11 +6,11 @@
 
 from google.protobuf import message as protobuf
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import peer_table
-from fireflyspur.gateway import pool_map
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.fleet import peer_table
+from fireflyspur.gateway.fleet import pool_map
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
--- a/src/fireflyspur/gateway/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -6,29 +6,29 @@
 import dataclasses
 import signal
 
-from fireflyspur.gateway import caller_connection
-from fireflyspur.gateway import caller_server
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import endpoint_monitor
-from fireflyspur.gateway import engine_orders
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import fleet_link
-from fireflyspur.gateway import forwarder
-from fireflyspur.gateway import gateway_metrics
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import memory_reserver
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import node_drain
-from fireflyspur.gateway import placement
-from fireflyspur.gateway import registry as registries
-from fireflyspur.gateway import request_dependencies
-from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import request_timeouts
-from fireflyspur.gateway import retry_budget
-from fireflyspur.gateway import settings as gateway_settings
-from fireflyspur.gateway import store_follower
-from fireflyspur.gateway import suspension
+from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.callers import caller_server
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.common import registry as registries
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import store_follower
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_monitor
+from fireflyspur.gateway.fleet import fleet_link
+from fireflyspur.gateway.node import gateway_metrics
+from fireflyspur.gateway.node import node_drain
+from fireflyspur.gateway.node import settings as gateway_settings
+from fireflyspur.gateway.node import suspension
+from fireflyspur.gateway.requests import forwarder
+from fireflyspur.gateway.requests import request_dependencies
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.requests import request_timeouts
+from fireflyspur.gateway.requests import retry_budget
+from fireflyspur.gateway.scheduling import engine_orders
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import memory_reserver
+from fireflyspur.gateway.scheduling import placement
 from fireflyspur.observability import logs
 
 # Interval at which the settings file is reread, as a change may come without
--- a/src/fireflyspur/gateway/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -4,7 +4,7 @@
 
 import prometheus_client
 
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.observability import length_bins
 
 # Upper bounds of the latency buckets in seconds, from below the targets of
--- a/src/fireflyspur/gateway/node_drain.py
+++ b/src/fireflyspur/gateway/node/node_drain.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from fireflyspur.gateway import caller_server
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import request_timeouts
+from fireflyspur.gateway.callers import caller_server
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.requests import request_timeouts
 from fireflyspur.observability import logs
 
 # The balancer checks the health of a node every second and removes it after
--- a/src/fireflyspur/gateway/settings.py
+++ b/src/fireflyspur/gateway/node/settings.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import memory_reserver
-from fireflyspur.gateway import retry_budget
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.requests import retry_budget
+from fireflyspur.gateway.scheduling import memory_reserver
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/suspension.py
+++ b/src/fireflyspur/gateway/node/suspension.py
@@ -1,6 +1,6 @@
 """Detection of times in which this process did not run."""
 
-from fireflyspur.gateway import clock
+from fireflyspur.gateway.common import clock
 from fireflyspur.observability import logs
 
 # A timer of a loaded process is late by less than this.
--- /dev/null
+++ b/src/fireflyspur/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and their attempts at endpoints."""
--- a/src/fireflyspur/gateway/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -4,16 +4,16 @@
 from collections.abc import Sequence
 import contextlib
 
-from fireflyspur.gateway import attempt_result
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
-from fireflyspur.gateway import memory_reserver
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import response_relay
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.requests import attempt_result
+from fireflyspur.gateway.requests import http_exchange
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.requests import response_relay
+from fireflyspur.gateway.scheduling import memory_reserver
+from fireflyspur.gateway.scheduling import placement as placements
 
 # A reachable endpoint accepts a connection within a few round trips. One that
 # doesn't is treated as unreachable, and nothing was sent to it.
--- a/src/fireflyspur/gateway/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -1,14 +1,14 @@
 """Reports of attempts to the parts of a node that learn from them."""
 
-from fireflyspur.gateway import attempt_result
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import part_quarantine
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import quarantine
-from fireflyspur.gateway import request_dependencies
-from fireflyspur.gateway import request_plan
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import part_quarantine
+from fireflyspur.gateway.endpoints import quarantine
+from fireflyspur.gateway.requests import attempt_result
+from fireflyspur.gateway.requests import request_dependencies
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.scheduling import placement as placements
 from fireflyspur.observability import logs
 
 _log = logs.log_for("requests")
--- a/src/fireflyspur/gateway/attempt_result.py
+++ b/src/fireflyspur/gateway/requests/attempt_result.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from fireflyspur.gateway import messages
+from fireflyspur.gateway.common import messages
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/forwarder.py
+++ b/src/fireflyspur/gateway/requests/forwarder.py
@@ -7,14 +7,14 @@
 from tornado import iostream
 
 from fireflyspur.errors import exceptions as base_exceptions
-from fireflyspur.gateway import caller_connection
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import request_dependencies
-from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import request_runner
-from fireflyspur.gateway import response_relay
+from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.requests import request_dependencies
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.requests import request_runner
+from fireflyspur.gateway.requests import response_relay
 from fireflyspur.observability import logs
 
 # Another node can accept the request at once.
--- a/src/fireflyspur/gateway/http_exchange.py
+++ b/src/fireflyspur/gateway/requests/http_exchange.py
@@ -8,12 +8,12 @@
 import h11
 from tornado import iostream
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import io_wait
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import socket_options
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import io_wait
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.common import socket_options
 
 # Called with the seconds without progress so far. Returns the seconds until
 # the next call, or raises BrokenResponseError to end the wait.
--- a/src/fireflyspur/gateway/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -4,19 +4,19 @@
 from collections.abc import Callable
 import dataclasses
 
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import endpoint_monitor
-from fireflyspur.gateway import gateway_metrics
-from fireflyspur.gateway import in_flight_reporter
-from fireflyspur.gateway import memory_reserver
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import part_quarantine
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import quarantine
-from fireflyspur.gateway import rate_limits
-from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import request_timeouts
-from fireflyspur.gateway import retry_budget
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_monitor
+from fireflyspur.gateway.endpoints import part_quarantine
+from fireflyspur.gateway.endpoints import quarantine
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.node import gateway_metrics
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.requests import request_timeouts
+from fireflyspur.gateway.requests import retry_budget
+from fireflyspur.gateway.scheduling import in_flight_reporter
+from fireflyspur.gateway.scheduling import memory_reserver
+from fireflyspur.gateway.scheduling import placement as placements
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/request_plan.py
+++ b/src/fireflyspur/gateway/requests/request_plan.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.scheduling import latency_model
 
 _MAX_PRIORITY = 9
 # Multiple of the latency target within which nearly all responses without
--- a/src/fireflyspur/gateway/request_report.py
+++ b/src/fireflyspur/gateway/requests/request_report.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from fireflyspur.errors import exceptions as base_exceptions
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import gateway_metrics
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import response_relay
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.node import gateway_metrics
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.requests import response_relay
+from fireflyspur.gateway.scheduling import placement as placements
 from fireflyspur.observability import logs
 
 _log = logs.log_for("requests")
--- a/src/fireflyspur/gateway/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -5,20 +5,20 @@
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
-from fireflyspur.gateway import attempt as attempts
-from fireflyspur.gateway import attempt_reporter
-from fireflyspur.gateway import attempt_result
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import request_dependencies
-from fireflyspur.gateway import request_plan
-from fireflyspur.gateway import request_report
-from fireflyspur.gateway import response_relay
-from fireflyspur.gateway import stall_detector
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.requests import attempt as attempts
+from fireflyspur.gateway.requests import attempt_reporter
+from fireflyspur.gateway.requests import attempt_result
+from fireflyspur.gateway.requests import http_exchange
+from fireflyspur.gateway.requests import request_dependencies
+from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.requests import request_report
+from fireflyspur.gateway.requests import response_relay
+from fireflyspur.gateway.requests import stall_detector
+from fireflyspur.gateway.scheduling import placement as placements
+from fireflyspur.gateway.scheduling import placement_cost
 
 # An endpoint stops processing at the deadline and reports it; this is the
 # time for that response to arrive.
--- a/src/fireflyspur/gateway/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
-from fireflyspur.gateway import caller_connection
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import event_splitter
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
-from fireflyspur.gateway import messages
+from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.requests import event_splitter
+from fireflyspur.gateway.requests import http_exchange
 
 # A response without events of up to this size is relayed only when it is
 # complete, so that another endpoint can be tried if it breaks off.
--- a/src/fireflyspur/gateway/retry_budget.py
+++ b/src/fireflyspur/gateway/requests/retry_budget.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from fireflyspur.gateway import clock
+from fireflyspur.gateway.common import clock
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/stall_detector.py
+++ b/src/fireflyspur/gateway/requests/stall_detector.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_monitor
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_monitor
 
 # Interval between checks of a group for lost members: short compared to the
 # seconds that its prompt takes, and long compared to the cost of a check.
--- /dev/null
+++ b/src/fireflyspur/gateway/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of engines from what is in flight on them."""
--- a/src/fireflyspur/gateway/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -5,12 +5,12 @@
 import random
 from typing import TypeVar
 
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import idle_engines
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import pool_map
-from fireflyspur.gateway import rate_limits
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.fleet import pool_map
+from fireflyspur.gateway.scheduling import idle_engines
+from fireflyspur.gateway.scheduling import in_flight_table
 
 # Maximum number of engines to compare for one prompt. The best of a sample of
 # this size is nearly as good as the best of all, and the time per selection
--- a/src/fireflyspur/gateway/engine_group.py
+++ b/src/fireflyspur/gateway/scheduling/engine_group.py
@@ -4,8 +4,8 @@
 import dataclasses
 import math
 
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.scheduling import placement_cost
 
 # Usable part of an engine's memory; the rest is left free for responses that
 # are longer than announced.
--- a/src/fireflyspur/gateway/engine_orders.py
+++ b/src/fireflyspur/gateway/scheduling/engine_orders.py
@@ -3,7 +3,7 @@
 import abc
 import enum
 
-from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway.common import address as addresses
 
 
 class OrderResult(enum.StrEnum):
--- a/src/fireflyspur/gateway/idle_engines.py
+++ b/src/fireflyspur/gateway/scheduling/idle_engines.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from fireflyspur.gateway import clock
+from fireflyspur.gateway.common import clock
 
 # Nodes of other pools report their idle engines about once a second. One
 # report may be lost.
--- a/src/fireflyspur/gateway/idle_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/idle_reporter.py
@@ -2,11 +2,11 @@
 
 import random
 
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import peer_table
-from fireflyspur.gateway import reader_rank
-from fireflyspur.gateway import update_channel
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.fleet import peer_table
+from fireflyspur.gateway.fleet import update_channel
+from fireflyspur.gateway.scheduling import engine_candidates
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 # Kind of report for which one node of each pool is chosen.
--- a/src/fireflyspur/gateway/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
@@ -6,13 +6,13 @@
 import itertools
 from typing import Protocol
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import placement as placements
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import rate_limits
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
+from fireflyspur.gateway.scheduling import placement as placements
+from fireflyspur.gateway.scheduling import placement_cost
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 
 # The end of a prefill is reported for prompts of at least this length; for
--- a/src/fireflyspur/gateway/latency_model.py
+++ b/src/fireflyspur/gateway/scheduling/latency_model.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflyspur/gateway/memory_reserver.py
+++ b/src/fireflyspur/gateway/scheduling/memory_reserver.py
@@ -8,10 +8,10 @@
 import dataclasses
 import uuid
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import engine_orders
-from fireflyspur.gateway import exceptions
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.scheduling import engine_orders
 from fireflyspur.observability import logs
 
 # If this node crashes, the engines free the memory when the reservation
--- a/src/fireflyspur/gateway/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -4,15 +4,15 @@
 import dataclasses
 import random
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import engine_group
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.scheduling import engine_candidates
+from fireflyspur.gateway.scheduling import engine_group
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
+from fireflyspur.gateway.scheduling import placement_cost
 
 # Cost of each fault of an endpoint since its last success, as a share of the
 # request's weight.
--- a/src/fireflyspur/gateway/placement_cost.py
+++ b/src/fireflyspur/gateway/scheduling/placement_cost.py
@@ -4,10 +4,10 @@
 import dataclasses
 import math
 
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
 
 # Width of the range around a target in which a prediction may turn out to be
 # a hit or a miss, as a share of the target.
--- a/src/fireflyspur/platform/config_codec.py
+++ b/src/fireflyspur/platform/config_codec.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.configuration import routing_config
 
 
 class _TrafficSplit(msgspec.Struct):
--- a/src/fireflyspur/platform/endpoint_codec.py
+++ b/src/fireflyspur/platform/endpoint_codec.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import exceptions
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 
 _STATES = {
     "ready": endpoints.EndpointState.READY,
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -2,8 +2,8 @@
 
 import re
 
-from fireflyspur.gateway import hop_headers
-from fireflyspur.gateway import messages
+from fireflyspur.gateway.callers import hop_headers
+from fireflyspur.gateway.common import messages
 from fireflyspur.platform import headers as header_names
 
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
--- a/src/fireflyspur/platform/order_client.py
+++ b/src/fireflyspur/platform/order_client.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import engine_orders
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.requests import http_exchange
+from fireflyspur.gateway.scheduling import engine_orders
 
 _PATH = b"/api/order"
 # A reachable engine accepts a connection within a few round trips.
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import memory_reserver
-from fireflyspur.gateway import retry_budget
-from fireflyspur.gateway import settings as gateway_settings
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.node import settings as gateway_settings
+from fireflyspur.gateway.requests import retry_budget
+from fireflyspur.gateway.scheduling import memory_reserver
 
 _ENVIRONMENT_VARIABLE = "FIREFLYSPUR_SETTINGS"
 
--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
-from fireflyspur.gateway import messages
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.requests import http_exchange
 
 # A reachable store accepts a connection within a few round trips.
 _CONNECT_TIMEOUT_S = 0.5
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -1,10 +1,10 @@
 """Registry of the gateway in the platform's store."""
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import registry
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.observability import logs
 from fireflyspur.platform import config_codec
 from fireflyspur.platform import endpoint_codec
--- a/tests/experiment/test_engine_model.py
+++ b/tests/experiment/test_engine_model.py
@@ -3,8 +3,8 @@
 import testtools
 
 from fireflyspur.experiment import engine_model
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.scheduling import latency_model
 
 SPEC = routing_config.EngineSpec(
     slots=2,
--- a/tests/experiment/test_patterns.py
+++ b/tests/experiment/test_patterns.py
@@ -11,8 +11,8 @@
 from fireflyspur.experiment import fleet_simulation
 from fireflyspur.experiment import report
 from fireflyspur.experiment import traffic
-from fireflyspur.gateway import clock
-from tests.gateway import test_placement
+from fireflyspur.gateway.common import clock
+from tests.gateway.scheduling import test_placement
 
 _SEEDS = (1, 2)
 
--- a/tests/gateway/test_route_table.py
+++ b/tests/gateway/configuration/test_route_table.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from fireflyspur.gateway import route_table
+from fireflyspur.gateway.configuration import route_table
 from fireflyspur.platform import config_codec
 from tests.support import gateway_fleet
 from tests.support import platform_config
--- a/tests/gateway/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -5,14 +5,14 @@
 
 import testtools
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import reader_rank
-from fireflyspur.gateway import registry
-from fireflyspur.gateway import store_follower
-from fireflyspur.gateway import suspension
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.configuration import store_follower
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.node import suspension
 from fireflyspur.platform import config_codec
 from fireflyspur.platform import store_client
 from fireflyspur.platform import store_registry
--- a/tests/gateway/test_endpoint_sync.py
+++ b/tests/gateway/endpoints/test_endpoint_sync.py
@@ -3,10 +3,10 @@
 import testtools
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import endpoint_sync
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_sync
 
 _OUTAGE_S = 3.6
 _REREGISTER_S = 2.5
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/endpoints/test_part_quarantine.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import part_quarantine
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from tests.support import fake_clock
 
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/endpoints/test_rate_limits.py
@@ -10,9 +10,9 @@
 import testtools
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import rate_limits
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from tests.support import captured_logs
 from tests.support import fake_clock
--- a/tests/gateway/test_peer_table.py
+++ b/tests/gateway/fleet/test_peer_table.py
@@ -1,8 +1,8 @@
 """Detection of live, restarted and silent nodes."""
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import peer_table
-from fireflyspur.gateway import registry
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.fleet import peer_table
 from tests.support import fake_clock
 
 _ADDRESS = addresses.Address("10.0.0.2", 7340)
--- a/tests/gateway/test_pool_map.py
+++ b/tests/gateway/fleet/test_pool_map.py
@@ -8,7 +8,7 @@
 import testtools
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import pool_map
+from fireflyspur.gateway.fleet import pool_map
 
 _DOMAINS = ("zone-a", "zone-b", "zone-c")
 # Nodes that exchange all their updates; more cost too much.
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/node/test_suspension.py
@@ -1,6 +1,6 @@
 """Detection of suspensions of a process."""
 
-from fireflyspur.gateway import suspension
+from fireflyspur.gateway.node import suspension
 from tests.support import fake_clock
 
 
--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/requests/test_event_splitter.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import testtools
 
-from fireflyspur.gateway import event_splitter
+from fireflyspur.gateway.requests import event_splitter
 
 _STREAM = b"".join(
     f"id: {n}\ndata: token-{n}\nnote: a\n\n".encode() for n in range(1, 8)
--- a/tests/gateway/test_http_exchange.py
+++ b/tests/gateway/requests/test_http_exchange.py
@@ -6,8 +6,8 @@
 
 import testtools
 
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import http_exchange
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.platform import order_client
 from fireflyspur.platform import store_client
 from tests.support import async_tests
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/requests/test_retry_budget.py
@@ -1,6 +1,6 @@
 """Limit on the retries that a node may send."""
 
-from fireflyspur.gateway import retry_budget
+from fireflyspur.gateway.requests import retry_budget
 from tests.support import fake_clock
 
 
--- a/tests/gateway/test_engine_candidates.py
+++ b/tests/gateway/scheduling/test_engine_candidates.py
@@ -4,17 +4,17 @@
 import time
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import idle_engines
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import placement
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import pool_map
-from fireflyspur.gateway import rate_limits
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.fleet import pool_map
+from fireflyspur.gateway.scheduling import engine_candidates
+from fireflyspur.gateway.scheduling import idle_engines
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
+from fireflyspur.gateway.scheduling import placement
+from fireflyspur.gateway.scheduling import placement_cost
 from tests.support import fake_clock
 
 _SERVICE = routing_config.Service(example_engine.SERVICE, example_engine.SPEC)
--- a/tests/gateway/test_memory_reserver.py
+++ b/tests/gateway/scheduling/test_memory_reserver.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from fireflyspur.gateway import clock
+from fireflyspur.gateway.common import clock
 from tests.support import async_tests
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/scheduling/test_placement.py
@@ -9,14 +9,14 @@
 import testtools
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import placement
-from fireflyspur.gateway import placement_cost
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.scheduling import engine_candidates
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
+from fireflyspur.gateway.scheduling import placement
+from fireflyspur.gateway.scheduling import placement_cost
 from fireflyspur.platform import config_codec
 from tests.support import gateway_fleet
 from tests.support import platform_config
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -7,17 +7,17 @@
 import testtools
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import config_holder
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import fleet_link
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import part_quarantine
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import registry
-from fireflyspur.gateway import suspension
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import part_quarantine
+from fireflyspur.gateway.fleet import fleet_link
+from fireflyspur.gateway.node import suspension
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import placement_cost
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from tests.support import async_tests
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from fireflyspur.gateway import retry_budget
+from fireflyspur.gateway.requests import retry_budget
 from tests.support import async_tests
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from fireflyspur.gateway import exceptions
+from fireflyspur.gateway.common import exceptions
 from tests.support import async_tests
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
 from tests.support import async_tests
 from tests.support import gateway_fleet
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -4,10 +4,10 @@
 
 import testtools
 
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import exceptions
-from fireflyspur.gateway import messages
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.platform import config_codec
 from fireflyspur.platform import endpoint_codec
 from fireflyspur.platform import header_codec
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -6,7 +6,7 @@
 import testtools
 
 from fireflyspur.console import application
-from fireflyspur.gateway import exceptions
+from fireflyspur.gateway.common import exceptions
 from fireflyspur.platform import settings_file
 from tests.support import console
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from fireflyspur.gateway import exceptions
+from fireflyspur.gateway.common import exceptions
 from fireflyspur.platform import store_client
 from tests.support import async_tests
 from tests.support import platform_store
--- a/tests/support/fake_clock.py
+++ b/tests/support/fake_clock.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from fireflyspur.gateway import clock
+from fireflyspur.gateway.common import clock
 
 
 class FakeClockTest(testtools.TestCase):
--- a/tests/support/fake_endpoint.py
+++ b/tests/support/fake_endpoint.py
@@ -7,8 +7,8 @@
 from tornado import iostream
 from tornado import tcpserver
 
-from fireflyspur.gateway import caller_connection
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.configuration import routing_config
 from tests.support import loopback
 
 _arrival_numbers = itertools.count()
--- a/tests/support/flood_server.py
+++ b/tests/support/flood_server.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 
-from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway.common import address as addresses
 
 _REQUEST_END = b"\r\n\r\n"
 _READ_BYTES = 65_536
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -4,11 +4,11 @@
 import contextlib
 import dataclasses
 
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import gateway
-from fireflyspur.gateway import memory_reserver
-from fireflyspur.gateway import retry_budget
-from fireflyspur.gateway import settings as gateway_settings
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.node import gateway
+from fireflyspur.gateway.node import settings as gateway_settings
+from fireflyspur.gateway.requests import retry_budget
+from fireflyspur.gateway.scheduling import memory_reserver
 from fireflyspur.platform import header_codec
 from fireflyspur.platform import order_client
 from fireflyspur.platform import store_client
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -6,7 +6,7 @@
 
 from tornado import netutil
 
-from fireflyspur.gateway import address as addresses
+from fireflyspur.gateway.common import address as addresses
 
 # Below the range from which the system takes the ports of outgoing
 # connections: one of these could take a port between its choice and its use.
--- a/tests/support/modelled_engines.py
+++ b/tests/support/modelled_engines.py
@@ -4,7 +4,7 @@
 import json
 
 from fireflyspur.experiment import engine_model
-from fireflyspur.gateway import latency_model
+from fireflyspur.gateway.scheduling import latency_model
 from tests.support import fake_endpoint
 
 
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -10,8 +10,8 @@
 
 from tornado import iostream
 
-from fireflyspur.gateway import caller_server
-from fireflyspur.gateway import routing_config
+from fireflyspur.gateway.callers import caller_server
+from fireflyspur.gateway.configuration import routing_config
 from tests.support import loopback
 from tests.support import platform_groups
 
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -7,21 +7,21 @@
 import tracemalloc
 
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway import address as addresses
-from fireflyspur.gateway import clock
-from fireflyspur.gateway import endpoint as endpoints
-from fireflyspur.gateway import endpoint_directory
-from fireflyspur.gateway import engine_candidates
-from fireflyspur.gateway import in_flight_table
-from fireflyspur.gateway import latency_model
-from fireflyspur.gateway import peer_table
-from fireflyspur.gateway import placement
-from fireflyspur.gateway import placement_cost
-from fireflyspur.gateway import rate_limits
-from fireflyspur.gateway import registry
-from fireflyspur.gateway import route_table
-from fireflyspur.gateway import routing_config
-from fireflyspur.gateway import update_channel
+from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.configuration import route_table
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.fleet import peer_table
+from fireflyspur.gateway.fleet import update_channel
+from fireflyspur.gateway.scheduling import engine_candidates
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
+from fireflyspur.gateway.scheduling import placement
+from fireflyspur.gateway.scheduling import placement_cost
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 from fireflyspur.platform import config_codec
