Clear a request that an endpoint has completed, and count crashes in sequence

What callers saw: 503 crashing_request for up to a minute, for requests that many callers send alike and that endpoints had just completed.

Cause: a request counted as crashing when two endpoints had ended under it, whatever was completed between, and also when both ended at the same moment.

Change: a complete response clears the request on all nodes; a crash counts only for requests that were sent after the crash before, as for parts of prompts.

--- a/src/fireflyspur/gateway/endpoints/quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/quarantine.py
@@ -6,6 +6,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import messages
+from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
 # Crashes after which a request is not run again. A single one can be caused by
@@ -13,15 +14,33 @@
 _QUARANTINE_CRASHES = 2
 # Crashes that are further apart than this are not counted together.
 _WINDOW_S = 60.0
+# Requests sent this long before the last crash still count as sent after it;
+# it covers the time that updates of other nodes are under way.
+_SEND_SLACK_S = 0.02
 # Limits the memory of the quarantine; the oldest requests are removed first.
 _MAX_REQUESTS = 10_000
 
 _log = logs.log_for("crashes")
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestCrash:
+    """A crash of an endpoint while it ran a request.
+
+    :param sent_at_s: clock time when the request was sent to the endpoint
+    :param broke_at_s: clock time when the response broke off
+    """
+
+    fingerprint: str
+    instance: str
+    sent_at_s: float
+    broke_at_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class _CrashRecord:
-    instances: frozenset[str]
+    crashes: int
+    last_instance: str
     last_crash_s: float
 
 
@@ -40,44 +59,79 @@
 class Quarantine:
     """Counts the endpoints that crashed while they ran a request.
 
-    :param publish: broadcasts a crash to the other nodes
+    A complete response clears a request: others that run on a crashed
+    endpoint are not the cause. A crash counts only for a request that was
+    sent after the crash before, so that the loss of many endpoints at once
+    counts once.
+
+    :param publish: returns the draft of the next update for all nodes
     """
 
-    def __init__(self, publish: Callable[[str, str], None]) -> None:
+    def __init__(self, publish: Callable[[], fleet_news.FleetNews]) -> None:
         self._publish = publish
         self._records: dict[str, _CrashRecord] = {}
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request must not be run again."""
-        record = self._records.get(fingerprint)
-        if record is None or clock.now_s() - record.last_crash_s > _WINDOW_S:
-            return False
-        return len(record.instances) >= _QUARANTINE_CRASHES
+        record = self._find(fingerprint)
+        return record is not None and record.crashes >= _QUARANTINE_CRASHES
 
-    def record_crash(self, fingerprint: str, instance: str) -> None:
+    def record_crash(self, crash: RequestCrash) -> None:
         """Count a crash that this node detected, and broadcast it."""
-        if self.add(fingerprint, instance):
-            self._publish(fingerprint, instance)
-
-    def add(self, fingerprint: str, instance: str) -> bool:
-        """Count a crash that any node detected.
-
-        :returns: whether the crash is new
-        """
         now = clock.now_s()
-        record = self._records.pop(fingerprint, None)
-        if record is None or now - record.last_crash_s > _WINDOW_S:
-            record = _CrashRecord(frozenset(), now)
-        is_new = instance not in record.instances
-        instances = record.instances | {instance}
-        self._records[fingerprint] = _CrashRecord(instances, now)
+        self.add(crash)
+        self._publish().crashes.append(
+            fleet_news.RequestCrash(
+                fingerprint=crash.fingerprint,
+                instance=crash.instance,
+                sent_ago_ms=_to_ms(now - crash.sent_at_s),
+                broke_ago_ms=_to_ms(now - crash.broke_at_s),
+            )
+        )
+
+    def add(self, crash: RequestCrash) -> None:
+        """Count a crash that any node detected."""
+        record = self._find(crash.fingerprint)
+        if record is not None and not _is_later(crash, record):
+            return
+        crashes = 1 if record is None else record.crashes + 1
+        self._records.pop(crash.fingerprint, None)
+        self._records[crash.fingerprint] = _CrashRecord(
+            crashes, crash.instance, crash.broke_at_s
+        )
         while len(self._records) > _MAX_REQUESTS:
             self._records.pop(next(iter(self._records)))
-        if is_new:
-            _log.warning(
-                "Answer broke off",
-                fingerprint=fingerprint,
-                instance=instance,
-                crashes=len(instances),
-            )
-        return is_new
+        _log.warning(
+            "Answer broke off",
+            fingerprint=crash.fingerprint,
+            instance=crash.instance,
+            crashes=crashes,
+        )
+
+    def record_success(self, fingerprint: str) -> None:
+        """Clear a request that got a complete response, and broadcast it."""
+        if fingerprint in self._records:
+            self.clear(fingerprint)
+            self._publish().cleared_requests.append(fingerprint)
+
+    def clear(self, fingerprint: str) -> None:
+        """Clear a request to which an endpoint has responded."""
+        self._records.pop(fingerprint, None)
+
+    def _find(self, fingerprint: str) -> _CrashRecord | None:
+        record = self._records.get(fingerprint)
+        if record is None or clock.now_s() - record.last_crash_s > _WINDOW_S:
+            return None
+        return record
+
+
+def _is_later(crash: RequestCrash, record: _CrashRecord) -> bool:
+    """Return whether a crash is another one than the last that counted."""
+    if crash.sent_at_s < record.last_crash_s - _SEND_SLACK_S:
+        return False
+    is_same_time = crash.broke_at_s < record.last_crash_s + _SEND_SLACK_S
+    return not (is_same_time and crash.instance == record.last_instance)
+
+
+def _to_ms(seconds: float) -> int:
+    return max(0, round(seconds * 1000))
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -85,7 +85,9 @@
         self._in_flight = in_flight_reporter.InFlightReporter(
             name, table, self._channel, self._limits
         )
-        self._crashes = quarantine.Quarantine(self._announce_crash)
+        self._crashes = quarantine.Quarantine(
+            lambda: self._channel.fleet_draft
+        )
         self._parts = part_quarantine.PartQuarantine(
             lambda: self._channel.fleet_draft, self._trial_rank
         )
@@ -263,12 +265,6 @@
             self._name, self._peers.live_names(), f"part-{part}"
         )
 
-    def _announce_crash(self, fingerprint: str, instance: str) -> None:
-        crash = fleet_news.RequestCrash(
-            fingerprint=fingerprint, instance=instance
-        )
-        self._channel.fleet_draft.crashes.append(crash)
-
     def _handle_update(
         self, update: fleet_news.FleetNews, contact: peer_table.Contact
     ) -> None:
@@ -317,6 +313,7 @@
         draft = self._channel.draft
         draft.crashes.extend(update.crashes)
         draft.cleared_parts.extend(update.cleared_parts)
+        draft.cleared_requests.extend(update.cleared_requests)
         draft.limits.extend(update.limits)
         draft.tried_parts.extend(update.tried_parts)
         draft.reports.extend(update.reports)
@@ -338,16 +335,27 @@
     ) -> None:
         sent_at_s = clock.now_s() - delay_s
         for crash in update.crashes:
+            request_at_s = sent_at_s - crash.sent_ago_ms / 1000
+            broke_at_s = sent_at_s - crash.broke_ago_ms / 1000
             if crash.fingerprint:
-                self._crashes.add(crash.fingerprint, crash.instance)
+                self._crashes.add(
+                    quarantine.RequestCrash(
+                        crash.fingerprint,
+                        crash.instance,
+                        request_at_s,
+                        broke_at_s,
+                    )
+                )
             self._parts.add_crash(
                 part_quarantine.PartCrash(
                     tuple(crash.parts),
                     crash.instance,
-                    sent_at_s=sent_at_s - crash.sent_ago_ms / 1000,
-                    broke_at_s=sent_at_s - crash.broke_ago_ms / 1000,
+                    request_at_s,
+                    broke_at_s,
                 )
             )
+        for fingerprint in update.cleared_requests:
+            self._crashes.clear(fingerprint)
 
     def _handle_parts(self, update: fleet_news.FleetNews) -> None:
         for part in update.cleared_parts:
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -67,6 +67,7 @@
         """
         self._deps.directory.record_success(placement.primary.instance)
         if is_confirmed:
+            self._deps.crashes.record_success(self._fingerprint)
             self._deps.parts.record_success(self._parts)
 
     def report_not_sent(self, result: attempt_result.NotSent) -> None:
@@ -149,5 +150,12 @@
             )
 
     def _record_crash(self, crash: part_quarantine.PartCrash) -> None:
-        self._deps.crashes.record_crash(self._fingerprint, crash.instance)
+        self._deps.crashes.record_crash(
+            quarantine.RequestCrash(
+                self._fingerprint,
+                crash.instance,
+                crash.sent_at_s,
+                crash.broke_at_s,
+            )
+        )
         self._deps.parts.record_crash(crash)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -116,6 +116,24 @@
                 lambda: second.gateway.config_version == 3, timeout_s=1.9
             )
 
+    @async_tests.in_loop
+    async def test_sound_request_survives_crashes_of_its_endpoints(self):
+        """Guards against a refusal of what all callers ask for."""
+        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
+            first, second = await self.start_pair(fleet)
+            for desk in fleet.desks[:3]:
+                desk.behaviours = [fake_endpoint.crash_process]
+                # It is chosen by its crash, as all others answer.
+                while desk.behaviours:
+                    await first.request("/safe/", body=b"popular")
+                await asyncio.sleep(0.1)
+                await second.request("/safe/", body=b"popular")
+            responses = [
+                await node.request("/safe/", body=b"popular")
+                for node in (first, second)
+            ]
+        self.assertEqual([200, 200], [r.status for r in responses])
+
     @async_tests.in_loop
     async def test_crashing_request_is_refused_by_all_nodes(self):
         async with gateway_fleet.GatewayFleet(desks=4) as fleet:
