--- a/src/fireflyspur/gateway/common/socket_options.py
+++ b/src/fireflyspur/gateway/common/socket_options.py
@@ -16,7 +16,12 @@
 
 
 def apply(stream: iostream.IOStream) -> None:
-    """Disable Nagle's algorithm and detect unreachable peers."""
+    """Disable Nagle's algorithm and detect unreachable peers.
+
+    :raises StreamClosedError: if the connection is closed already
+    """
+    if stream.closed():
+        raise iostream.StreamClosedError
     stream.set_nodelay(True)
     connection = stream.socket
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
