--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,14 +3,19 @@
 ``python -m tools.soak --seed N --runs M --minutes T`` runs the schedules of
 the seeds N, N+1 and so on. Equal seeds draw equal schedules, so a seed that
 failed is run again with ``--seed N --runs 1``; ``--print`` shows its text
-only.
+only. ``--gateway`` runs nodes of the users' platform instead, ``--nodes`` of
+them; there, what meets what also depends on the speed of the machine, so the
+logs of a run that failed are kept in ``--logs``.
 """
 
 import argparse
+import asyncio
+import pathlib
 import signal
 import sys
 import time
 
+from tests.gateway_soak import soak as gateway_soak
 from tests.support import scenario_parser
 from tests.support import scenario_runner
 from tests.support import schedules
@@ -26,14 +31,16 @@
     failed = []
     runs = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
-        (text,) = schedules.draw(seed, 1)
         if arguments.print:
-            print(text)
+            print(*schedules.draw(seed, 1))
             continue
         if time.monotonic() >= end:
             break
         runs += 1
-        if not _run(seed, text):
+        is_kept = (
+            _run_gateway(seed, arguments) if arguments.gateway else _run(seed)
+        )
+        if not is_kept:
             failed.append(seed)
     print(f"{runs} runs, {len(failed)} failed: {failed}")
     return 1 if failed else 0
@@ -45,11 +52,21 @@
     parser.add_argument("--runs", type=int, default=1_000_000)
     parser.add_argument("--minutes", type=float, default=5.0)
     parser.add_argument("--print", action="store_true")
+    parser.add_argument("--gateway", action="store_true")
+    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument(
+        "--seconds", type=float, default=10.0, help="time of faults in a run"
+    )
+    parser.add_argument(
+        "--logs", type=pathlib.Path, default=pathlib.Path("target/soak")
+    )
     return parser.parse_args()
 
 
-def _run(seed: int, text: str) -> bool:
+def _run(seed: int) -> bool:
     """Run one schedule; returns whether all promises were kept."""
+    (text,) = schedules.draw(seed, 1)
     started = time.monotonic()
     with fleets.Fleet() as fleet:
         runner = scenario_runner.ScenarioRunner(fleet)
@@ -57,18 +74,44 @@
             violations = runner.run(scenario_parser.parse(text))
         except Exception as error:
             violations = [f"run: {type(error).__name__}: {error}"]
-    seconds = time.monotonic() - started
     events = runner.history.events
+    _report(seed, len(events), started, violations)
+    if violations:
+        print(text)
+        print("\n".join(map(str, events)), flush=True)
+    return not violations
+
+
+def _run_gateway(seed: int, arguments: argparse.Namespace) -> bool:
+    """Run nodes of the platform; returns whether all promises were kept."""
+    run = gateway_soak.GatewaySoak(seed, arguments.nodes, arguments.engines)
+    started = time.monotonic()
+    try:
+        violations = asyncio.run(run.run(arguments.seconds))
+    except Exception as error:
+        violations = [f"run: {type(error).__name__}: {error}"]
+    events = run.record.results + run.record.disruptions
+    _report(seed, len(events), started, violations)
+    if violations:
+        folder = arguments.logs / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        logs = {"events": "\n".join([*run.events, *violations]), **run.logs}
+        for name, text in logs.items():
+            (folder / f"{name}.log").write_text(text, encoding="utf-8")
+    return not violations
+
+
+def _report(
+    seed: int, events: int, started: float, violations: list[str]
+) -> None:
+    seconds = time.monotonic() - started
     print(
-        f"seed {seed}: {len(events)} events in {seconds:.1f} s,"
+        f"seed {seed}: {events} events in {seconds:.1f} s,"
         f" {len(violations)} violations",
         flush=True,
     )
     if violations:
-        print("\n".join(violations))
-        print(text)
-        print("\n".join(map(str, events)), flush=True)
-    return not violations
+        print("\n".join(violations), flush=True)
 
 
 if __name__ == "__main__":
