--- a/src/fireflyspur/load/client.py
+++ b/src/fireflyspur/load/client.py
@@ -1,4 +1,4 @@
-"""Sending of one request and reading of its answer."""
+"""Sending of one request and reading of its response."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,8 +16,8 @@
 
 # Larger bodies are built off the event loop.
 _LARGE_PROMPT_TOKENS = 50_000
-# A node must answer within the timeout; what is later than this counts as a
-# request that expired without an answer.
+# A node must respond within the timeout; what is later than this counts as a
+# request that expired without a response.
 _GRACE_S = 2.0
 
 
@@ -25,7 +25,7 @@
 class Outcome:
     """How a request ended.
 
-    :param code: ``ok``, the node's error code, ``incomplete`` for an answer
+    :param code: ``ok``, the node's error code, ``incomplete`` for a response
         with too few tokens, ``no_answer`` or ``connection_lost``
     :param verdict: the node's verdict, empty without one
     :param ttft_s: real time to the first token, or None
@@ -41,7 +41,7 @@
 
     @property
     def is_ok(self) -> bool:
-        """Whether the whole answer came."""
+        """Whether the whole response came."""
         return self.code == "ok"
 
 
@@ -59,8 +59,8 @@
     error: _Error | None = None
 
 
-class _Answer:
-    """Reader of a streamed answer."""
+class _Response:
+    """Reader of a streamed response."""
 
     def __init__(self) -> None:
         self.token_times: list[float] = []
@@ -123,14 +123,14 @@
             encoded = await asyncio.to_thread(self._encode, body, arrival)
         else:
             encoded = self._encode(body, arrival)
-        answer = _Answer()
+        response = _Response()
         started = time.perf_counter()
         status = await self._exchange(
-            arrival, "/v1/completions", encoded, {}, answer.read
+            arrival, "/v1/completions", encoded, {}, response.read
         )
         duration_s = time.perf_counter() - started
-        code, verdict = _judge(status, answer, arrival.output_tokens)
-        times = answer.token_times
+        code, verdict = _judge(status, response, arrival.output_tokens)
+        times = response.token_times
         pairs = zip(times, times[1:], strict=False)
         return Outcome(
             code,
@@ -145,13 +145,13 @@
             {"run": self._run_name, "number": arrival.number}
         )
         headers = {"Idempotency-Key": idempotency_key.generate()}
-        answer = _Answer()
+        response = _Response()
         started = time.perf_counter()
         status = await self._exchange(
-            arrival, self._mix.bookings.path, encoded, headers, answer.append
+            arrival, self._mix.bookings.path, encoded, headers, response.append
         )
         duration_s = time.perf_counter() - started
-        code, verdict = _judge(status, answer, None)
+        code, verdict = _judge(status, response, None)
         return Outcome(code, verdict, None, [], duration_s)
 
     def _encode(self, body: dict[str, Any], arrival: plan.Arrival) -> bytes:
@@ -188,22 +188,22 @@
 
 
 def _judge(
-    status: int | None, answer: _Answer, wanted_tokens: int | None
+    status: int | None, response: _Response, wanted_tokens: int | None
 ) -> tuple[str, str]:
-    """Return the code and the verdict of an answer.
+    """Return the code and the verdict of a response.
 
-    :param wanted_tokens: tokens of the whole answer, None for a booking
+    :param wanted_tokens: tokens of the whole response, None for a booking
     """
     if not status:
         return ("no_answer" if status is None else "connection_lost"), ""
-    error = answer.error
+    error = response.error
     if status >= 400:
-        error = _read_error(answer.body) or _Error(f"http_{status}")
+        error = _read_error(response.body) or _Error(f"http_{status}")
     if error:
         return error.code, error.verdict
     if wanted_tokens is None:
         return "ok", ""
-    is_whole = answer.is_done and len(answer.token_times) == wanted_tokens
+    is_whole = response.is_done and len(response.token_times) == wanted_tokens
     return ("ok" if is_whole else "incomplete"), ""
 
 
--- a/src/fireflyspur/load/exchange.py
+++ b/src/fireflyspur/load/exchange.py
@@ -1,6 +1,6 @@
 """One HTTP exchange over its own connection, at low cost for each token.
 
-The request is HTTP/1.0, so that the body of the answer arrives without
+The request is HTTP/1.0, so that the body of the response arrives without
 chunks and ends with the connection. The tornado client needs several times
 the processor time for each token, which would bound the load.
 """
@@ -28,10 +28,10 @@
     on_body: Callable[[bytes], None],
     timeout_s: float,
 ) -> int:
-    """Send a request and pass on the body of its answer as it arrives.
+    """Send a request and pass on the body of its response as it arrives.
 
     :returns: the status, 0 when the connection broke before it
-    :raises TimeoutError: if the answer did not end in time
+    :raises TimeoutError: if the response did not end in time
     :raises OSError: if no connection was made
     """
     target = urllib.parse.urlsplit(base_url)
--- a/src/fireflyspur/standins/balancer.py
+++ b/src/fireflyspur/standins/balancer.py
@@ -81,7 +81,7 @@
 
     async def check(self) -> None:
         """Check all backends, each by itself, for ever."""
-        # One that answers late must not make the others look late.
+        # One that responds late must not make the others look late.
         await asyncio.gather(*map(self._keep_checking, self._backends))
 
     async def handle_stream(
--- a/src/fireflyspur/standins/engine/batch.py
+++ b/src/fireflyspur/standins/engine/batch.py
@@ -11,7 +11,7 @@
 from fireflyspur.standins.engine import stream as streams
 
 _CRASH_EXIT_CODE = 70
-# Above this size the answer is computed off the event loop.
+# Above this size the response is computed off the event loop.
 _LARGE_PROMPT_CHARACTERS = 65536
 # A step that starts this late starts anew instead of catching up, so that a
 # stall of the machine does not look like a burst of tokens.
--- a/src/fireflyspur/standins/engine/engine.py
+++ b/src/fireflyspur/standins/engine/engine.py
@@ -19,7 +19,7 @@
 _MAX_CANCELLED = 100_000
 _MAX_STATISTICS = 200_000
 # A stream whose last line was sent is kept this long for a caller that lost
-# the end of the answer.
+# the end of the response.
 _DELIVERED_KEPT_S = 10.0
 
 
--- a/src/fireflyspur/standins/engine/http_api.py
+++ b/src/fireflyspur/standins/engine/http_api.py
@@ -117,10 +117,10 @@
         """Ask the other engines of a group what they have reserved."""
         if not group:
             return None
-        answers = await asyncio.gather(
+        responses = await asyncio.gather(
             *(_fetch_holding("reservations", member) for member in group)
         )
-        return sum(answer["tokens"] for answer in answers)
+        return sum(response["tokens"] for response in responses)
 
 
 class StreamHandler(_EngineHandler):
@@ -168,7 +168,7 @@
         self._kind = kind
 
     def get(self, name: str) -> None:
-        """Answer with the holding and its cached blocks."""
+        """Respond with the holding and its cached blocks."""
         holding = self._engine.holdings.get(self._kind, name)
         if holding is None:
             raise engines.RefusedError(404, f"unknown_{self._kind}")
@@ -196,7 +196,7 @@
     """``POST /kv/imports``."""
 
     async def post(self) -> None:
-        """Fetch exported blocks; answers when the transfer is done."""
+        """Fetch exported blocks; returns when the transfer is done."""
         body = self.read_json()
         export = await _fetch_holding("kv/exports", body["export"])
         tokens = await self._engine.import_blocks(body, export["hashes"])
@@ -212,7 +212,7 @@
         self._report = report
 
     def get(self) -> None:
-        """Answer with the report."""
+        """Respond with the report."""
         engine = self._engine
         match self._report:
             case "holdings":
@@ -229,7 +229,7 @@
     """``GET /cache_events``."""
 
     def get(self) -> None:
-        """Answer with the events after a sequence number."""
+        """Respond with the events after a sequence number."""
         after = int(self.get_query_argument("after", "0"))
         self.send(
             {
@@ -244,7 +244,7 @@
     """``POST /orders``."""
 
     def post(self) -> None:
-        """Take an order; its loading goes on after the answer."""
+        """Take an order; its loading goes on after the response."""
         body = self.read_json()
         if self._engine.faults.refuse_orders:
             raise engines.RefusedError(503, "orders_refused")
--- a/src/fireflyspur/standins/engine/settings.py
+++ b/src/fireflyspur/standins/engine/settings.py
@@ -82,8 +82,8 @@
     :param late_lines: send lines of an older attempt between the others
     :param reorder_lines: swap neighbouring token lines
     :param lose_cancel_answers: this many cancellations take effect and are
-        not answered
-    :param refuse_orders: answer every order with 503
+        not responded to
+    :param refuse_orders: respond to every order with 503
     :param slow_factor: how many times slower each step is
     :param freeze_load: go on sending the load report of this moment
     :param max_requests_per_s: rate that the load report names; 0 for none
--- a/src/fireflyspur/standins/log.py
+++ b/src/fireflyspur/standins/log.py
@@ -16,12 +16,12 @@
 class LogFaults:
     """Faults that the log produces.
 
-    :param down: every call answers 503
-    :param lose_answers: this many appends take effect and then answer 503
+    :param down: every call gets 503
+    :param lose_answers: this many appends take effect and then get 503
     :param delay_ms: delay before each call takes effect
-    :param late_appends: this many appends answer 503 and take effect later
+    :param late_appends: this many appends get 503 and take effect later
     :param late_append_ms: time after which a late append takes effect
-    :param cut_clients: calls of these clients answer 503
+    :param cut_clients: calls of these clients get 503
     """
 
     down: bool = False
@@ -192,7 +192,7 @@
     """``/info``."""
 
     def get(self) -> None:
-        """Answer with the log's limits."""
+        """Respond with the log's limits."""
         self.send(self._store.info)
 
 
--- a/src/fireflyspur/standins/server.py
+++ b/src/fireflyspur/standins/server.py
@@ -16,19 +16,19 @@
     """Base of the stand-ins' handlers."""
 
     def send(self, value: Any, status: int = 200) -> None:
-        """Answer with a JSON value."""
+        """Respond with a JSON value."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(value))
 
     def refuse(self, status: int, code: str, **headers: str) -> None:
-        """Answer with an error code."""
+        """Respond with an error code."""
         for name, value in headers.items():
             self.set_header(name.replace("_", "-"), value)
         self.send({"code": code}, status)
 
     def read_json(self) -> Any:
-        """Decode the body; one that is not valid answers 400."""
+        """Decode the body; one that is not valid gets 400."""
         try:
             return json.loads(self.request.body)
         except ValueError as error:
--- a/src/fireflyspur/standins/service.py
+++ b/src/fireflyspur/standins/service.py
@@ -16,10 +16,10 @@
     """Faults that the service produces.
 
     :param delay_ms: delay before the effect
-    :param answer_delay_ms: delay between the effect and the answer
+    :param answer_delay_ms: delay between the effect and the response
     :param lose_answers: this many calls take effect and are reset then
     :param reset_before: this many calls are reset before the effect
-    :param refuse: code of a 503 answer to each call, such as ``leaving``
+    :param refuse: code of a 503 response to each call, such as ``leaving``
     """
 
     delay_ms: int = 0
@@ -33,7 +33,7 @@
     """Effects and the first results by idempotency key.
 
     :param fencing: refuse a token lower than one seen for the key
-    :param replays_results: answer a key that ran with its first result
+    :param replays_results: respond to a key that ran with its first result
     """
 
     def __init__(self, fencing: bool, replays_results: bool) -> None:
@@ -118,7 +118,7 @@
     """``GET /effects``."""
 
     def get(self) -> None:
-        """Answer with all effects in order, and the calls received."""
+        """Respond with all effects in order, and the calls received."""
         self.send(
             {
                 "effects": self._service.effects,
@@ -142,7 +142,7 @@
     """Return the stand-in's application.
 
     :param fencing: refuse a token lower than one seen for the key
-    :param replays_results: answer a key that ran with its first result
+    :param replays_results: respond to a key that ran with its first result
     """
     arguments = {"service": Service(fencing, replays_results)}
     return web.Application(
--- a/src/fireflyspur/standins/token_source.py
+++ b/src/fireflyspur/standins/token_source.py
@@ -1,13 +1,13 @@
-"""The answers of the engine stand-in."""
+"""The responses of the engine stand-in."""
 
 import hashlib
 
 
 def token_text(model: str, adapter: str, prompt: str, index: int) -> str:
-    """Return one token of the answer to a prompt.
+    """Return one token of the response to a prompt.
 
-    The answer depends on nothing else, so that a test can tell whether a
-    caller got the whole answer to its own prompt.
+    The response depends on nothing else, so that a test can tell whether a
+    caller got the whole response to its own prompt.
 
     :param index: index of the token, from 0
     """
@@ -18,7 +18,7 @@
 def token_texts(
     model: str, adapter: str, prompt: str, indexes: range
 ) -> list[str]:
-    """Return several tokens of the answer to a prompt.
+    """Return several tokens of the response to a prompt.
 
     Encodes a long prompt only once; hashing it lets other threads run.
     """
--- a/src/fireflyspur/standins/vm_list.py
+++ b/src/fireflyspur/standins/vm_list.py
@@ -44,7 +44,7 @@
     """``GET /vms``."""
 
     def get(self) -> None:
-        """Answer with the lagging list."""
+        """Respond with the lagging list."""
         if self._vms.down:
             self.refuse(503, "outage")
             return
--- a/src/fireflyspur/standins/weight_store.py
+++ b/src/fireflyspur/standins/weight_store.py
@@ -14,7 +14,7 @@
     """Speed and limit of the store.
 
     :param fetch_s: duration of one fetch
-    :param max_fetches: fetches at one time; more answer 429
+    :param max_fetches: fetches at one time; more get 429
     :param retry_after_s: what a refused fetch is told
     :param time_factor: how many times faster than real time it runs
     """
@@ -64,7 +64,7 @@
     """``GET /weights/NAME/VERSION``."""
 
     async def get(self, name: str, version: str) -> None:
-        """Answer when the weights have been fetched."""
+        """Respond when the weights have been fetched."""
         settings = self._store.settings
         if self._store.is_down:
             self.refuse(503, "outage")
@@ -79,7 +79,7 @@
     """``GET /stats``."""
 
     def get(self) -> None:
-        """Answer with the counts for checks."""
+        """Respond with the counts for checks."""
         store = self._store
         self.send(
             {
