Count a crash only if its request was sent after the crash before

Cause: two engines ended 28 ms apart, and requests sent 10 and 14 ms before the first end counted for the second: 20 ms were allowed for the time that a report is under way, which is some ms.

Change: 5 ms for that; the 20 ms stay for responses that one crash breaks off. The rule stood in both quarantines and is in one module now. A run of the soak that fails prints ten of its violations.

Result: a test for requests and one for parts failed before.

--- a/src/fireflyspur/gateway/endpoints/part_quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/part_quarantine.py
@@ -7,6 +7,7 @@
 import random
 
 from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.endpoints import crash_sequence
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
@@ -14,9 +15,6 @@
 # part are refused. Fewer happen by chance to prompts that share an engine
 # with the one that crashes it.
 _QUARANTINE_CRASHES = 3
-# Requests sent this long before the last crash still count as sent after it;
-# it covers the time that updates of other nodes are under way.
-_SEND_SLACK_S = 0.02
 # A part with fewer crashes is forgotten after this time without another.
 _SUSPECT_S = 60.0
 # Time until the first trial of a quarantined part. It doubles with each trial
@@ -245,11 +243,13 @@
 
 
 def _is_later(crash: PartCrash, record: _Record) -> bool:
-    """Return whether a crash is another one than the last that counted."""
-    if crash.sent_at_s < record.last_crash_s - _SEND_SLACK_S:
-        return False
-    is_same_time = crash.broke_at_s < record.last_crash_s + _SEND_SLACK_S
-    return not (is_same_time and crash.instance == record.last_instance)
+    return crash_sequence.is_later(
+        sent_at_s=crash.sent_at_s,
+        broke_at_s=crash.broke_at_s,
+        instance=crash.instance,
+        last_crash_s=record.last_crash_s,
+        last_instance=record.last_instance,
+    )
 
 
 def _next_record(record: _Record, crash: PartCrash) -> _Record:
--- a/src/fireflyspur/gateway/endpoints/quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/quarantine.py
@@ -6,6 +6,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.endpoints import crash_sequence
 from fireflyspur.generated import fleet_news_pb2 as fleet_news
 from fireflyspur.observability import logs
 
@@ -14,9 +15,6 @@
 _QUARANTINE_CRASHES = 2
 # Crashes that are further apart than this are not counted together.
 _WINDOW_S = 60.0
-# Requests sent this long before the last crash still count as sent after it;
-# it covers the time that updates of other nodes are under way.
-_SEND_SLACK_S = 0.02
 # Limits the memory of the quarantine; the oldest requests are removed first.
 _MAX_REQUESTS = 10_000
 
@@ -126,11 +124,13 @@
 
 
 def _is_later(crash: RequestCrash, record: _CrashRecord) -> bool:
-    """Return whether a crash is another one than the last that counted."""
-    if crash.sent_at_s < record.last_crash_s - _SEND_SLACK_S:
-        return False
-    is_same_time = crash.broke_at_s < record.last_crash_s + _SEND_SLACK_S
-    return not (is_same_time and crash.instance == record.last_instance)
+    return crash_sequence.is_later(
+        sent_at_s=crash.sent_at_s,
+        broke_at_s=crash.broke_at_s,
+        instance=crash.instance,
+        last_crash_s=record.last_crash_s,
+        last_instance=record.last_instance,
+    )
 
 
 def _to_ms(seconds: float) -> int:
--- a/tests/gateway/endpoints/test_part_quarantine.py
+++ b/tests/gateway/endpoints/test_part_quarantine.py
@@ -50,6 +50,14 @@
             self.crash(_SHARED, sent_ago_s=5.0)
         self.assertFalse(self.parts.is_quarantined((_SHARED,)))
 
+    def test_engines_that_end_shortly_one_after_the_other_count_once(self):
+        self.crash(_SHARED)
+        self.crash(_SHARED)
+        self.now -= 0.17
+        # Sent 10 ms before the crash before.
+        self.crash(_SHARED, sent_ago_s=0.04)
+        self.assertFalse(self.parts.is_quarantined((_SHARED,)))
+
     def test_one_crash_that_many_requests_report_counts_once(self):
         for _ in range(5):
             self.now -= 0.2
--- a/tests/gateway/endpoints/test_quarantine.py
+++ b/tests/gateway/endpoints/test_quarantine.py
@@ -69,6 +69,13 @@
             self.crash(sent_ago_s=5.0)
         self.assertFalse(self.is_quarantined())
 
+    def test_endpoints_that_end_shortly_one_after_the_other_count_once(self):
+        self.crash(sent_ago_s=0.1)
+        self.now -= 0.17
+        # Sent 10 ms before the crash before.
+        self.crash(sent_ago_s=0.04)
+        self.assertFalse(self.is_quarantined())
+
     def test_one_crash_that_many_nodes_report_counts_once(self):
         for _ in range(5):
             self.now -= 0.2
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -21,6 +21,8 @@
 from tests.support import schedules
 from tools import fleet as fleets
 
+_MAX_PRINTED = 10
+
 
 def main() -> int:
     """Run the schedules; the exit code is 1 if a promise was broken."""
@@ -110,8 +112,7 @@
         f" {len(violations)} violations",
         flush=True,
     )
-    if violations:
-        print("\n".join(violations), flush=True)
+    print(*violations[:_MAX_PRINTED], sep="\n", end="\n" * bool(violations))
 
 
 if __name__ == "__main__":
