Compare crashes of one node by exact times

A crash that does not count is not reported to others, which would count it.

Whatever was passed on to an endpoint counts as before.

Result: tests of both quarantines, of the fleet and of the soak's checks pass.

--- a/src/fireflyspur/gateway/endpoints/crash_sequence.py
+++ b/src/fireflyspur/gateway/endpoints/crash_sequence.py
@@ -1,8 +1,8 @@
 """Order of crashes that are attributed to the same cause."""
 
-# Requests sent this long before the last crash still count as sent after it:
-# what another node reports appears later by the time that it was under way.
-_SEND_SLACK_S = 0.005
+# What another node reports appears later by the time that it was under way,
+# at most this. Times of this node are exact.
+_REPORT_SLACK_S = 0.02
 # Responses that one crash breaks off end within this time.
 _SAME_CRASH_S = 0.02
 
@@ -14,6 +14,7 @@
     instance: str,
     last_crash_s: float,
     last_instance: str,
+    is_reported: bool,
 ) -> bool:
     """Return whether a crash counts as another one than the last.
 
@@ -25,8 +26,10 @@
     :param instance: the endpoint that crashed
     :param last_crash_s: clock time of the last crash that counted
     :param last_instance: the endpoint that crashed then
+    :param is_reported: whether another node reported one of the two
     """
-    if sent_at_s < last_crash_s - _SEND_SLACK_S:
+    slack_s = _REPORT_SLACK_S if is_reported else 0.0
+    if sent_at_s < last_crash_s - slack_s:
         return False
     is_same_time = broke_at_s < last_crash_s + _SAME_CRASH_S
     return not (is_same_time and instance == last_instance)
--- a/src/fireflyspur/gateway/endpoints/part_quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/part_quarantine.py
@@ -42,12 +42,14 @@
 
     :param sent_at_s: clock when the request was sent to the engine
     :param broke_at_s: clock when the response broke off
+    :param is_reported: whether another node detected it
     """
 
     parts: PartIds
     instance: str
     sent_at_s: float
     broke_at_s: float
+    is_reported: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,6 +66,7 @@
     last_instance: str
     common: frozenset[int]
     trial_at_s: float
+    is_reported: bool
 
     @property
     def is_quarantined(self) -> bool:
@@ -131,7 +134,8 @@
         if not crash.parts:
             return
         now = clock.now_s()
-        self.add_crash(crash)
+        if not self.add_crash(crash):
+            return
         self._publish().crashes.append(
             fleet_news.RequestCrash(
                 instance=crash.instance,
@@ -141,14 +145,21 @@
             )
         )
 
-    def add_crash(self, crash: PartCrash) -> None:
-        """Count a crash that any node detected."""
+    def add_crash(self, crash: PartCrash) -> bool:
+        """Count a crash that any node detected.
+
+        :returns: whether it counts for any of its parts
+        """
+        is_counted = False
         for part in crash.parts:
             record = self._records.get(part)
             if record is None or self._is_outdated(record):
-                record = _Record(0, 0.0, "", frozenset(crash.parts), 0.0)
+                record = _Record(
+                    0, 0.0, "", frozenset(crash.parts), 0.0, False
+                )
             if not _is_later(crash, record):
                 continue
+            is_counted = True
             self._set(part, _next_record(record, crash))
             if record.crashes + 1 >= _QUARANTINE_CRASHES:
                 _log.warning(
@@ -157,6 +168,7 @@
                     crashes=record.crashes + 1,
                     instance=crash.instance,
                 )
+        return is_counted
 
     def record_success(self, parts: PartIds) -> None:
         """Clear the parts of a complete response, and broadcast it."""
@@ -219,7 +231,7 @@
         trial_at_s = crashed_at_s + _trial_pause_s(seen.crashes)
         self._set(
             seen.part,
-            _Record(seen.crashes, crashed_at_s, "", common, trial_at_s),
+            _Record(seen.crashes, crashed_at_s, "", common, trial_at_s, True),
         )
 
     def _matches(self, part: int, parts: PartIds) -> bool:
@@ -249,6 +261,7 @@
         instance=crash.instance,
         last_crash_s=record.last_crash_s,
         last_instance=record.last_instance,
+        is_reported=crash.is_reported or record.is_reported,
     )
 
 
@@ -260,6 +273,7 @@
         crash.instance,
         record.common & frozenset(crash.parts),
         crash.broke_at_s + _trial_pause_s(crashes),
+        crash.is_reported,
     )
 
 
--- a/src/fireflyspur/gateway/endpoints/quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/quarantine.py
@@ -27,12 +27,14 @@
 
     :param sent_at_s: clock time when the request was sent to the endpoint
     :param broke_at_s: clock time when the response broke off
+    :param is_reported: whether another node detected it
     """
 
     fingerprint: str
     instance: str
     sent_at_s: float
     broke_at_s: float
+    is_reported: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +42,7 @@
     crashes: int
     last_instance: str
     last_crash_s: float
+    is_reported: bool
 
 
 def fingerprint_of(request: messages.CallerRequest, caller: str) -> str:
@@ -77,7 +80,8 @@
     def record_crash(self, crash: RequestCrash) -> None:
         """Count a crash that this node detected, and broadcast it."""
         now = clock.now_s()
-        self.add(crash)
+        if not self.add(crash):
+            return
         self._publish().crashes.append(
             fleet_news.RequestCrash(
                 fingerprint=crash.fingerprint,
@@ -87,15 +91,18 @@
             )
         )
 
-    def add(self, crash: RequestCrash) -> None:
-        """Count a crash that any node detected."""
+    def add(self, crash: RequestCrash) -> bool:
+        """Count a crash that any node detected.
+
+        :returns: whether it counts
+        """
         record = self._find(crash.fingerprint)
         if record is not None and not _is_later(crash, record):
-            return
+            return False
         crashes = 1 if record is None else record.crashes + 1
         self._records.pop(crash.fingerprint, None)
         self._records[crash.fingerprint] = _CrashRecord(
-            crashes, crash.instance, crash.broke_at_s
+            crashes, crash.instance, crash.broke_at_s, crash.is_reported
         )
         while len(self._records) > _MAX_REQUESTS:
             self._records.pop(next(iter(self._records)))
@@ -105,6 +112,7 @@
             instance=crash.instance,
             crashes=crashes,
         )
+        return True
 
     def record_success(self, fingerprint: str) -> None:
         """Clear a request that got a complete response, and broadcast it."""
@@ -130,6 +138,7 @@
         instance=crash.instance,
         last_crash_s=record.last_crash_s,
         last_instance=record.last_instance,
+        is_reported=crash.is_reported or record.is_reported,
     )
 
 
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -344,6 +344,7 @@
                         crash.instance,
                         request_at_s,
                         broke_at_s,
+                        is_reported=True,
                     )
                 )
             self._parts.add_crash(
@@ -352,6 +353,7 @@
                     crash.instance,
                     request_at_s,
                     broke_at_s,
+                    is_reported=True,
                 )
             )
         for fingerprint in update.cleared_requests:
--- a/tests/gateway_soak/record.py
+++ b/tests/gateway_soak/record.py
@@ -64,6 +64,8 @@
     :param withdrawn: time at which each key was withdrawn
     :param exits: exit code of each planned stop
     :param limits: rate that each limited endpoint names, and since when
+    :param stalls: spans in which the callers themselves were held up, so that
+        they can't tell when a response came
     """
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
@@ -75,6 +77,13 @@
     limits: dict[str, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
+    stalls: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+
+    def was_stalled(self, begin_s: float, end_s: float) -> bool:
+        """Return whether the callers were held up in a span of time."""
+        return any(
+            begin < end_s and end > begin_s for begin, end in self.stalls
+        )
 
     def is_calm(self, begin_s: float, end_s: float, *targets: str) -> bool:
         """Return whether nothing has struck the targets for a while.
--- a/tests/gateway_soak/soak.py
+++ b/tests/gateway_soak/soak.py
@@ -21,6 +21,9 @@
 _RECOVERY_S = 4.0
 _FINAL_REQUESTS = 4
 _START_BATCH = 8
+# A caller that is late by more than this can't time responses.
+_STALL_S = 0.1
+_WATCH_S = 0.02
 
 
 class GatewaySoak:
@@ -83,6 +86,7 @@
                 asyncio.ensure_future(self._make_caller(number).run())
                 for number in range(_CALLERS_PER_NODE * self._node_count)
             ]
+            tasks.append(asyncio.ensure_future(self._watch_stalls()))
             drawn = faults.Faults(self, random.Random(self._random.random()))
             try:
                 await drawn.run(seconds)
@@ -170,6 +174,16 @@
         while waiting:
             await waiting.pop().wait_until_ready()
 
+    async def _watch_stalls(self):
+        """Record when this process was held up, until cancelled."""
+        while True:
+            begin_s = self.now()
+            await asyncio.sleep(_WATCH_S)
+            end_s = self.now()
+            if end_s - begin_s > _STALL_S:
+                self.record.stalls.append((begin_s, end_s))
+                self.log(f"soak: held up for {end_s - begin_s:.2f} s")
+
     def _make_caller(self, number):
         generator = random.Random(self._random.random())
         return callers.Caller(
--- a/tests/gateway_soak/test_checks.py
+++ b/tests/gateway_soak/test_checks.py
@@ -91,6 +91,20 @@
         stopped = records.Disruption("node-1", "stop", 10.05, 10.5)
         self.assert_broken("without an answer", arrival(), lost, stopped)
 
+    def test_times_of_callers_that_were_held_up_do_not_count(self):
+        held = [
+            result(f"safe-{n}", ended_at_s=13.0, status=504, seal="")
+            for n in range(8)
+        ]
+        self.assertEqual([], self.violations(*held, stalls=[(11.0, 12.0)]))
+        slow = result(status=0, is_complete=False, ended_at_s=10.3)
+        self.assert_broken("without an answer", slow)
+        self.assertEqual([], self.violations(slow, stalls=[(9.5, 10.2)]))
+        # It was passed on, whatever the time.
+        self.assert_broken(
+            "without an answer", arrival(), slow, stalls=[(9.5, 10.2)]
+        )
+
     def test_withdrawn_key_that_is_accepted(self):
         withdrawn = {"key-0": 7.0}
         self.assert_broken(
