--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -50,7 +50,12 @@
         channel.datagram_received(data, ("10.0.0.1", sender))
 
     async def settle(self):
-        await asyncio.sleep(0.05)
+        """Wait until no more datagrams are sent."""
+        while True:
+            sent = self.sent.total()
+            await asyncio.sleep(0.05)
+            if self.sent.total() == sent:
+                return
 
 
 class _Transport:
