--- a/tests/gateway_soak/record.py
+++ b/tests/gateway_soak/record.py
@@ -56,7 +56,7 @@
     end_s: float
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Record:
     """All that happened in one run.
 
