List a request that a suspended node did not read, and follow the users' rule

No endpoint got the request and no log line of the node names it, so it was not read; the users' rules excuse both a suspended machine and a request that crosses a close. The check does so too; one that was passed on counts as before (new test).

--- a/tests/gateway_soak/test_checks.py
+++ b/tests/gateway_soak/test_checks.py
@@ -105,6 +105,12 @@
             "without an answer", arrival(), slow, stalls=[(9.5, 10.2)]
         )
 
+    def test_request_that_a_suspended_node_did_not_read(self):
+        slow = result(status=0, is_complete=False, ended_at_s=11.3)
+        frozen = records.Disruption("node-1", "freeze", 9.0, 11.2)
+        self.assertEqual([], self.violations(slow, frozen))
+        self.assert_broken("without an answer", arrival(), slow, frozen)
+
     def test_withdrawn_key_that_is_accepted(self):
         withdrawn = {"key-0": 7.0}
         self.assert_broken(
