Test what changed in the count of crashes

Two cases: a crash that does not count is not reported to other nodes, and a report of another node may have been under way for some ms.

--- a/tests/gateway/endpoints/test_quarantine.py
+++ b/tests/gateway/endpoints/test_quarantine.py
@@ -15,17 +15,20 @@
         self.sent = fleet_news.FleetNews()
         self.requests = quarantine.Quarantine(lambda: self.sent)
 
-    def crash(self, sent_ago_s=0.1, instance=None):
+    def crash(self, sent_ago_s=0.1, instance=None, *, is_reported=False):
         """Count a crash, 0.2 s after the one before."""
         self.now += 0.2
-        self.requests.record_crash(
-            quarantine.RequestCrash(
-                _REQUEST,
-                instance or f"desk-{self.now}",
-                sent_at_s=self.now - sent_ago_s,
-                broke_at_s=self.now,
-            )
+        crash = quarantine.RequestCrash(
+            _REQUEST,
+            instance or f"desk-{self.now}",
+            sent_at_s=self.now - sent_ago_s,
+            broke_at_s=self.now,
+            is_reported=is_reported,
         )
+        if is_reported:
+            self.requests.add(crash)
+        else:
+            self.requests.record_crash(crash)
 
     def is_quarantined(self):
         return self.requests.is_quarantined(_REQUEST)
@@ -76,6 +79,19 @@
         self.crash(sent_ago_s=0.04)
         self.assertFalse(self.is_quarantined())
 
+    def test_crash_that_does_not_count_is_not_reported_to_other_nodes(self):
+        self.crash()
+        self.now -= 0.17
+        self.crash(sent_ago_s=0.04)
+        self.assertEqual(1, len(self.sent.crashes))
+
+    def test_reports_of_other_nodes_may_have_been_under_way(self):
+        self.crash(is_reported=True)
+        self.now -= 0.17
+        # Sent 10 ms before the time at which the report arrived.
+        self.crash(sent_ago_s=0.04)
+        self.assertTrue(self.is_quarantined())
+
     def test_one_crash_that_many_nodes_report_counts_once(self):
         for _ in range(5):
             self.now -= 0.2
