Log an announced version that the store does not have

The logs could not tell why nodes that read the store kept an old configuration. The line names the position read from and the end that the store reports.

--- a/src/fireflyspur/gateway/common/registry.py
+++ b/src/fireflyspur/gateway/common/registry.py
@@ -14,10 +14,14 @@
 
     :param config: None if there is none, or none newer than the last one
     :param read_at_s: clock of this node when the read started
+    :param position: position in the store's log from which it was read
+    :param end: position that the next record will have, as the store says
     """
 
     config: routing_config.RoutingConfig | None
     read_at_s: float
+    position: int = 0
+    end: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -163,7 +163,9 @@
         elif self._is_config_behind():
             # All nodes have received the announcement of this version.
             self._requested_version = self._link.announced_version
-            self._apply_config(await self._registry.wait_config(0))
+            read = await self._registry.wait_config(0)
+            self._apply_config(read)
+            self._log_missing(read)
             await asyncio.sleep(_CHANGE_PAUSE_S)
         elif self._holder.table is None or self._rank("config") == 0:
             wait_s = min(CONFIG_WAIT_S, _WAIT_SHARE * self._config_bound_s)
@@ -254,6 +256,16 @@
             self._failing.add(topic)
             _log.warning("Store lost", what=topic, reason=str(error))
 
+    def _log_missing(self, read: registries.ConfigRead) -> None:
+        if self._holder.version < self._requested_version:
+            _log.warning(
+                "Announced version not found",
+                version=self._holder.version,
+                announced=self._requested_version,
+                position=read.position,
+                end=read.end,
+            )
+
     def _log_recovery(self, topic: str) -> None:
         if topic in self._failing:
             self._failing.remove(topic)
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -38,15 +38,16 @@
         for record in newest.records:
             if record.key == _CONFIG_KEY:
                 config = config_codec.decode(record.value)
-                return registry.ConfigRead(config, read_at_s)
-        return registry.ConfigRead(None, read_at_s)
+                return registry.ConfigRead(
+                    config, read_at_s, record.offset, newest.end
+                )
+        return registry.ConfigRead(None, read_at_s, end=newest.end)
 
     async def wait_config(self, wait_s: float) -> registry.ConfigRead:
         """Wait for a configuration newer than the last one read."""
         started_s = clock.now_s()
-        read = await self._store.read_log(
-            _OPERATOR_TOPIC, self._config_offset, wait_s
-        )
+        position = self._config_offset
+        read = await self._store.read_log(_OPERATOR_TOPIC, position, wait_s)
         if read.is_expired or read.end < self._config_offset:
             return await self.read_config()
         self._config_offset += len(read.records)
@@ -54,8 +55,9 @@
         if not values:
             # The store responds without a record only after the full wait.
             read_at_s = min(started_s + wait_s, clock.now_s())
-            return registry.ConfigRead(None, read_at_s)
-        return registry.ConfigRead(config_codec.decode(values[-1]), started_s)
+            return registry.ConfigRead(None, read_at_s, position, read.end)
+        config = config_codec.decode(values[-1])
+        return registry.ConfigRead(config, started_s, position, read.end)
 
     async def read_endpoints(self) -> endpoints.EndpointList:
         """Read the registered endpoints."""
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -17,6 +17,7 @@
 from fireflyspur.platform import store_client
 from fireflyspur.platform import store_registry
 from tests.support import async_tests
+from tests.support import captured_logs
 from tests.support import gateway_fleet
 from tests.support import platform_config
 
@@ -125,6 +126,16 @@
         self.link.announce_endpoints.assert_not_called()
         self.link.announce_config.assert_not_called()
 
+    @async_tests.in_loop
+    async def test_announced_version_that_is_not_found_is_logged(self):
+        self.set_rank(9)
+        self.link.announced_version = 99
+        with captured_logs.capture() as records:
+            await self.follow(0.4, reader_interval_s=0.1)
+        found = [r for r in records if "not found" in r["message"]]
+        self.assertEqual(1, len(found))
+        self.assertEqual(99, found[0]["extra"]["announced"])
+
     @async_tests.in_loop
     async def test_reader_tells_the_others(self):
         self.set_rank(0)
