Use a position in the store's log only within its epoch

Cause: after the store came back from an older copy, offsets are given out again. A node that did not read until its position existed again never saw what lies before it, and each later read confirmed the old version. Evidence: six of eight nodes read from position 4 of a log that ends at 4, while the new version is the record at 3. Class: a position of one history used in another.

The store counts its restores in each answer; a position of another count is given up and the newest records are read.

--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -12,6 +12,8 @@
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.requests import http_exchange
+from fireflyspur.observability import logs
+from fireflyspur.platform import headers as header_names
 
 # A reachable store accepts a connection within a few round trips.
 _CONNECT_TIMEOUT_S = 0.5
@@ -23,6 +25,10 @@
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _STATUS_GONE = 410
+# Epochs are counted from zero; longer numbers are no count.
+_MAX_EPOCH_DIGITS = 9
+
+_log = logs.log_for("platform")
 
 
 class _NewestItem(msgspec.Struct):
@@ -55,10 +61,12 @@
     """The newest record of each key of a topic.
 
     :param end: offset of the next record to be appended
+    :param epoch: epoch of the store; offsets are valid within one epoch
     """
 
     records: tuple[NewestRecord, ...]
     end: int
+    epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,12 +82,23 @@
     """Consecutive records of a topic.
 
     :param end: offset of the next record to be appended
-    :param is_expired: whether the requested records are no longer retained
+    :param is_expired: whether the requested records are not there
+    :param epoch: epoch of the store; offsets are valid within one epoch
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     is_expired: bool = False
+    epoch: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """Answer to a call."""
+
+    status: int
+    body: bytes
+    epoch: int
 
 
 class StoreClient:
@@ -90,6 +109,8 @@
 
     def __init__(self, address: addresses.Address) -> None:
         self._address = address
+        self._epoch: int | None = None
+        self._is_epoch_invalid = False
 
     async def read_newest(self, topic: str) -> NewestRecords:
         """Read the newest record of each key of a topic.
@@ -98,20 +119,26 @@
         """
         records: list[NewestRecord] = []
         after = None
+        first_epoch = None
         while True:
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            _, body = await self._call("GET", "/api/log-newest", query)
+            answer = await self._call("GET", "/api/log-newest", query)
+            if first_epoch not in (None, answer.epoch):
+                raise exceptions.StoreUnavailableError(
+                    "the store was restored between two pages"
+                )
+            first_epoch = answer.epoch
             try:
-                page = _page_decoder.decode(body)
+                page = _page_decoder.decode(answer.body)
                 records.extend(_decode_record(item) for item in page.items)
             except (msgspec.DecodeError, ValueError) as error:
                 raise exceptions.StoreUnavailableError(
                     f"the store's response is invalid: {error}"
                 ) from error
             if not page.has_more or not page.items:
-                return NewestRecords(tuple(records), page.end)
+                return NewestRecords(tuple(records), page.end, first_epoch)
             after = page.items[-1].key
 
     async def read_log(
@@ -128,16 +155,16 @@
             "from": str(offset),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        status, body = await self._call(
+        answer = await self._call(
             "GET",
             "/api/log-read",
             query,
             wait_s=wait_s,
             accepted=(_STATUS_GONE,),
         )
-        if status == _STATUS_GONE:
-            return LogPage((), offset, is_expired=True)
-        return _parse_log_page(body)
+        if answer.status == _STATUS_GONE:
+            return LogPage((), offset, is_expired=True, epoch=answer.epoch)
+        return _parse_log_page(answer)
 
     async def append(self, topic: str, record: KeyedRecord) -> None:
         """Append a record to a keyed topic.
@@ -159,7 +186,7 @@
         body: bytes = b"",
         wait_s: float = 0.0,
         accepted: tuple[int, ...] = (),
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         try:
             async with asyncio.timeout(wait_s + _CALL_TIMEOUT_S):
                 head, response = await self._exchange(
@@ -173,11 +200,25 @@
             raise exceptions.StoreUnavailableError(
                 f"{path}: {str(error) or 'no answer in time'}"
             ) from error
+        epoch = self._read_epoch(head)
         if head.status != 200 and head.status not in accepted:
             raise exceptions.StoreUnavailableError(
                 f"{path}: status {head.status}"
             )
-        return head.status, response
+        return _Answer(head.status, response, epoch)
+
+    def _read_epoch(self, head: messages.ResponseHead) -> int:
+        """Return the epoch that a response names, or 0 if it names none."""
+        text = _find_epoch(head)
+        is_valid = text.isdigit() and len(text) <= _MAX_EPOCH_DIGITS
+        if text and not is_valid and not self._is_epoch_invalid:
+            self._is_epoch_invalid = True
+            _log.warning("Epoch not used", value=text[:60].decode("latin-1"))
+        epoch = int(text) if is_valid else 0
+        if self._epoch is not None and epoch > self._epoch:
+            _log.warning("Store restored", epoch=epoch, before=self._epoch)
+        self._epoch = epoch
+        return epoch
 
     async def _exchange(
         self, method: str, path: str, query: dict[str, str], body: bytes
@@ -200,7 +241,16 @@
     return NewestRecord(item.key, base64.b64decode(item.value), item.offset)
 
 
-def _parse_log_page(body: bytes) -> LogPage:
+def _find_epoch(head: messages.ResponseHead) -> bytes:
+    name = header_names.STORE_ERA.lower()
+    for key, value in head.headers:
+        if key.lower() == name:
+            return value.strip()
+    return b""
+
+
+def _parse_log_page(answer: _Answer) -> LogPage:
+    body = answer.body
     end = int.from_bytes(body[:_OFFSET_BYTES])
     # Skips the offset of the oldest retained record, which comes second.
     position = 2 * _OFFSET_BYTES
@@ -215,4 +265,4 @@
         key_end = 1 + content[0]
         key = content[1:key_end].decode("utf-8", "replace")
         records.append(KeyedRecord(key, content[key_end:]))
-    return LogPage(tuple(records), end)
+    return LogPage(tuple(records), end, epoch=answer.epoch)
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -28,6 +28,7 @@
     def __init__(self, store: store_client.StoreClient) -> None:
         self._store = store
         self._config_offset = 0
+        self._config_epoch = 0
         self._invalid_keys: set[str] = set()
 
     async def read_config(self) -> registry.ConfigRead:
@@ -35,6 +36,7 @@
         read_at_s = clock.now_s()
         newest = await self._store.read_newest(_OPERATOR_TOPIC)
         self._config_offset = newest.end
+        self._config_epoch = newest.epoch
         for record in newest.records:
             if record.key == _CONFIG_KEY:
                 config = config_codec.decode(record.value)
@@ -48,7 +50,11 @@
         started_s = clock.now_s()
         position = self._config_offset
         read = await self._store.read_log(_OPERATOR_TOPIC, position, wait_s)
-        if read.is_expired or read.end < self._config_offset:
+        is_other_log = (
+            read.epoch != self._config_epoch or read.end < self._config_offset
+        )
+        if read.is_expired or is_other_log:
+            # After a restore, newer records may have lower offsets.
             return await self.read_config()
         self._config_offset += len(read.records)
         values = [r.value for r in read.records if r.key == _CONFIG_KEY]
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -88,6 +88,66 @@
             self.assertEqual({"desk-0", "desk-1"}, instances)
 
 
+class RestoredStoreTest(testtools.TestCase):
+    """Guards against the use of what a restored store no longer has.
+
+    The store comes back from an older copy. Offsets are given out again, and
+    operators and endpoints write again what the copy lacks.
+    """
+
+    @async_tests.in_loop
+    async def test_change_at_a_reused_offset_is_applied(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            copies = fleet.store.copy_records()
+            for version in (2, 3):
+                fleet.publish(gateway_fleet.config(version=version))
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 3, timeout_s=1.9
+            )
+            fleet.store.restore(copies)
+            for version in (3, 4):
+                fleet.publish(gateway_fleet.config(version=version))
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 4, timeout_s=1.9
+            )
+
+    @async_tests.in_loop
+    async def test_change_after_a_restore_is_applied_by_all_nodes(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            nodes = [
+                await fleet.start_node(node_name=f"node-{n}") for n in range(3)
+            ]
+            copies = fleet.store.copy_records()
+            for version in (2, 3):
+                fleet.publish(gateway_fleet.config(version=version))
+                for node in nodes:
+                    await _wait_version(node, version)
+            fleet.store.restore(copies)
+            fleet.publish(gateway_fleet.config(version=3))
+            await asyncio.sleep(1.5)
+            fleet.publish(gateway_fleet.config(version=4))
+            for node in nodes:
+                await _wait_version(node, 4)
+
+    @async_tests.in_loop
+    async def test_older_version_of_the_copy_is_ignored(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            copies = fleet.store.copy_records()
+            fleet.publish(gateway_fleet.config(version=2))
+            await _wait_version(node, 2)
+            fleet.store.restore(copies)
+            await asyncio.sleep(1.0)
+            self.assertEqual(2, node.gateway.config_version)
+
+
+async def _wait_version(node, version):
+    await gateway_fleet.wait_until(
+        lambda: node.gateway.config_version == version, timeout_s=1.9
+    )
+
+
 class DirectoryTest(testtools.TestCase):
     """Guards against endpoints that are lost, or kept, after an outage.
 
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import copy
 import dataclasses
 import json
 import time
@@ -78,6 +79,7 @@
             self._serve, None, lambda: routing_config.CallerLimits()
         )
         self._groups = {}
+        self.era = 0
         self.fault = None
         self.delay_s = 0.0
         self.late_s = 0.0
@@ -103,10 +105,27 @@
         record = bytes((len(name),)) + name + data
         return self.partition(topic).append([record], is_keyed=True)
 
+    def copy_records(self):
+        """Return a copy of all topics, to which to restore the store."""
+        copies = {}
+        for key, partition in self._partitions.items():
+            copies[key] = copied = Partition()
+            copied.records = list(partition.records)
+            copied.first = partition.first
+            copied.newest = copy.copy(partition.newest)
+        return copies
+
+    def restore(self, copies):
+        """Come back from an older copy: what came later is lost."""
+        self.era += 1
+        self._partitions.clear()
+        self._partitions.update(copies)
+        self._server.close_connections()
+
     async def _serve(self, connection, request):
         target = urllib.parse.urlsplit(request.target.decode())
         self.calls[target.path] += 1
-        fault = self.fault
+        fault, era = self.fault, self.era
         if fault == "silent":
             await asyncio.Event().wait()
         if fault == "reset":
@@ -123,9 +142,15 @@
             answer = await self._do(target.path, query, request.body)
         if fault in ("lost", "late"):
             await asyncio.Event().wait()
+        if era != self.era:
+            connection.close()
+            raise iostream.StreamClosedError
         await connection.send_response(
             answer.status,
-            [(b"Content-Type", b"application/json")],
+            [
+                (b"Content-Type", b"application/json"),
+                (b"Store-Era", str(era).encode()),
+            ],
             answer.body,
         )
 
@@ -180,7 +205,7 @@
     async def _read(self, query):
         partition = self.partition(query["topic"], int(query["part"]))
         begin = int(query["from"])
-        if begin < partition.first:
+        if not partition.first <= begin <= partition.end:
             return _json(410, first=partition.first)
         wait_s = int(query.get("wait_ms", 0)) / 1000
         if begin >= partition.end and wait_s:
