Do not take entries of an older copy of the store for news

An endpoint that had left could get requests again, and one that leaves could look ready, for some seconds after the store came back from an older copy; what had registered since the copy was dropped for a moment.

Cause: a later read of the store replaces the list of endpoints, and after a restore it holds older entries. Class: the order of reads is taken for the order of what they say.

Reads and lists told between nodes name the epoch of the store. After a restore, until entries have been written again or have expired, an entry does not undo what the node knew (restore_guard), and what the copy lacks has time to register again.

The new test with three nodes failed before: a removed endpoint was ready.

--- a/src/fireflyspur/gateway/endpoints/endpoint.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint.py
@@ -38,7 +38,9 @@
     """The endpoints that were registered at one point in time.
 
     :param read_at_s: clock of this node when the read started
+    :param epoch: number of times that the store came back from an older copy
     """
 
     endpoints: tuple[Endpoint, ...]
     read_at_s: float
+    epoch: int = 0
--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -5,6 +5,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import restore_guard
 from fireflyspur.observability import logs
 
 _log = logs.log_for("endpoints")
@@ -44,6 +45,14 @@
         self._leaving: dict[str, float] = {}
         self._read_at_s: float | None = None
         self._recovered_at_s: float | None = None
+        self._epoch = 0
+        # Entries expire after the time without a report that is an outage.
+        self._guard = restore_guard.RestoreGuard(outage_s + reregister_s)
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the store at the latest read."""
+        return self._epoch
 
     @property
     def is_read(self) -> bool:
@@ -79,12 +88,18 @@
         """Replace the list unless the new one is older."""
         if self._read_at_s is not None and new.read_at_s <= self._read_at_s:
             return
-        if self._had_outage(new.read_at_s):
+        is_restored = self._guard.record_read(new.epoch, new.read_at_s)
+        if is_restored or self._had_outage(new.read_at_s):
             self._recovered_at_s = new.read_at_s
         self._read_at_s = new.read_at_s
-        listed = {endpoint.instance: endpoint for endpoint in new.endpoints}
+        self._epoch = new.epoch
+        listed = self._guard.correct(
+            {endpoint.instance: endpoint for endpoint in new.endpoints},
+            self._endpoints,
+            new.read_at_s,
+        )
         kept = self._keep_unlisted(listed, new.read_at_s)
-        self._handle_changes({**listed, **kept})
+        self._handle_changes({**listed, **kept}, new.read_at_s)
         self._endpoints = {**listed, **kept}
         self._faults = {
             instance: faults
@@ -97,10 +112,13 @@
         """Record that a later read returned the same list.
 
         :returns: False if the list must be replaced instead, because
-            endpoints that were kept after an outage may have to be removed
+            endpoints that were kept or ignored after an outage may have to
+            change
         """
         if self._read_at_s is None or self._recovered_at_s is not None:
             return False
+        if self._guard.is_active:
+            return False
         if self._had_outage(read_at_s):
             return False
         self._read_at_s = max(self._read_at_s, read_at_s)
@@ -186,7 +204,9 @@
             and endpoint.state is endpoints.EndpointState.READY
         }
 
-    def _handle_changes(self, new: dict[str, endpoints.Endpoint]) -> None:
+    def _handle_changes(
+        self, new: dict[str, endpoints.Endpoint], read_at_s: float
+    ) -> None:
         for instance, endpoint in new.items():
             previous = self._endpoints.get(instance)
             if previous is None:
@@ -209,6 +229,7 @@
                 )
         for instance in self._endpoints.keys() - new.keys():
             self._leaving.pop(instance, None)
+            self._guard.add_removed(self._endpoints[instance], read_at_s)
             _log.info("Endpoint removed", instance=instance)
 
     def _index(self) -> None:
--- a/src/fireflyspur/gateway/endpoints/endpoint_sync.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_sync.py
@@ -28,6 +28,7 @@
         self._directory = directory
         self._entries: dict[str, endpoints.Endpoint] = {}
         self._digest = 0
+        self._epoch = 0
         self._is_behind = False
 
     @property
@@ -43,7 +44,7 @@
         :returns: the update for the other nodes
         """
         previous, base = self._entries, self._digest
-        self._replace(read.endpoints, read.read_at_s)
+        self._replace(read)
         seen = self._version()
         changed = [
             endpoint
@@ -68,12 +69,14 @@
         latest = self._directory.read_at_s
         if latest is not None and read_at_s <= latest:
             return
-        if seen.digest == self._digest:
+        if seen.digest == self._digest and seen.epoch == self._epoch:
             # Most updates confirm the current list. The cost of replacing it
             # each time would grow with the numbers of nodes and endpoints.
             self._is_behind = False
             if not self._directory.confirm(read_at_s):
-                self._replace(tuple(self._entries.values()), read_at_s)
+                self._update(self._entries, read_at_s, seen.epoch)
+        elif seen.digest == self._digest:
+            self._update(self._entries, read_at_s, seen.epoch)
         elif seen.base_digest == self._digest and latest is not None:
             entries = dict(self._entries)
             for instance in seen.gone:
@@ -81,23 +84,35 @@
             for entry in seen.changed:
                 entries[entry.instance] = _from_entry(entry)
             if _digest(entries) == seen.digest:
-                self._replace(tuple(entries.values()), read_at_s)
+                self._update(entries, read_at_s, seen.epoch)
             else:
                 self._is_behind = True
         else:
             self._is_behind = True
 
-    def _replace(
-        self, listed: tuple[endpoints.Endpoint, ...], read_at_s: float
+    def _update(
+        self,
+        entries: dict[str, endpoints.Endpoint],
+        read_at_s: float,
+        epoch: int,
     ) -> None:
-        self._entries = {endpoint.instance: endpoint for endpoint in listed}
+        self._replace(
+            endpoints.EndpointList(tuple(entries.values()), read_at_s, epoch)
+        )
+
+    def _replace(self, read: endpoints.EndpointList) -> None:
+        self._entries = {
+            endpoint.instance: endpoint for endpoint in read.endpoints
+        }
         self._digest = _digest(self._entries)
+        self._epoch = read.epoch
         self._is_behind = False
-        self._directory.replace(endpoints.EndpointList(listed, read_at_s))
+        self._directory.replace(read)
 
     def _version(self) -> fleet_news.EndpointsSeen:
         return fleet_news.EndpointsSeen(
             digest=self._digest,
+            epoch=self._epoch,
             age_ms=min(round(self._directory.age_s() * 1000), 2**32 - 1),
         )
 
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -81,7 +81,7 @@
                 if record.key not in self._invalid_keys:
                     _log.warning("Entry not used", reason=str(error))
         self._invalid_keys = invalid_keys
-        return endpoints.EndpointList(tuple(valid), read_at_s)
+        return endpoints.EndpointList(tuple(valid), read_at_s, newest.epoch)
 
     async def register_node(
         self, name: str, entry: registry.NodeEntry
--- a/tests/gateway/endpoints/test_endpoint_sync.py
+++ b/tests/gateway/endpoints/test_endpoint_sync.py
@@ -72,3 +72,30 @@
         self.now_s += 1.0
         self.confirm()
         self.assertEqual(2, len(self.ready()))
+
+    def test_peers_learn_that_the_store_was_restored(self):
+        # Otherwise they take the entries of the copy for news.
+        self.read(5)
+        self.now_s += 1.0
+        update = self.sync.describe()
+        update.age_ms = 0
+        update.epoch = 1
+        self.sync.update_from_peer(update)
+        self.assertEqual(1, self.directory.epoch)
+        self.assertEqual(1, self.sync.describe().epoch)
+
+    def test_changes_of_a_peer_are_applied_in_the_epoch_of_its_read(self):
+        self.read(5)
+        other = endpoint_sync.EndpointSync(
+            endpoint_directory.EndpointDirectory(_OUTAGE_S, _REREGISTER_S)
+        )
+        for count, epoch in ((5, 0), (4, 0), (5, 1)):
+            self.now_s += 0.5
+            listed = tuple(map(example_engine.endpoint, range(count)))
+            self.sync.update_from_peer(
+                other.update_from_store(
+                    endpoints.EndpointList(listed, self.now_s, epoch)
+                )
+            )
+        self.assertFalse(self.sync.is_behind)
+        self.assertEqual(4, len(self.ready()))
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -130,6 +130,24 @@
             for node in nodes:
                 await _wait_version(node, 4)
 
+    @async_tests.in_loop
+    async def test_endpoint_that_left_is_not_used_again(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            nodes = [
+                await fleet.start_node(node_name=f"node-{n}") for n in range(3)
+            ]
+            copies = fleet.store.copy_records()
+            fleet.store.put("keyed.servers", "desk-1", b"")
+            for node in nodes:
+                await gateway_fleet.wait_until(
+                    lambda node=node: _ready(node) == {"desk-0"}
+                )
+            fleet.store.restore(copies)
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                for node in nodes:
+                    self.assertEqual({"desk-0"}, _ready(node))
+
     @async_tests.in_loop
     async def test_older_version_of_the_copy_is_ignored(self):
         async with gateway_fleet.GatewayFleet() as fleet:
@@ -142,6 +160,10 @@
             self.assertEqual(2, node.gateway.config_version)
 
 
+def _ready(node):
+    return {e.instance for e in node.gateway.directory.ready("desk")}
+
+
 async def _wait_version(node, version):
     await gateway_fleet.wait_until(
         lambda: node.gateway.config_version == version, timeout_s=1.9
@@ -173,9 +195,9 @@
         super().setUp()
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
 
-    def read(self, at_s, *names):
-        listed = tuple(self.endpoint(name) for name in names)
-        self.directory.replace(endpoints.EndpointList(listed, at_s))
+    def read(self, at_s, *names, epoch=0, **changes):
+        listed = tuple(self.endpoint(name, **changes) for name in names)
+        self.directory.replace(endpoints.EndpointList(listed, at_s, epoch))
 
     def ready(self):
         return {e.instance for e in self.directory.ready("desk")}
@@ -205,6 +227,56 @@
         self.read(99.0, "a")
         self.assertEqual({"a", "b"}, self.ready())
 
+    def test_endpoint_that_left_before_a_restore_does_not_come_back(self):
+        self.read(100.0, "a", "b")
+        self.read(101.0, "a")
+        for at_s in (103.0, 104.0, 108.0):
+            self.read(at_s, "a", "b", epoch=1)
+            self.assertEqual({"a"}, self.ready())
+
+    def test_leaving_endpoint_does_not_become_ready_by_a_restore(self):
+        self.read(100.0, "a")
+        self.read(101.0, "a", state=endpoints.EndpointState.LEAVING)
+        for at_s in (103.0, 104.0, 108.0):
+            self.read(at_s, "a", epoch=1)
+            self.assertEqual(set(), self.ready())
+
+    def test_process_that_ended_does_not_come_back_by_a_restore(self):
+        self.read(100.0, "a", born_ms=1, slots=1)
+        self.read(101.0, "a", born_ms=2, slots=2)
+        self.read(103.0, "a", born_ms=1, slots=1, epoch=1)
+        self.assertEqual([2], [e.slots for e in self.directory.ready("desk")])
+
+    def test_endpoint_that_writes_on_after_a_restore_is_used(self):
+        # It had expired before, so that its entry was missing for a while.
+        self.read(100.0, "a", "b")
+        self.read(101.0, "a")
+        self.read(103.0, "a", "b", epoch=1)
+        self.assertFalse(self.directory.confirm(109.5))
+        self.read(109.5, "a", "b", epoch=1)
+        self.assertEqual({"a", "b"}, self.ready())
+
+    def test_endpoint_that_the_copy_lacks_may_register_again(self):
+        self.read(100.0, "a", "b")
+        self.read(101.5, "a", epoch=1)
+        self.assertEqual({"a", "b"}, self.ready())
+        self.read(102.5, "a", "b", epoch=1)
+        self.assertEqual({"a", "b"}, self.ready())
+
+    def test_endpoint_that_registers_late_after_a_restore_is_used(self):
+        self.read(100.0, "a", "b")
+        self.read(101.5, "a", epoch=1)
+        self.read(104.5, "a", epoch=1)
+        self.assertEqual({"a"}, self.ready())
+        self.read(105.0, "a", "b", epoch=1)
+        self.assertEqual({"a", "b"}, self.ready())
+
+    def test_endpoint_that_the_copy_lacks_is_removed_if_it_is_gone(self):
+        self.read(100.0, "a", "b")
+        self.read(101.5, "a", epoch=1)
+        self.read(104.5, "a", epoch=1)
+        self.assertEqual({"a"}, self.ready())
+
     def test_leaving_endpoint_stays_excluded(self):
         self.read(100.0, "a", "b")
         self.directory.mark_leaving("a", "told")
