Register a node again after the store came back from an older copy

A node that started since the copy was made lost its registration for good. Nodes that started later did not find it, and each counted requests, limits and crashes without the other.

Cause: a node registered once, at its start. It now compares the epoch of its registration with the epoch of its list of endpoints and registers again, spread over a second, and reads the others' entries anew: of two nodes that register meanwhile, the later one reads the other's entry.

Cost: one write and one read a node for each restore.

--- a/src/fireflyspur/gateway/common/registry.py
+++ b/src/fireflyspur/gateway/common/registry.py
@@ -63,9 +63,10 @@
         """
 
     @abc.abstractmethod
-    async def register_node(self, name: str, entry: NodeEntry) -> None:
+    async def register_node(self, name: str, entry: NodeEntry) -> int:
         """Register this node so that the other nodes can find it.
 
+        :returns: epoch of the store; a restore may lose the entry
         :raises StoreUnavailableError: if the store does not respond
         """
 
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import random
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway.common import address as addresses
@@ -32,6 +33,9 @@
 # Pause after a failed registration, which limits the load on a failing store
 # to two calls a second.
 _REGISTER_RETRY_S = 0.5
+# After a restore of the store, the nodes register again within this time, so
+# that not all of them call at once.
+_REREGISTER_SPREAD_S = 1.0
 
 # Greatest age that an update can hold.
 _MAX_AGE_MS = 2**32 - 1
@@ -163,7 +167,7 @@
         """Register this node and send heartbeats until cancelled."""
         await self._channel.open()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._register())
+            group.create_task(self._keep_registered())
             group.create_task(self._send_heartbeats())
 
     def announce_config(self) -> None:
@@ -179,10 +183,28 @@
         self._channel.mark_stopping()
         self._send_heartbeat()
 
-    async def _register(self) -> None:
+    async def _keep_registered(self) -> None:
+        """Register this node, and again after each restore of the store.
+
+        Nodes that register meanwhile find each other: of two nodes, the later
+        one reads the entry of the other.
+        """
+        epoch = await self._register()
+        self._introduce()
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if self._directory.epoch > epoch:
+                await asyncio.sleep(random.uniform(0, _REREGISTER_SPREAD_S))
+                epoch = await self._register()
+
+    async def _register(self) -> int:
+        """Register this node and read the entries of all others.
+
+        :returns: epoch of the store
+        """
         while True:
             try:
-                await self._registry.register_node(
+                epoch = await self._registry.register_node(
                     self._name,
                     registries.NodeEntry(self._address, self._failure_domain),
                 )
@@ -196,8 +218,9 @@
             "Node registered",
             nodes=len(nodes),
             pool=dataclasses.astuple(self._peers.pools.own),
+            epoch=epoch,
         )
-        self._introduce()
+        return epoch
 
     def _introduce(self) -> None:
         """Announce this node to all nodes that registered before it.
--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -166,9 +166,10 @@
             return LogPage((), offset, is_expired=True, epoch=answer.epoch)
         return _parse_log_page(answer)
 
-    async def append(self, topic: str, record: KeyedRecord) -> None:
+    async def append(self, topic: str, record: KeyedRecord) -> int:
         """Append a record to a keyed topic.
 
+        :returns: epoch of the store
         :raises StoreUnavailableError: if the store does not confirm the
             append; the record may have been appended nevertheless
         """
@@ -176,7 +177,8 @@
         content = bytes((len(key),)) + key + record.value
         body = len(content).to_bytes(_LENGTH_BYTES) + content
         query = {"topic": topic, "part": "0"}
-        await self._call("POST", "/api/log-append", query, body=body)
+        answer = await self._call("POST", "/api/log-append", query, body=body)
+        return answer.epoch
 
     async def _call(
         self,
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -83,15 +83,13 @@
         self._invalid_keys = invalid_keys
         return endpoints.EndpointList(tuple(valid), read_at_s, newest.epoch)
 
-    async def register_node(
-        self, name: str, entry: registry.NodeEntry
-    ) -> None:
+    async def register_node(self, name: str, entry: registry.NodeEntry) -> int:
         """Register a node."""
         value = f"{entry.address} {entry.failure_domain}"
         record = store_client.KeyedRecord(
             _NODE_KEY_PREFIX + name, value.encode()
         )
-        await self._store.append(_NODES_TOPIC, record)
+        return await self._store.append(_NODES_TOPIC, record)
 
     async def read_nodes(self) -> dict[str, registry.NodeEntry]:
         """Return all nodes that have ever registered, by name."""
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -148,6 +148,32 @@
                 for node in nodes:
                     self.assertEqual({"desk-0"}, _ready(node))
 
+    @async_tests.in_loop
+    async def test_node_that_the_copy_lacks_is_found_by_later_nodes(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            fleet.publish(gateway_fleet.config())
+            copies = fleet.store.copy_records()
+            first = await fleet.start_node(node_name="node-1")
+            nodes = fleet.store.partition("keyed.status")
+            await gateway_fleet.wait_until(
+                lambda: "node-node-1" in nodes.newest
+            )
+            fleet.store.restore(copies)
+            fleet.register_all()
+            await gateway_fleet.wait_until(
+                lambda: (
+                    "node-node-1"
+                    in fleet.store.partition("keyed.status").newest
+                )
+            )
+            later = await fleet.start_node(node_name="node-2")
+            await gateway_fleet.wait_until(
+                lambda: "node-1" in later.gateway.link.peers.live_names()
+            )
+            await gateway_fleet.wait_until(
+                lambda: "node-2" in first.gateway.link.peers.live_names()
+            )
+
     @async_tests.in_loop
     async def test_older_version_of_the_copy_is_ignored(self):
         async with gateway_fleet.GatewayFleet() as fleet:
