Believe a refusal only if it names the attempt

Cause: a response without an id was taken as one of the attempt. A connection serves one attempt, but what an endpoint writes first on it may be a copy of something earlier. Endpoints name the attempt in each response, so a refusal without it now counts as a broken response, which promises nothing.

--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -175,6 +175,11 @@
         if head.status != _OTHER_INSTANCE:
             self._on_head(info)
         if info.is_not_run or head.status == _OTHER_INSTANCE:
+            if info.attempt_id is None:
+                # It may be a copy of an earlier one, and this request may run.
+                raise exceptions.BrokenResponseError(
+                    f"status {head.status} without the attempt's id"
+                )
             return attempt_result.NotRun(
                 f"status {head.status}",
                 is_full=head.status in (429, 503),
