Do as endpoints say that they leave, or want a pause

A request went to an endpoint that had said in a response that it leaves, as long as the store did not say so, and to one that had refused a request and said for how long it wants none.

Cause: nothing read these headers. What an endpoint says of itself is now one message from the adapter and applied in one place. Leaving is final for the process and told to all nodes; a pause binds the node that was refused, and single requests find out whether it is over. A request that no endpoint may take is refused at once with spread times to return.

--- a/src/fireflyspur/experiment/node_model.py
+++ b/src/fireflyspur/experiment/node_model.py
@@ -6,6 +6,7 @@
 from fireflyspur.experiment import virtual_time
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.gateway.scheduling import in_flight_reporter
 from fireflyspur.gateway.scheduling import in_flight_table
@@ -68,7 +69,12 @@
         self.table = in_flight_table.InFlightTable()
         outbox = _Outbox(name, time, lambda update: send(self, update))
         self.reporter = in_flight_reporter.InFlightReporter(
-            name, self.table, outbox, rate_limits.RateLimits.unlimited()
+            name,
+            self.table,
+            outbox,
+            endpoint_notices.EndpointNotices(
+                rate_limits.RateLimits.unlimited()
+            ),
         )
         self.policy = policies.build(policy, self.directory, self.table)
 
--- a/src/fireflyspur/gateway/common/messages.py
+++ b/src/fireflyspur/gateway/common/messages.py
@@ -104,6 +104,28 @@
         return 200 <= self.status < 300
 
 
+@dataclasses.dataclass(frozen=True)
+class EndpointNotice:
+    """What an endpoint says of itself in a response.
+
+    :param is_leaving: whether it leaves and wants no more requests
+    :param is_leaving_invalid: whether it says so in a way that is not valid
+    :param rate_limit: requests a second that it takes from all nodes
+        together; None if it names no limit, or an invalid one
+    :param is_rate_limit_invalid: whether it names a limit that cannot be used
+    :param retry_after_s: time for which it wants no requests from this node;
+        None if it names none, or an invalid one
+    :param is_retry_after_invalid: whether it names a time that cannot be used
+    """
+
+    is_leaving: bool = False
+    is_leaving_invalid: bool = False
+    rate_limit: float | None = None
+    is_rate_limit_invalid: bool = False
+    retry_after_s: float | None = None
+    is_retry_after_invalid: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseInfo:
     """Information in the headers of an endpoint's response.
@@ -118,9 +140,7 @@
         the request fail, or None
     :param is_encoded: whether the body has a content encoding, so that it
         is not the bytes that the endpoint produced
-    :param rate_limit: requests a second that the endpoint takes from all
-        nodes together; None if it names no limit, or an invalid one
-    :param is_rate_limit_invalid: whether it names a limit that cannot be used
+    :param notice: what the endpoint says of itself
     """
 
     is_sealed: bool
@@ -129,8 +149,7 @@
     instance: str | None
     failed_member: str | None
     is_encoded: bool
-    rate_limit: float | None = None
-    is_rate_limit_invalid: bool = False
+    notice: EndpointNotice = EndpointNotice()
 
 
 class Codec(abc.ABC):
--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -8,6 +8,9 @@
 from fireflyspur.gateway.endpoints import restore_guard
 from fireflyspur.observability import logs
 
+# Bound of memory; the oldest entries are removed first.
+_MAX_LEAVING = 4_096
+
 _log = logs.log_for("endpoints")
 
 
@@ -42,7 +45,9 @@
         self._endpoints: dict[str, endpoints.Endpoint] = {}
         self._by_service: dict[str, tuple[endpoints.Endpoint, ...]] = {}
         self._faults: dict[str, _Faults] = {}
-        self._leaving: dict[str, float] = {}
+        # Start of each instance that said that it leaves, in Unix ms. It is
+        # kept after the instance is gone, as it may be listed again.
+        self._leaving: dict[str, int | None] = {}
         self._read_at_s: float | None = None
         self._recovered_at_s: float | None = None
         self._epoch = 0
@@ -124,14 +129,22 @@
         self._read_at_s = max(self._read_at_s, read_at_s)
         return True
 
-    def mark_leaving(self, instance: str, reason: str) -> None:
-        """Exclude an endpoint that reported that it is leaving or gone."""
+    def mark_leaving(self, instance: str, reason: str) -> bool:
+        """Exclude an endpoint that reported that it is leaving or gone.
+
+        This is final: only another process of that name is used again.
+
+        :returns: whether this was not known before
+        """
         endpoint = self._endpoints.get(instance)
         if endpoint is None or instance in self._leaving:
-            return
-        self._leaving[instance] = clock.now_s()
+            return False
+        self._leaving[instance] = endpoint.born_ms
+        while len(self._leaving) > _MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
         _log.info("Endpoint leaving", instance=instance, reason=reason)
         self._index()
+        return True
 
     def record_fault(self, instance: str, reason: str) -> None:
         """Pause an endpoint after a fault."""
@@ -218,7 +231,6 @@
                     state=endpoint.state.value,
                 )
             elif previous.born_ms != endpoint.born_ms:
-                self._leaving.pop(instance, None)
                 self._faults.pop(instance, None)
                 _log.info("Endpoint restarted", instance=instance)
             elif previous.state is not endpoint.state:
@@ -227,8 +239,11 @@
                     instance=instance,
                     state=endpoint.state.value,
                 )
+            if self._leaving.get(instance, endpoint.born_ms) != (
+                endpoint.born_ms
+            ):
+                del self._leaving[instance]
         for instance in self._endpoints.keys() - new.keys():
-            self._leaving.pop(instance, None)
             self._guard.add_removed(self._endpoints[instance], read_at_s)
             _log.info("Endpoint removed", instance=instance)
 
--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -36,6 +36,7 @@
     :param directory: gets the endpoints that failed or left
     :param table: in-flight requests on endpoints
     :param channel: broadcasts to the other nodes
+    :param report_left: marks an endpoint as leaving on all nodes
     """
 
     def __init__(
@@ -43,10 +44,12 @@
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
         channel: update_channel.UpdateChannel,
+        report_left: Callable[[str, str], None],
     ) -> None:
         self._directory = directory
         self._table = table
         self._channel = channel
+        self._report_left = report_left
         self._checks: set[asyncio.Future[None]] = set()
 
     def check_crash(
@@ -75,12 +78,8 @@
         self._directory.record_fault(instance, reason)
 
     def mark_left(self, instance: str, reason: str) -> None:
-        """Mark an endpoint as gone, and broadcast it to the other nodes.
-
-        The endpoint itself or the instance that replaced it has reported it.
-        """
-        self._directory.mark_leaving(instance, reason)
-        self._broadcast(instance, fleet_news.LEFT)
+        """Mark an endpoint as gone, on all nodes."""
+        self._report_left(instance, reason)
 
     def expected_silence_s(
         self,
--- a/src/fireflyspur/gateway/endpoints/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -31,6 +31,8 @@
 _MAX_LIMITS = 4_096
 # Time after which a caller may find another node, in the endpoint's pool.
 _FOREIGN_RETRY_S = 0.25
+# Interval of the returns to endpoints that name no rate.
+_RETURN_INTERVAL_S = 0.05
 
 _log = logs.log_for("limits")
 
@@ -185,7 +187,7 @@
         """Return whether a request may be sent to an endpoint now."""
         if endpoint.instance not in self._limits:
             return True
-        return self._wait_s(endpoint) <= 0
+        return self.wait_s(endpoint) <= 0
 
     def is_limited(self, endpoint: endpoints.Endpoint) -> bool:
         """Return whether the limit of an endpoint is in force."""
@@ -204,14 +206,26 @@
         :param priority: priority of the request; 0 is the most urgent
         :returns: None if one of them allows a request now
         """
-        wait_s = min(map(self._wait_s, listed), default=0.0)
+        wait_s = min(map(self.wait_s, listed), default=0.0)
         if wait_s <= 0:
             return None
+        return self.schedule_return(listed, priority, wait_s)
+
+    def schedule_return(
+        self,
+        listed: Sequence[endpoints.Endpoint],
+        priority: int,
+        wait_s: float,
+    ) -> float:
+        """Return when to return after a wait, one caller after the other.
+
+        :param wait_s: time until one of the endpoints takes a request
+        """
         if wait_s == float("inf"):
             return _FOREIGN_RETRY_S
         rate = sum(self._rate_per_s(endpoint) for endpoint in listed)
         # The other nodes refuse as many.
-        step_s = self._share().nodes / rate
+        step_s = self._share().nodes / rate if rate else _RETURN_INTERVAL_S
         return self._returns.add(priority, wait_s, step_s, clock.now_s())
 
     def describe(self) -> list[fleet_news.EndpointLimit]:
@@ -297,7 +311,7 @@
             )
             self._publish().limits.append(self._describe(instance, now))
 
-    def _wait_s(self, endpoint: endpoints.Endpoint) -> float:
+    def wait_s(self, endpoint: endpoints.Endpoint) -> float:
         """Return the time until a request may be sent to an endpoint."""
         if not self.is_limited(endpoint):
             return 0.0
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -13,6 +13,7 @@
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import endpoint_sync
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
@@ -86,8 +87,11 @@
             self._is_own,
             self._limit_share,
         )
+        self._notices = endpoint_notices.EndpointNotices(
+            self._limits, self.report_left
+        )
         self._in_flight = in_flight_reporter.InFlightReporter(
-            name, table, self._channel, self._limits
+            name, table, self._channel, self._notices
         )
         self._crashes = quarantine.Quarantine(
             lambda: self._channel.fleet_draft
@@ -98,7 +102,7 @@
         self._announced_version = 0
         self._idle = idle_engines.IdleEngines()
         self._candidates = engine_candidates.EngineCandidates(
-            directory, table, self._peers.pools, self._idle, self._limits
+            directory, table, self._peers.pools, self._idle, self._notices
         )
         self._idle_reporter = idle_reporter.IdleReporter(
             name, holder, self._candidates, self._peers, self._channel
@@ -130,6 +134,11 @@
         """Rates that endpoints name for all nodes."""
         return self._limits
 
+    @property
+    def notices(self) -> endpoint_notices.EndpointNotices:
+        """What endpoints say of themselves."""
+        return self._notices
+
     @property
     def channel(self) -> update_channel.UpdateChannel:
         """Channel for updates between the nodes."""
@@ -178,6 +187,18 @@
         """Announce an update of the list of endpoints."""
         self._channel.fleet_draft.endpoints.CopyFrom(seen)
 
+    def report_left(self, instance: str, reason: str) -> None:
+        """Mark an endpoint as leaving, and tell all other nodes once.
+
+        The endpoint itself or the instance that replaced it has said so.
+        """
+        if self._directory.mark_leaving(instance, reason):
+            self._channel.fleet_draft.reports.append(
+                fleet_news.EndpointReport(
+                    instance=instance, event=fleet_news.LEFT
+                )
+            )
+
     def announce_stopping(self) -> None:
         """Announce that this node is about to stop."""
         self._channel.mark_stopping()
@@ -241,7 +262,7 @@
             await asyncio.sleep(HEARTBEAT_S)
             self._detector.tick()
             self._in_flight_table.expire(clock.now_s())
-            self._limits.keep_only(self._directory.instances)
+            self._notices.keep_only(self._directory.instances)
             self._peers.log_silent_peers()
             self._send_heartbeat()
             self._idle_reporter.report()
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -95,7 +95,10 @@
             settings.retries, self._link.peers.fleet_size
         )
         self._endpoint_monitor = endpoint_monitor.EndpointMonitor(
-            self._directory, in_flight, self._link.channel
+            self._directory,
+            in_flight,
+            self._link.channel,
+            self._link.report_left,
         )
         self._memory_reserver = memory_reserver.MemoryReserver(
             orders, lambda: self._settings.memory
@@ -174,7 +177,7 @@
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
                 parts=self._link.parts,
-                limits=self._link.limits,
+                notices=self._link.notices,
                 memory=self._memory_reserver,
                 is_draining=lambda: self._drain.is_begun,
                 exits_at_s=lambda: self._drain.deadline_s,
--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -34,7 +34,7 @@
     :param codec: encodes and decodes the headers
     :param relay: relays the response to the caller
     :param memory: reserves memory on helpers
-    :param on_head: called with what the head of a response says
+    :param on_head: called with the head of a response and what it says
     :param on_response_start: called when a successful response starts
     :param watch_silence: returns the callback that decides how long to wait
         for a silent response
@@ -46,7 +46,9 @@
         codec: messages.Codec,
         relay: response_relay.ResponseRelay,
         memory: memory_reserver.MemoryReserver,
-        on_head: Callable[[messages.ResponseInfo], None],
+        on_head: Callable[
+            [messages.ResponseHead, messages.ResponseInfo], None
+        ],
         on_response_start: Callable[[], None],
         watch_silence: Callable[
             [placements.Placement], http_exchange.SilenceCallback
@@ -173,7 +175,7 @@
                 "the response belongs to another attempt"
             )
         if head.status != _OTHER_INSTANCE:
-            self._on_head(info)
+            self._on_head(head, info)
         if info.is_not_run or head.status == _OTHER_INSTANCE:
             if info.attempt_id is None:
                 # It may be a copy of an earlier one, and this request may run.
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -11,6 +11,9 @@
 from fireflyspur.gateway.scheduling import placement as placements
 from fireflyspur.observability import logs
 
+# Statuses with which an endpoint refuses a request because it wants none now.
+_BUSY_STATUSES = (429, 503)
+
 _log = logs.log_for("requests")
 
 
@@ -43,20 +46,24 @@
             return "a part of the prompt crashed several endpoints"
         return None
 
-    def report_limit(
-        self, endpoint: endpoints.Endpoint, info: messages.ResponseInfo
+    def report_notice(
+        self,
+        endpoint: endpoints.Endpoint,
+        head: messages.ResponseHead,
+        info: messages.ResponseInfo,
     ) -> None:
-        """Report the rate limit that a response names, or that it names none.
+        """Report what an endpoint says of itself in a response.
 
         :param endpoint: the endpoint that was asked
-        :param info: headers of the response
         """
         if info.instance not in (None, endpoint.instance):
             return
-        if info.is_rate_limit_invalid:
-            self._deps.limits.record_invalid(endpoint)
-        else:
-            self._deps.limits.record(endpoint, info.rate_limit)
+        is_own_refusal = info.is_not_run and info.attempt_id is not None
+        self._deps.notices.record(
+            endpoint,
+            info.notice,
+            is_own_refusal and head.status in _BUSY_STATUSES,
+        )
 
     def report_delivered(
         self, placement: placements.Placement, is_confirmed: bool
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -7,9 +7,9 @@
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
-from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.gateway.node import gateway_metrics
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_timeouts
@@ -39,7 +39,7 @@
     retries: retry_budget.RetryBudget
     crashes: quarantine.Quarantine
     parts: part_quarantine.PartQuarantine
-    limits: rate_limits.RateLimits
+    notices: endpoint_notices.EndpointNotices
     memory: memory_reserver.MemoryReserver
     is_draining: Callable[[], bool]
     exits_at_s: Callable[[], float | None]
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -161,7 +161,7 @@
             any_ready = self._deps.directory.ready(plan.service.name)
             self._reason = _NO_ROOM if any_ready else _NONE_READY
         if placement is None:
-            self._limited_retry_s = self._deps.limits.retry_after_s(
+            self._limited_retry_s = self._deps.notices.retry_after_s(
                 self._deps.directory.ready(plan.service.name), plan.priority
             )
         return placement
@@ -239,8 +239,8 @@
                 self._deps.codec,
                 self._relay,
                 self._deps.memory,
-                lambda info: self._reporter.report_limit(
-                    placement.primary, info
+                lambda head, info: self._reporter.report_notice(
+                    placement.primary, head, info
                 ),
                 on_response_start,
                 self._stall_detector,
@@ -340,7 +340,7 @@
     def _capacity_error(self, reason: str) -> base_exceptions.FireflyspurError:
         if self._limited_retry_s is not None:
             return exceptions.RateLimitedError(
-                "all endpoints have reached the rates that they name",
+                "all endpoints take no more requests for now, as they said",
                 retry_after_s=self._limited_retry_s,
             )
         return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -7,6 +7,7 @@
 
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.gateway.fleet import pool_map
 from fireflyspur.gateway.scheduling import idle_engines
@@ -46,7 +47,7 @@
     :param table: in-flight requests on the engines of the own pool
     :param pools: pools of the fleet
     :param idle: idle engines of other pools
-    :param limits: rates that endpoints name
+    :param notices: what endpoints say of themselves
     """
 
     def __init__(
@@ -55,13 +56,13 @@
         table: in_flight_table.InFlightTable,
         pools: pool_map.PoolMap,
         idle: idle_engines.IdleEngines,
-        limits: rate_limits.RateLimits,
+        notices: endpoint_notices.EndpointNotices,
     ) -> None:
         self._directory = directory
         self._table = table
         self._pools = pools
         self._idle = idle
-        self._limits = limits
+        self._notices = notices
         self._own: dict[str, _OwnEngines] = {}
 
     @classmethod
@@ -81,7 +82,9 @@
             table,
             pools,
             idle_engines.IdleEngines(),
-            limits or rate_limits.RateLimits.unlimited(),
+            endpoint_notices.EndpointNotices(
+                limits or rate_limits.RateLimits.unlimited()
+            ),
         )
 
     def in_pool(
@@ -105,7 +108,7 @@
             and not self._table.count(endpoint.instance)
             and not self._directory.is_paused(endpoint.instance)
             and endpoint.instance not in excluded
-            and self._limits.allows(endpoint)
+            and self._notices.allows(endpoint)
         ]
         return _sample(found, _MAX_COMPARED)
 
@@ -134,7 +137,7 @@
             endpoint
             for endpoint in listed
             if endpoint.instance not in excluded
-            and self._limits.allows(endpoint)
+            and self._notices.allows(endpoint)
         ]
         usable = [
             endpoint
@@ -150,7 +153,7 @@
             for endpoint in self._own_engines(service)
             if not self._table.count(endpoint.instance)
             and not self._directory.is_paused(endpoint.instance)
-            and not self._limits.is_limited(endpoint)
+            and not self._notices.is_restricted(endpoint)
         ]
         return _sample(idle, count)
 
--- a/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
@@ -8,7 +8,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
-from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.gateway.scheduling import placement as placements
@@ -38,7 +38,7 @@
     :param node_name: name of this node
     :param table: in-flight requests of all nodes
     :param outbox: sends updates to the other nodes
-    :param limits: counts the requests to endpoints that name a rate
+    :param notices: counts the requests to endpoints that want few
     """
 
     def __init__(
@@ -46,12 +46,12 @@
         node_name: str,
         table: in_flight_table.InFlightTable,
         outbox: UpdateOutbox,
-        limits: rate_limits.RateLimits,
+        notices: endpoint_notices.EndpointNotices,
     ) -> None:
         self._node_name = node_name
         self._table = table
         self._outbox = outbox
-        self._limits = limits
+        self._notices = notices
         self._numbers = itertools.count(1)
         # Endpoints of the own entries, by number.
         self._endpoints: dict[int, endpoints.Endpoint] = {}
@@ -105,7 +105,7 @@
         started.number = number
         self._endpoints[number] = endpoint
         self._table.add(to_in_flight(self._node_name, started))
-        self._limits.add_start(endpoint.instance)
+        self._notices.add_start(endpoint.instance)
         for draft in self._outbox.drafts_for(endpoint):
             draft.started.append(started)
         try:
@@ -139,7 +139,7 @@
             self._table.remove_all(_key(update.node, ""))
         for started in update.started:
             self._table.add(to_in_flight(update.node, started))
-            self._limits.add_start(started.instance)
+            self._notices.add_peer_start(started.instance)
         for number in update.read:
             self._table.mark_prefilled(_key(update.node, number))
         for number in update.ended:
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -8,6 +8,7 @@
 
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _API_KEY_SCHEME = "token "
+_IS_LEAVING = "1"
 # Prompts consist of a few parts.
 _MAX_PARTS = 32
 # Request headers of the caller that are not forwarded. The node sets some of
@@ -80,12 +81,6 @@
     ) -> messages.ResponseInfo:
         """Decode the headers of an endpoint's response."""
         values = _decode_values(head.headers)
-        limits = [
-            value.decode("latin-1").strip()
-            for name, value in head.headers
-            if name.lower() == header_names.SERVER_LIMIT.lower()
-        ]
-        rate_limit = _parse_decimal(limits[0]) if len(limits) == 1 else None
         return messages.ResponseInfo(
             is_sealed=header_names.RESPONSE_SEAL.lower() in values,
             is_not_run=header_names.NOT_EXECUTED.lower() in values,
@@ -93,11 +88,40 @@
             instance=values.get(header_names.INSTANCE_ID.lower()),
             failed_member=values.get(header_names.AT_SERVER.lower()),
             is_encoded=header_names.CONTENT_ENCODING.lower() in values,
-            rate_limit=rate_limit,
-            is_rate_limit_invalid=bool(limits) and rate_limit is None,
+            notice=_decode_notice(head.headers),
         )
 
 
+def _decode_notice(headers: messages.Headers) -> messages.EndpointNotice:
+    leaving = _find_all(headers, header_names.SERVER_LEAVING)
+    limits = _find_all(headers, header_names.SERVER_LIMIT)
+    pauses = _find_all(headers, header_names.RETRY_AFTER)
+    is_leaving = _IS_LEAVING in leaving
+    rate_limit = _parse_only(limits)
+    retry_after_s = _parse_only(pauses)
+    return messages.EndpointNotice(
+        is_leaving=is_leaving,
+        is_leaving_invalid=bool(leaving) and not is_leaving,
+        rate_limit=rate_limit,
+        is_rate_limit_invalid=bool(limits) and rate_limit is None,
+        retry_after_s=retry_after_s,
+        is_retry_after_invalid=bool(pauses) and retry_after_s is None,
+    )
+
+
+def _find_all(headers: messages.Headers, header_name: bytes) -> list[str]:
+    return [
+        value.decode("latin-1").strip()
+        for name, value in headers
+        if name.lower() == header_name.lower()
+    ]
+
+
+def _parse_only(values: list[str]) -> float | None:
+    """Return the number of a header; None if it is not given just once."""
+    return _parse_decimal(values[0]) if len(values) == 1 else None
+
+
 def _decode_values(headers: messages.Headers) -> dict[bytes, str]:
     return {
         name.lower(): value.decode("latin-1").strip()
--- a/src/fireflyspur/platform/headers.py
+++ b/src/fireflyspur/platform/headers.py
@@ -18,6 +18,9 @@
 CONTENT_ENCODING = b"Content-Encoding"
 # Requests a second that the server takes from all nodes together.
 SERVER_LIMIT = b"Server-Limit"
+# A server that is about to end says so in all its responses.
+SERVER_LEAVING = b"Server-Leaving"
+RETRY_AFTER = b"Retry-After"
 # Counts how often the store came back from an older copy of its data.
 STORE_ERA = b"Store-Era"
 # Identifies the server that made the request to a group of servers fail.
--- a/tests/gateway/scheduling/test_engine_candidates.py
+++ b/tests/gateway/scheduling/test_engine_candidates.py
@@ -7,6 +7,7 @@
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.gateway.fleet import pool_map
 from fireflyspur.gateway.scheduling import engine_candidates
@@ -39,7 +40,9 @@
             self.table,
             pools,
             self.idle,
-            rate_limits.RateLimits.unlimited(),
+            endpoint_notices.EndpointNotices(
+                rate_limits.RateLimits.unlimited()
+            ),
         )
         self.selector = placement.EndpointSelector(
             self.directory, self.table, self.candidates, "zone-a"
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -139,7 +139,7 @@
         info = header_codec.HeaderCodec().decode_response(
             messages.ResponseHead(200, headers)
         )
-        return info.rate_limit, info.is_rate_limit_invalid
+        return info.notice.rate_limit, info.notice.is_rate_limit_invalid
 
     def test_last_part_of_a_prompt_is_its_own(self):
         info = self.decode(
