--- a/src/fireflyspur/gateway/endpoints/backoffs.py
+++ b/src/fireflyspur/gateway/endpoints/backoffs.py
@@ -45,6 +45,11 @@
         # Endpoints whose invalid pause has been logged.
         self._invalid: set[str] = set()
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any endpoint has asked for a pause."""
+        return bool(self._pauses)
+
     def record(self, endpoint: endpoints.Endpoint, seconds: float) -> None:
         """Record that an endpoint refused a request and asked for a pause."""
         if seconds <= 0:
--- a/src/fireflyspur/gateway/endpoints/endpoint_notices.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_notices.py
@@ -72,12 +72,16 @@
         """Count a request that another node sends to an endpoint."""
         self._limits.add_start(instance)
 
-    def allows(self, endpoint: endpoints.Endpoint) -> bool:
-        """Return whether a request may be sent to an endpoint now."""
-        return (
-            self._limits.allows(endpoint)
-            and self._backoffs.wait_s(endpoint) <= 0
-        )
+    def allowed(
+        self, listed: list[endpoints.Endpoint]
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints to which a request may be sent now."""
+        # Mostly, no endpoint has said anything.
+        if self._limits.has_any:
+            listed = [e for e in listed if self._limits.allows(e)]
+        if self._backoffs.has_any:
+            listed = [e for e in listed if self._backoffs.wait_s(e) <= 0]
+        return listed
 
     def is_restricted(self, endpoint: endpoints.Endpoint) -> bool:
         """Return whether an endpoint takes fewer requests than it could."""
--- a/src/fireflyspur/gateway/endpoints/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -113,6 +113,11 @@
             limit.requests_per_s is not None for limit in self._limits.values()
         )
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any endpoint has named a rate."""
+        return bool(self._limits)
+
     @classmethod
     def unlimited(cls) -> "RateLimits":
         """Return limits of a fleet whose endpoints name none."""
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -108,9 +108,8 @@
             and not self._table.count(endpoint.instance)
             and not self._directory.is_paused(endpoint.instance)
             and endpoint.instance not in excluded
-            and self._notices.allows(endpoint)
         ]
-        return _sample(found, _MAX_COMPARED)
+        return _sample(self._notices.allowed(found), _MAX_COMPARED)
 
     def elsewhere(
         self, service: str, excluded: frozenset[str]
@@ -133,12 +132,9 @@
 
         If all of them are paused, a paused one is better than none.
         """
-        allowed = [
-            endpoint
-            for endpoint in listed
-            if endpoint.instance not in excluded
-            and self._notices.allows(endpoint)
-        ]
+        allowed = self._notices.allowed(
+            [e for e in listed if e.instance not in excluded]
+        )
         usable = [
             endpoint
             for endpoint in allowed
--- a/tests/gateway/endpoints/test_backoffs.py
+++ b/tests/gateway/endpoints/test_backoffs.py
@@ -129,7 +129,7 @@
 
     def send(self, rng, directory, notices, left, pauses):
         """Send a request to an endpoint that allows it, if there is one."""
-        allowed = [e for e in directory.ready("models") if notices.allows(e)]
+        allowed = notices.allowed(list(directory.ready("models")))
         if not allowed:
             return 0
         endpoint = rng.choice(allowed)
