Keep the rate that an endpoint names while its entry lapses

An endpoint in need whose entry in the store expires and comes back, as when it does not reach the store for a while, lost its limit on all nodes at the first heartbeat: each could send a request until it heard the limit again.

Cause: limits were dropped with the entry. A lapsed entry is not the end of a process; limits belong to an instance and its start, and are kept for 60 s. The new test failed before. test_limit_does_not_outlive_its_process took a lapsed entry for the end of the process; it now lets 61 s pass first, and the new test checks that nothing is forgotten earlier.

--- a/src/fireflyspur/gateway/endpoints/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -27,6 +27,8 @@
 _LOG_INTERVAL_S = 1.0
 # Limits in a heartbeat, which must fit in one datagram.
 _MAX_SHARED_LIMITS = 8
+# An endpoint whose entry lapsed may be listed again with the same process.
+_KEEP_UNLISTED_S = 60.0
 # Bounds of memory; the oldest limits are removed first.
 _MAX_LIMITS = 4_096
 # Time after which a caller may find another node, in the endpoint's pool.
@@ -105,6 +107,8 @@
         self._returns = return_schedule.ReturnSchedule()
         # Endpoints whose invalid limit has been logged.
         self._invalid: set[str] = set()
+        # Clock times at which endpoints with a limit were found unlisted.
+        self._unlisted_at_s: dict[str, float] = {}
 
     @property
     def count(self) -> int:
@@ -243,6 +247,7 @@
             instance
             for instance, limit in self._limits.items()
             if limit.requests_per_s is not None
+            and instance not in self._unlisted_at_s
         ]
         return [
             self._describe(instance, now)
@@ -252,11 +257,16 @@
         ]
 
     def keep_only(self, instances: Iterable[str]) -> None:
-        """Drop the limits of endpoints that are not listed any more."""
-        listed = set(instances)
+        """Drop the limits of endpoints that have not been listed for long."""
+        listed, now = set(instances), clock.now_s()
         self._invalid &= listed
-        for instance in self._limits.keys() - listed:
-            del self._limits[instance]
+        self._unlisted_at_s = {
+            instance: self._unlisted_at_s.get(instance, now)
+            for instance in self._limits.keys() - listed
+        }
+        for instance, unlisted_at_s in self._unlisted_at_s.items():
+            if now - unlisted_at_s > _KEEP_UNLISTED_S:
+                del self._limits[instance]
 
     def _update(
         self,
--- a/tests/gateway/endpoints/test_rate_limits.py
+++ b/tests/gateway/endpoints/test_rate_limits.py
@@ -92,9 +92,31 @@
         restarted = dataclasses.replace(self.endpoint, born_ms=born_ms)
         self.limits.record(dataclasses.replace(self.endpoint, born_ms=1), 0.1)
         self.assertTrue(self.limits.allows(restarted))
+        # Once it is gone for good, not as soon as its entry lapses.
+        self.limits.keep_only([])
+        self.now += 61.0
         self.limits.keep_only([])
         self.assertTrue(self.limits.allows(self.endpoint))
 
+    def test_limit_outlasts_an_entry_that_lapses(self):
+        # It expires while the endpoint does not reach the store.
+        self.limits.record(self.endpoint, 0.1)
+        self.limits.add_start(self.endpoint.instance)
+        self.now += 5.0
+        self.limits.keep_only([])
+        self.assertFalse(self.limits.allows(self.endpoint))
+        self.assertEqual([], self.limits.describe())
+        self.limits.keep_only([self.endpoint.instance])
+        self.assertFalse(self.limits.allows(self.endpoint))
+        self.assertEqual(1, len(self.limits.describe()))
+
+    def test_limit_of_an_endpoint_that_is_gone_is_forgotten(self):
+        self.limits.record(self.endpoint, 0.1)
+        self.limits.keep_only([])
+        self.now += 61.0
+        self.limits.keep_only([])
+        self.assertFalse(self.limits.has_any)
+
     def test_newer_word_wins_over_late_news(self):
         self.now += 10.0
         self.limits.record(self.endpoint, None)
