Count calls of the store only while the test itself runs

Reproduced by holding up its event loop, in which all eight nodes run: 0.3 s and 0.6 s each 0.5 s give 9 and 13 calls, 1.0 s gives 26, of 16 allowed. A node that was held up for longer than what others tell it lasts must read the store itself, so this is the test's own clock. A window in which the loop was held up for 0.5 s or more, a quarter of the nodes' bound, is measured again, up to five times; the bound stays as it is. With three stalls of 1.2 s in the first window, the second one counts and passes.

--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -7,6 +7,12 @@
 from tests.support import async_tests
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
+from tests.support import loop_watch
+
+# A node that does not run for a quarter of its bound of 2 s misses what others
+# tell it, and reads the store itself.
+_MAX_HELD_UP_S = 0.5
+_MAX_WINDOWS = 5
 
 
 class FleetTest(testtools.TestCase):
@@ -58,9 +64,13 @@
                 for number in range(8)
             ]
             await asyncio.sleep(1.5)
-            fleet.store.calls.clear()
-            await asyncio.sleep(seconds)
-            calls = sum(fleet.store.calls.values())
+            for _ in range(_MAX_WINDOWS):
+                fleet.store.calls.clear()
+                async with loop_watch.watch_loop() as watch:
+                    await asyncio.sleep(seconds)
+                calls = sum(fleet.store.calls.values())
+                if watch.longest_s < _MAX_HELD_UP_S:
+                    break
             ages = [n.gateway.directory.age_s() for n in nodes]
         # The target is half a call a second for each node. Without updates
         # from other nodes each would make two.
