Name what nodes tell each other after what it is

FleetNews and WorkStarted become PeerUpdate and RequestStarted, with the file and package names, in one step; numbers and types of the fields on the wire stay.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/python -m grpc_tools.protoc -Ifireflyspur/generated=src/fireflyspur/schema \
 		--python_out=src --grpc_python_out=src fireflyspur/generated/peer.proto
 	$(BIN)/python -m grpc_tools.protoc -Ifireflyspur/generated=src/fireflyspur/schema \
-		--python_out=src fireflyspur/generated/fleet_news.proto
+		--python_out=src fireflyspur/generated/peer_updates.proto
 	PYTHONPATH=src $(BIN)/python -m tools.reference
 
 format: install
--- a/src/fireflyspur/experiment/fleet_simulation.py
+++ b/src/fireflyspur/experiment/fleet_simulation.py
@@ -15,7 +15,7 @@
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.gateway.scheduling import placement as placements
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
 # A caller retries a refused request after this time.
 _RETRY_AFTER_S = 0.25
@@ -109,7 +109,7 @@
         return tuple(requests)
 
     def _broadcast(
-        self, sender: node_model.NodeModel, update: fleet_news.FleetNews
+        self, sender: node_model.NodeModel, update: peer_updates.PeerUpdate
     ) -> None:
         for node in self._nodes:
             if node is not sender:
--- a/src/fireflyspur/experiment/node_model.py
+++ b/src/fireflyspur/experiment/node_model.py
@@ -10,7 +10,7 @@
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.gateway.scheduling import in_flight_reporter
 from fireflyspur.gateway.scheduling import in_flight_table
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
 # Time for which updates are collected, including the network latency.
 _UPDATE_DELAY_S = 0.002
@@ -25,17 +25,17 @@
         self,
         name: str,
         time: virtual_time.VirtualTime,
-        send: Callable[[fleet_news.FleetNews], None],
+        send: Callable[[peer_updates.PeerUpdate], None],
     ) -> None:
         self._time = time
         self._send = send
         self._name = name
-        self._draft = fleet_news.FleetNews(node=name)
+        self._draft = peer_updates.PeerUpdate(node=name)
         self._is_scheduled = False
 
     def drafts_for(
         self, endpoint: endpoints.Endpoint
-    ) -> list[fleet_news.FleetNews]:
+    ) -> list[peer_updates.PeerUpdate]:
         """Return the next update to be sent; callers add entries to it."""
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -46,7 +46,7 @@
         self._is_scheduled = False
         update, self._draft = (
             self._draft,
-            fleet_news.FleetNews(node=self._name),
+            peer_updates.PeerUpdate(node=self._name),
         )
         self._send(update)
 
@@ -63,7 +63,7 @@
         name: str,
         policy: str,
         time: virtual_time.VirtualTime,
-        send: Callable[["NodeModel", fleet_news.FleetNews], None],
+        send: Callable[["NodeModel", peer_updates.PeerUpdate], None],
     ) -> None:
         self.directory = endpoint_directory.EndpointDirectory(_OUTAGE_S, 0.0)
         self.table = in_flight_table.InFlightTable()
@@ -78,6 +78,6 @@
         )
         self.policy = policies.build(policy, self.directory, self.table)
 
-    def apply_update(self, update: fleet_news.FleetNews) -> None:
+    def apply_update(self, update: peer_updates.PeerUpdate) -> None:
         """Apply an update that another node sent."""
         self.reporter.apply_update(update, is_restarted=False)
--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -14,7 +14,7 @@
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import latency_model
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
 # A reachable endpoint accepts a connection within a few round trips.
@@ -74,7 +74,7 @@
     def mark_failed(self, instance: str, reason: str) -> None:
         """Mark an endpoint as failed, and broadcast it to the other nodes."""
         if not self._directory.is_paused(instance):
-            self._broadcast(instance, fleet_news.FAILED)
+            self._broadcast(instance, peer_updates.FAILED)
         self._directory.record_fault(instance, reason)
 
     def mark_left(self, instance: str, reason: str) -> None:
@@ -161,7 +161,7 @@
             on_crash()
 
     def _broadcast(self, instance: str, event: int) -> None:
-        report = fleet_news.EndpointReport(instance=instance, event=event)
+        report = peer_updates.EndpointReport(instance=instance, event=event)
         self._channel.fleet_draft.reports.append(report)
 
 
--- a/src/fireflyspur/gateway/endpoints/endpoint_sync.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_sync.py
@@ -6,7 +6,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
 
 class EndpointSync:
@@ -38,7 +38,7 @@
 
     def update_from_store(
         self, read: endpoints.EndpointList
-    ) -> fleet_news.EndpointsSeen:
+    ) -> peer_updates.EndpointsSeen:
         """Replace the list by one that was read from the store.
 
         :returns: the update for the other nodes
@@ -59,11 +59,11 @@
             seen.gone.extend(removed)
         return seen
 
-    def describe(self) -> fleet_news.EndpointsSeen | None:
+    def describe(self) -> peer_updates.EndpointsSeen | None:
         """Return the version of the list, or None before the first list."""
         return self._version() if self._directory.is_read else None
 
-    def update_from_peer(self, seen: fleet_news.EndpointsSeen) -> None:
+    def update_from_peer(self, seen: peer_updates.EndpointsSeen) -> None:
         """Handle the update of another node."""
         read_at_s = clock.now_s() - seen.age_ms / 1000
         latest = self._directory.read_at_s
@@ -109,8 +109,8 @@
         self._is_behind = False
         self._directory.replace(read)
 
-    def _version(self) -> fleet_news.EndpointsSeen:
-        return fleet_news.EndpointsSeen(
+    def _version(self) -> peer_updates.EndpointsSeen:
+        return peer_updates.EndpointsSeen(
             digest=self._digest,
             epoch=self._epoch,
             age_ms=min(round(self._directory.age_s() * 1000), 2**32 - 1),
@@ -139,8 +139,8 @@
     return int.from_bytes(digest.digest())
 
 
-def _to_entry(endpoint: endpoints.Endpoint) -> fleet_news.EndpointEntry:
-    return fleet_news.EndpointEntry(
+def _to_entry(endpoint: endpoints.Endpoint) -> peer_updates.EndpointEntry:
+    return peer_updates.EndpointEntry(
         instance=endpoint.instance,
         service=endpoint.service,
         host=endpoint.address.host,
@@ -152,7 +152,7 @@
     )
 
 
-def _from_entry(entry: fleet_news.EndpointEntry) -> endpoints.Endpoint:
+def _from_entry(entry: peer_updates.EndpointEntry) -> endpoints.Endpoint:
     state = endpoints.EndpointState.READY
     if entry.is_leaving:
         state = endpoints.EndpointState.LEAVING
--- a/src/fireflyspur/gateway/endpoints/part_quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/part_quarantine.py
@@ -8,7 +8,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import crash_sequence
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
 # Crashes without a complete response between them after which prompts with a
@@ -104,7 +104,7 @@
 
     def __init__(
         self,
-        publish: Callable[[], fleet_news.FleetNews],
+        publish: Callable[[], peer_updates.PeerUpdate],
         rank: Callable[[int], int],
     ) -> None:
         self._publish = publish
@@ -137,7 +137,7 @@
         if not self.add_crash(crash):
             return
         self._publish().crashes.append(
-            fleet_news.RequestCrash(
+            peer_updates.RequestCrash(
                 instance=crash.instance,
                 parts=crash.parts,
                 sent_ago_ms=_to_ms(now - crash.sent_at_s),
@@ -199,14 +199,14 @@
                 record, trial_at_s=trial_at_s
             )
 
-    def describe(self) -> list[fleet_news.QuarantinedPart]:
+    def describe(self) -> list[peer_updates.QuarantinedPart]:
         """Return quarantined parts, for other nodes.
 
         If there are many, each heartbeat has some others.
         """
         now = clock.now_s()
         listed = [
-            fleet_news.QuarantinedPart(
+            peer_updates.QuarantinedPart(
                 part=part,
                 crashes=record.crashes,
                 crash_ago_ms=_to_ms(now - record.last_crash_s),
@@ -218,7 +218,7 @@
         count = min(len(listed), _MAX_SHARED_PARTS)
         return random.sample(listed, count)
 
-    def update_from_peer(self, seen: fleet_news.QuarantinedPart) -> None:
+    def update_from_peer(self, seen: peer_updates.QuarantinedPart) -> None:
         """Add a part that another node has quarantined."""
         crashed_at_s = clock.now_s() - seen.crash_ago_ms / 1000
         record = self._records.get(seen.part)
--- a/src/fireflyspur/gateway/endpoints/quarantine.py
+++ b/src/fireflyspur/gateway/endpoints/quarantine.py
@@ -7,7 +7,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.endpoints import crash_sequence
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
 # Crashes after which a request is not run again. A single one can be caused by
@@ -68,7 +68,7 @@
     :param publish: returns the draft of the next update for all nodes
     """
 
-    def __init__(self, publish: Callable[[], fleet_news.FleetNews]) -> None:
+    def __init__(self, publish: Callable[[], peer_updates.PeerUpdate]) -> None:
         self._publish = publish
         self._records: dict[str, _CrashRecord] = {}
 
@@ -83,7 +83,7 @@
         if not self.add(crash):
             return
         self._publish().crashes.append(
-            fleet_news.RequestCrash(
+            peer_updates.RequestCrash(
                 fingerprint=crash.fingerprint,
                 instance=crash.instance,
                 sent_ago_ms=_to_ms(now - crash.sent_at_s),
--- a/src/fireflyspur/gateway/endpoints/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -8,7 +8,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 from fireflyspur.rates import pacing
 from fireflyspur.rates import return_schedule
@@ -94,7 +94,7 @@
 
     def __init__(
         self,
-        publish: Callable[[], fleet_news.FleetNews],
+        publish: Callable[[], peer_updates.PeerUpdate],
         find: Callable[[str], endpoints.Endpoint | None],
         is_own: Callable[[endpoints.Endpoint], bool],
         share: Callable[[], FleetShare],
@@ -126,7 +126,7 @@
     def unlimited(cls) -> "RateLimits":
         """Return limits of a fleet whose endpoints name none."""
         return cls(
-            fleet_news.FleetNews,
+            peer_updates.PeerUpdate,
             lambda _: None,
             lambda _: True,
             lambda: FleetShare(1.0, 1),
@@ -161,7 +161,7 @@
             _log.warning("Limit not valid", instance=endpoint.instance)
 
     def update_from_peer(
-        self, seen: fleet_news.EndpointLimit, delay_s: float
+        self, seen: peer_updates.EndpointLimit, delay_s: float
     ) -> None:
         """Apply a limit that another node heard of, unless it is older."""
         heard_at_s = clock.now_s() - delay_s - seen.heard_ago_ms / 1000
@@ -237,7 +237,7 @@
         step_s = self._share().nodes / rate if rate else _RETURN_INTERVAL_S
         return self._returns.add(priority, wait_s, step_s, clock.now_s())
 
-    def describe(self) -> list[fleet_news.EndpointLimit]:
+    def describe(self) -> list[peer_updates.EndpointLimit]:
         """Return limits in force, for other nodes.
 
         If there are many, each heartbeat has some others.
@@ -348,9 +348,11 @@
         rate /= share.pools
         return rate if rate >= _MIN_FOREIGN_RATE_PER_S else 0.0
 
-    def _describe(self, instance: str, now: float) -> fleet_news.EndpointLimit:
+    def _describe(
+        self, instance: str, now: float
+    ) -> peer_updates.EndpointLimit:
         limit = self._limits[instance]
-        return fleet_news.EndpointLimit(
+        return peer_updates.EndpointLimit(
             instance=instance,
             requests_per_s=limit.requests_per_s or 0.0,
             heard_ago_ms=max(0, round((now - limit.heard_at_s) * 1000)),
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -26,7 +26,7 @@
 from fireflyspur.gateway.scheduling import idle_reporter
 from fireflyspur.gateway.scheduling import in_flight_reporter
 from fireflyspur.gateway.scheduling import in_flight_table
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
 # A node counts as silent after three missed heartbeats.
@@ -183,7 +183,7 @@
         """Announce the version of the configuration in force."""
         self._channel.fleet_draft.config.CopyFrom(self._config_seen())
 
-    def announce_endpoints(self, seen: fleet_news.EndpointsSeen) -> None:
+    def announce_endpoints(self, seen: peer_updates.EndpointsSeen) -> None:
         """Announce an update of the list of endpoints."""
         self._channel.fleet_draft.endpoints.CopyFrom(seen)
 
@@ -194,8 +194,8 @@
         """
         if self._directory.mark_leaving(instance, reason):
             self._channel.fleet_draft.reports.append(
-                fleet_news.EndpointReport(
-                    instance=instance, event=fleet_news.LEFT
+                peer_updates.EndpointReport(
+                    instance=instance, event=peer_updates.LEFT
                 )
             )
 
@@ -252,7 +252,7 @@
         self._send_heartbeat()
         for pool in self._peers.pools.others:
             for peer in self._peers.recipients(pool):
-                introduction = fleet_news.FleetNews(
+                introduction = peer_updates.PeerUpdate(
                     failure_domain=self._failure_domain
                 )
                 self._channel.send_to(introduction, peer.address)
@@ -273,7 +273,7 @@
         self._add_state(draft)
         self._channel.flush()
 
-    def _add_state(self, update: fleet_news.FleetNews) -> None:
+    def _add_state(self, update: peer_updates.PeerUpdate) -> None:
         if self._holder.table is not None and not update.HasField("config"):
             update.config.CopyFrom(self._config_seen())
         if not update.quarantined_parts:
@@ -284,9 +284,9 @@
         if seen is not None and not update.HasField("endpoints"):
             update.endpoints.CopyFrom(seen)
 
-    def _config_seen(self) -> fleet_news.ConfigSeen:
+    def _config_seen(self) -> peer_updates.ConfigSeen:
         age_ms = min(self._holder.age_s() * 1000, _MAX_AGE_MS)
-        return fleet_news.ConfigSeen(
+        return peer_updates.ConfigSeen(
             version=self._holder.version, age_ms=round(age_ms)
         )
 
@@ -310,7 +310,7 @@
         )
 
     def _handle_update(
-        self, update: fleet_news.FleetNews, contact: peer_table.Contact
+        self, update: peer_updates.PeerUpdate, contact: peer_table.Contact
     ) -> None:
         self._handle_crashes(update, contact.delay_s)
         self._handle_parts(update)
@@ -334,7 +334,7 @@
             if self._sync.is_behind:
                 self._on_behind()
         if update.wants_answer and self._peers.is_in_pool(update.node):
-            response = fleet_news.FleetNews(
+            response = peer_updates.PeerUpdate(
                 failure_domain=self._failure_domain
             )
             self._add_state(response)
@@ -342,7 +342,9 @@
                 if peer.name == update.node:
                     self._channel.send_to(response, peer.address)
 
-    def _add_delay(self, update: fleet_news.FleetNews, delay_s: float) -> None:
+    def _add_delay(
+        self, update: peer_updates.PeerUpdate, delay_s: float
+    ) -> None:
         """Add the time that an update was under way to the ages in it."""
         delay_ms = round(delay_s * 1000)
         if delay_ms and update.HasField("config"):
@@ -352,7 +354,7 @@
                 update.endpoints.age_ms, delay_ms
             )
 
-    def _forward(self, update: fleet_news.FleetNews) -> None:
+    def _forward(self, update: peer_updates.PeerUpdate) -> None:
         """Forward an update of another pool to the own pool."""
         draft = self._channel.draft
         draft.crashes.extend(update.crashes)
@@ -367,7 +369,7 @@
         if update.HasField("endpoints"):
             draft.endpoints.CopyFrom(update.endpoints)
 
-    def _handle_config(self, seen: fleet_news.ConfigSeen) -> None:
+    def _handle_config(self, seen: peer_updates.ConfigSeen) -> None:
         if seen.version == self._holder.version:
             self._holder.confirm(clock.now_s() - seen.age_ms / 1000)
         elif seen.version > max(self._holder.version, self._announced_version):
@@ -375,7 +377,7 @@
             self._on_behind()
 
     def _handle_crashes(
-        self, update: fleet_news.FleetNews, delay_s: float
+        self, update: peer_updates.PeerUpdate, delay_s: float
     ) -> None:
         sent_at_s = clock.now_s() - delay_s
         for crash in update.crashes:
@@ -403,19 +405,19 @@
         for fingerprint in update.cleared_requests:
             self._crashes.clear(fingerprint)
 
-    def _handle_parts(self, update: fleet_news.FleetNews) -> None:
+    def _handle_parts(self, update: peer_updates.PeerUpdate) -> None:
         for part in update.cleared_parts:
             self._parts.clear(part)
         for part in update.tried_parts:
             self._parts.postpone_trial(part)
 
-    def _handle_reports(self, update: fleet_news.FleetNews) -> None:
+    def _handle_reports(self, update: peer_updates.PeerUpdate) -> None:
         for report in update.reports:
             reason = f"reported by {update.node}"
             match report.event:
-                case fleet_news.LEFT:
+                case peer_updates.LEFT:
                     self._directory.mark_leaving(report.instance, reason)
-                case fleet_news.FAILED:
+                case peer_updates.FAILED:
                     self._directory.record_fault(report.instance, reason)
 
 
--- a/src/fireflyspur/gateway/fleet/update_channel.py
+++ b/src/fireflyspur/gateway/fleet/update_channel.py
@@ -11,7 +11,7 @@
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.gateway.fleet import pool_map
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
 # Updates within this time are sent in one datagram.
@@ -21,7 +21,7 @@
 
 _log = logs.log_for("peers")
 
-UpdateHandler = Callable[[fleet_news.FleetNews, peer_table.Contact], None]
+UpdateHandler = Callable[[peer_updates.PeerUpdate, peer_table.Contact], None]
 
 
 class UpdateChannel(asyncio.DatagramProtocol):
@@ -50,14 +50,14 @@
         self._handler = handler
         self._incarnation = random.getrandbits(32)
         self._number = 0
-        self._drafts: dict[pool_map.Pool, fleet_news.FleetNews] = {}
-        self._fleet_draft = fleet_news.FleetNews()
+        self._drafts: dict[pool_map.Pool, peer_updates.PeerUpdate] = {}
+        self._fleet_draft = peer_updates.PeerUpdate()
         self._is_flush_scheduled = False
         self._is_stopping = False
         self._transport: asyncio.DatagramTransport | None = None
 
     @property
-    def draft(self) -> fleet_news.FleetNews:
+    def draft(self) -> peer_updates.PeerUpdate:
         """Draft of the next update for the own pool.
 
         Each draft is sent shortly after the access.
@@ -65,14 +65,14 @@
         return self._draft_for(self._peers.pools.own)
 
     @property
-    def fleet_draft(self) -> fleet_news.FleetNews:
+    def fleet_draft(self) -> peer_updates.PeerUpdate:
         """Draft of the next update for all nodes."""
         self._schedule_flush()
         return self._fleet_draft
 
     def drafts_for(
         self, endpoint: endpoints.Endpoint
-    ) -> list[fleet_news.FleetNews]:
+    ) -> list[peer_updates.PeerUpdate]:
         """Return the drafts for the nodes that share an endpoint's load."""
         pools = self._peers.pools
         other = pools.pool_of_endpoint(endpoint)
@@ -106,11 +106,11 @@
         drafts, self._drafts = self._drafts, {}
         fleet_draft, self._fleet_draft = (
             self._fleet_draft,
-            fleet_news.FleetNews(),
+            peer_updates.PeerUpdate(),
         )
         pools = self._peers.pools
         if fleet_draft.ByteSize():
-            own = drafts.setdefault(pools.own, fleet_news.FleetNews())
+            own = drafts.setdefault(pools.own, peer_updates.PeerUpdate())
             own.MergeFrom(fleet_draft)
         for pool, draft in drafts.items():
             self._send_to_all(draft, self._peers.recipients(pool))
@@ -123,9 +123,9 @@
             ]
             self._send_to_all(fleet_draft, relays)
 
-    def _draft_for(self, pool: pool_map.Pool) -> fleet_news.FleetNews:
+    def _draft_for(self, pool: pool_map.Pool) -> peer_updates.PeerUpdate:
         self._schedule_flush()
-        return self._drafts.setdefault(pool, fleet_news.FleetNews())
+        return self._drafts.setdefault(pool, peer_updates.PeerUpdate())
 
     def _schedule_flush(self) -> None:
         if not self._is_flush_scheduled:
@@ -133,7 +133,7 @@
             asyncio.get_running_loop().call_later(_BATCH_S, self.flush)
 
     def _send_to_all(
-        self, draft: fleet_news.FleetNews, recipients: list[peer_table.Peer]
+        self, draft: peer_updates.PeerUpdate, recipients: list[peer_table.Peer]
     ) -> None:
         if not recipients:
             return
@@ -143,7 +143,7 @@
                 self._send(data, peer.address)
 
     def send_to(
-        self, update: fleet_news.FleetNews, address: addresses.Address
+        self, update: peer_updates.PeerUpdate, address: addresses.Address
     ) -> None:
         """Send an update to one node only."""
         self._send(self._serialize(update), address)
@@ -154,7 +154,7 @@
 
     def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handle a datagram of another node."""
-        update = fleet_news.FleetNews()
+        update = peer_updates.PeerUpdate()
         try:
             update.ParseFromString(data)
         except protobuf.DecodeError as error:
@@ -179,7 +179,7 @@
         """Log that a datagram could not be sent."""
         _log.debug("Datagram not sent", reason=str(error))
 
-    def _serialize(self, update: fleet_news.FleetNews) -> bytes:
+    def _serialize(self, update: peer_updates.PeerUpdate) -> bytes:
         self._number += 1
         update.node = self._name
         update.incarnation = self._incarnation
@@ -193,18 +193,18 @@
             self._transport.sendto(data, (address.host, address.port))
 
 
-def _split(update: fleet_news.FleetNews) -> list[fleet_news.FleetNews]:
+def _split(update: peer_updates.PeerUpdate) -> list[peer_updates.PeerUpdate]:
     """Split an update that does not fit in one datagram."""
     if update.ByteSize() <= _MAX_DATAGRAM_BYTES:
         return [update]
     parts = []
     for field in (update.started, update.reports, update.crashes):
         for entry in field:
-            part = fleet_news.FleetNews()
+            part = peer_updates.PeerUpdate()
             match entry:
-                case fleet_news.WorkStarted():
+                case peer_updates.RequestStarted():
                     part.started.append(entry)
-                case fleet_news.EndpointReport():
+                case peer_updates.EndpointReport():
                     part.reports.append(entry)
                 case _:
                     part.crashes.append(entry)
--- a/src/fireflyspur/gateway/scheduling/idle_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/idle_reporter.py
@@ -7,7 +7,7 @@
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.gateway.fleet import update_channel
 from fireflyspur.gateway.scheduling import engine_candidates
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
 # Kind of report for which one node of each pool is chosen.
 _TOPIC = "idle"
@@ -45,7 +45,7 @@
         pools = self._peers.pools.others
         if not pools or not self._is_reporter():
             return
-        report = fleet_news.FleetNews(is_for_pool=True)
+        report = peer_updates.PeerUpdate(is_for_pool=True)
         report.idle.instances.extend(self._find_idle())
         for pool in random.sample(pools, min(_REPORTED_POOLS, len(pools))):
             for relay in self._peers.relays(pool)[:1]:
--- a/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
@@ -13,7 +13,7 @@
 from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.gateway.scheduling import placement as placements
 from fireflyspur.gateway.scheduling import placement_cost
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
 # The end of a prefill is reported for prompts of at least this length; for
 # shorter ones the prediction is accurate enough.
@@ -25,7 +25,7 @@
 
     def drafts_for(
         self, endpoint: endpoints.Endpoint
-    ) -> Sequence[fleet_news.FleetNews]:
+    ) -> Sequence[peer_updates.PeerUpdate]:
         """Return the next updates to the nodes that share an endpoint.
 
         Callers add entries to them.
@@ -69,7 +69,7 @@
         :param timeout_s: time within which the request ends
         :returns: context manager that yields the number of the entry
         """
-        started = fleet_news.WorkStarted(
+        started = peer_updates.RequestStarted(
             instance=endpoint.instance,
             prompt_tokens=demand.prompt_tokens,
             parts=parts,
@@ -88,7 +88,7 @@
         timeout_s: float,
     ) -> contextlib.AbstractContextManager[int]:
         """Track the part of a prompt that a helper prefills."""
-        started = fleet_news.WorkStarted(
+        started = peer_updates.RequestStarted(
             instance=helper.endpoint.instance,
             prompt_tokens=demand.prompt_tokens,
             parts=parts,
@@ -99,7 +99,9 @@
 
     @contextlib.contextmanager
     def _track(
-        self, endpoint: endpoints.Endpoint, started: fleet_news.WorkStarted
+        self,
+        endpoint: endpoints.Endpoint,
+        started: peer_updates.RequestStarted,
     ) -> Iterator[int]:
         number = next(self._numbers)
         started.number = number
@@ -128,7 +130,7 @@
             draft.read.append(number)
 
     def apply_update(
-        self, update: fleet_news.FleetNews, is_restarted: bool
+        self, update: peer_updates.PeerUpdate, is_restarted: bool
     ) -> None:
         """Apply an update that another node sent.
 
@@ -147,7 +149,7 @@
 
 
 def to_in_flight(
-    node: str, started: fleet_news.WorkStarted
+    node: str, started: peer_updates.RequestStarted
 ) -> in_flight_table.InFlightRequest:
     """Return the table entry for a request that a node has started."""
     parts = max(1, started.parts)
--- a/tests/gateway/endpoints/test_part_quarantine.py
+++ b/tests/gateway/endpoints/test_part_quarantine.py
@@ -4,7 +4,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import part_quarantine
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import fake_clock
 
 _SHARED, _CRASHING, _OTHER = 1, 2, 3
@@ -16,7 +16,7 @@
     def setUp(self):
         super().setUp()
         self.rank = 0
-        self.sent = fleet_news.FleetNews()
+        self.sent = peer_updates.PeerUpdate()
         self.parts = part_quarantine.PartQuarantine(
             lambda: self.sent, lambda part: self.rank
         )
@@ -119,7 +119,7 @@
     def test_node_takes_over_what_another_one_has_quarantined(self):
         self.crash_thrice(_CRASHING)
         other = part_quarantine.PartQuarantine(
-            fleet_news.FleetNews, lambda part: 0
+            peer_updates.PeerUpdate, lambda part: 0
         )
         for seen in self.parts.describe():
             other.update_from_peer(seen)
--- a/tests/gateway/endpoints/test_quarantine.py
+++ b/tests/gateway/endpoints/test_quarantine.py
@@ -1,7 +1,7 @@
 """Counting of crashes by requests that callers repeat."""
 
 from fireflyspur.gateway.endpoints import quarantine
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import fake_clock
 
 _REQUEST = "f1"
@@ -12,7 +12,7 @@
 
     def setUp(self):
         super().setUp()
-        self.sent = fleet_news.FleetNews()
+        self.sent = peer_updates.PeerUpdate()
         self.requests = quarantine.Quarantine(lambda: self.sent)
 
     def crash(self, sent_ago_s=0.1, instance=None, *, is_reported=False):
--- a/tests/gateway/endpoints/test_rate_limits.py
+++ b/tests/gateway/endpoints/test_rate_limits.py
@@ -13,7 +13,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import rate_limits
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import captured_logs
 from tests.support import fake_clock
 
@@ -26,7 +26,7 @@
 _LOSS = 0.01
 
 
-def make_limits(publish=fleet_news.FleetNews, *, is_own=True, share=None):
+def make_limits(publish=peer_updates.PeerUpdate, *, is_own=True, share=None):
     share = share or rate_limits.FleetShare(1.0, 1)
     endpoint = example_engine.endpoint(0)
     return rate_limits.RateLimits(
@@ -39,7 +39,7 @@
 
     def setUp(self):
         super().setUp()
-        self.sent = fleet_news.FleetNews()
+        self.sent = peer_updates.PeerUpdate()
         self.endpoint = example_engine.endpoint(0)
         self.limits = make_limits(lambda: self.sent)
 
@@ -123,7 +123,7 @@
         self.limits.record(self.endpoint, 1.0)
         self.now += 1.0
         self.limits.record(self.endpoint, None)
-        late = fleet_news.EndpointLimit(
+        late = peer_updates.EndpointLimit(
             instance=self.endpoint.instance,
             requests_per_s=1.0,
             heard_ago_ms=900,
@@ -229,7 +229,7 @@
         self._order = itertools.count()
         self._frozen_until = [0.0] * count
         self.pool_count = -(-count // _MAX_POOL_NODES)
-        self._drafts = [fleet_news.FleetNews() for _ in range(count)]
+        self._drafts = [peer_updates.PeerUpdate() for _ in range(count)]
         self.nodes = [self._make_node(n) for n in range(count)]
 
     def _make_node(self, number):
@@ -395,7 +395,7 @@
             state=endpoints.EndpointState.READY,
         )
         limits = rate_limits.RateLimits(
-            fleet_news.FleetNews,
+            peer_updates.PeerUpdate,
             lambda _: endpoint,
             lambda _: True,
             lambda: rate_limits.FleetShare(1.0, 1),
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -19,7 +19,7 @@
 from fireflyspur.gateway.node import suspension
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import placement_cost
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import async_tests
 
 _DOMAINS = ("zone-a", "zone-b", "zone-c", "zone-d", "zone-e")
@@ -206,7 +206,7 @@
                         now + step,
                     )
                 )
-        update = fleet_news.FleetNews()
+        update = peer_updates.PeerUpdate()
         update.limits.extend(link.limits.describe())
         update.quarantined_parts.extend(link.parts.describe())
         self.assertEqual(
--- a/tools/measure_gateway.py
+++ b/tools/measure_gateway.py
@@ -22,7 +22,7 @@
 from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.gateway.scheduling import placement
 from fireflyspur.gateway.scheduling import placement_cost
-from fireflyspur.generated import fleet_news_pb2 as fleet_news
+from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 from fireflyspur.platform import config_codec
 
@@ -39,7 +39,7 @@
         for is_limited in (False, True):
             _measure_placement(count, is_limited)
     data = _update().SerializeToString()
-    ms = _time_ms(lambda: fleet_news.FleetNews().ParseFromString(data))
+    ms = _time_ms(lambda: peer_updates.PeerUpdate().ParseFromString(data))
     print(
         f"update about one request: {len(data)} bytes, parsed in {ms:.4f} ms"
     )
@@ -146,7 +146,7 @@
             table.add(_request(item.instance, number))
             table.mark_prefilled(f"{item.instance}/{number}")
     limits = rate_limits.RateLimits(
-        fleet_news.FleetNews,
+        peer_updates.PeerUpdate,
         directory.find_named,
         lambda _: True,
         lambda: rate_limits.FleetShare(1.0, 1),
@@ -180,8 +180,8 @@
     )
 
 
-def _update(number: int = 1) -> fleet_news.FleetNews:
-    started = fleet_news.WorkStarted(
+def _update(number: int = 1) -> peer_updates.PeerUpdate:
+    started = peer_updates.RequestStarted(
         number=1_000,
         instance="i-7f3a91c2",
         prompt_tokens=5_000,
@@ -191,7 +191,7 @@
         lasts_ms=10_000,
         target_ms=300,
     )
-    return fleet_news.FleetNews(
+    return peer_updates.PeerUpdate(
         node="front-a-1", incarnation=2**31, number=number, started=[started]
     )
 
