--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -81,16 +81,7 @@
             in_flight,
             detector,
         )
-        self._store_follower = store_follower.StoreFollower(
-            settings.node_name,
-            registry,
-            self._config_holder,
-            self._directory,
-            self._link,
-            detector,
-            config_bound_s=settings.config_apply_s,
-            endpoints_bound_s=settings.drain_s,
-        )
+        self._store_follower = self._build_follower(registry, detector)
         self._retry_budget = retry_budget.RetryBudget(
             settings.retries, self._link.peers.fleet_size
         )
@@ -157,6 +148,22 @@
             await self._drain.wait(self._caller_server)
         _log.info("Stopped")
 
+    def _build_follower(
+        self,
+        registry: registries.Registry,
+        detector: suspension.SuspensionDetector,
+    ) -> store_follower.StoreFollower:
+        return store_follower.StoreFollower(
+            self._settings.node_name,
+            registry,
+            self._config_holder,
+            self._directory,
+            self._link,
+            detector,
+            config_bound_s=self._settings.config_apply_s,
+            endpoints_bound_s=self._settings.drain_s,
+        )
+
     def _build_forwarder(
         self, codec: messages.Codec, in_flight: in_flight_table.InFlightTable
     ) -> forwarder.Forwarder:
