Move the registration of a node to a module of its own

The time to return after a refusal stood twice, in RateLimits and EndpointNotices; only the latter is left, and the tests ask it.

--- a/src/fireflyspur/gateway/endpoints/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -206,20 +206,6 @@
         # A process that started later has not said so.
         return limit.born_ms == (endpoint.born_ms or 0)
 
-    def retry_after_s(
-        self, listed: Sequence[endpoints.Endpoint], priority: int
-    ) -> float | None:
-        """Return when to return after a refusal.
-
-        :param listed: the endpoints that might serve the request
-        :param priority: priority of the request; 0 is the most urgent
-        :returns: None if one of them allows a request now
-        """
-        wait_s = min(map(self.wait_s, listed), default=0.0)
-        if wait_s <= 0:
-            return None
-        return self.schedule_return(listed, priority, wait_s)
-
     def schedule_return(
         self,
         listed: Sequence[endpoints.Endpoint],
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -2,10 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
-import random
 
-from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import registry as registries
@@ -18,6 +15,7 @@
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
 from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.fleet import node_registration
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.gateway.fleet import update_channel
 from fireflyspur.gateway.node import suspension
@@ -27,22 +25,13 @@
 from fireflyspur.gateway.scheduling import in_flight_reporter
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
-from fireflyspur.observability import logs
 
 # A node counts as silent after three missed heartbeats.
 HEARTBEAT_S = 1.0
-# Pause after a failed registration, which limits the load on a failing store
-# to two calls a second.
-_REGISTER_RETRY_S = 0.5
-# After a restore of the store, the nodes register again within this time, so
-# that not all of them call at once.
-_REREGISTER_SPREAD_S = 1.0
 
 # Greatest age that an update can hold.
 _MAX_AGE_MS = 2**32 - 1
 
-_log = logs.log_for("peers")
-
 
 class FleetLink:
     """Registers this node and exchanges updates with the other nodes.
@@ -69,9 +58,7 @@
         detector: suspension.SuspensionDetector,
     ) -> None:
         self._name = name
-        self._address = address
         self._failure_domain = failure_domain
-        self._registry = registry
         self._holder = holder
         self._directory = directory
         self._in_flight_table = table
@@ -80,6 +67,13 @@
         self._channel = update_channel.UpdateChannel(
             name, address, self._peers, self._handle_update
         )
+        self._registration = node_registration.NodeRegistration(
+            name,
+            registries.NodeEntry(address, failure_domain),
+            registry,
+            self._peers,
+            lambda: directory.epoch,
+        )
         self._sync = endpoint_sync.EndpointSync(directory)
         self._limits = rate_limits.RateLimits(
             lambda: self._channel.fleet_draft,
@@ -176,7 +170,7 @@
         """Register this node and send heartbeats until cancelled."""
         await self._channel.open()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._keep_registered())
+            group.create_task(self._registration.run(self._introduce))
             group.create_task(self._send_heartbeats())
 
     def announce_config(self) -> None:
@@ -204,45 +198,6 @@
         self._channel.mark_stopping()
         self._send_heartbeat()
 
-    async def _keep_registered(self) -> None:
-        """Register this node, and again after each restore of the store.
-
-        Nodes that register meanwhile find each other: of two nodes, the later
-        one reads the entry of the other.
-        """
-        epoch = await self._register()
-        self._introduce()
-        while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            if self._directory.epoch > epoch:
-                await asyncio.sleep(random.uniform(0, _REREGISTER_SPREAD_S))
-                epoch = await self._register()
-
-    async def _register(self) -> int:
-        """Register this node and read the entries of all others.
-
-        :returns: epoch of the store
-        """
-        while True:
-            try:
-                epoch = await self._registry.register_node(
-                    self._name,
-                    registries.NodeEntry(self._address, self._failure_domain),
-                )
-                nodes = await self._registry.read_nodes()
-                break
-            except base_exceptions.FireflyspurError as error:
-                _log.warning("Node not registered", reason=str(error))
-                await asyncio.sleep(_REGISTER_RETRY_S)
-        self._peers.add_nodes(nodes)
-        _log.info(
-            "Node registered",
-            nodes=len(nodes),
-            pool=dataclasses.astuple(self._peers.pools.own),
-            epoch=epoch,
-        )
-        return epoch
-
     def _introduce(self) -> None:
         """Announce this node to all nodes that registered before it.
 
--- a/tests/gateway/endpoints/test_backoffs.py
+++ b/tests/gateway/endpoints/test_backoffs.py
@@ -2,10 +2,7 @@
 
 import random
 
-import testtools
-
 from fireflyspur.experiment import example_engine
-from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.endpoints import backoffs
 from fireflyspur.gateway.endpoints import endpoint as endpoints
@@ -13,22 +10,14 @@
 from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import rate_limits
 from tests.support import captured_logs
+from tests.support import fake_clock
 
 # Requests that may be under way when an endpoint asks for a pause.
 _UNDER_WAY_S = 0.5
 _SEEDS = range(40)
 
 
-class _VirtualTimeTest(testtools.TestCase):
-    def setUp(self):
-        super().setUp()
-        self.now_s = 100.0
-        override = clock.override(lambda: self.now_s)
-        override.__enter__()
-        self.addCleanup(override.__exit__, None, None, None)
-
-
-class BackoffsTest(_VirtualTimeTest):
+class BackoffsTest(fake_clock.FakeClockTest):
     """Guards against pauses that last too long, or never end."""
 
     def setUp(self):
@@ -45,17 +34,17 @@
 
     def test_response_during_a_pause_does_not_end_it(self):
         self.backoffs.record(self.endpoint, 5.0)
-        self.now_s += 1.0
+        self.now += 1.0
         self.backoffs.record_response(self.endpoint)
         self.assertEqual(4.0, self.wait_s())
 
     def test_requests_after_a_pause_come_one_by_one_until_one_is_taken(self):
         self.backoffs.record(self.endpoint, 5.0)
-        self.now_s += 5.0
+        self.now += 5.0
         self.assertEqual(0.0, self.wait_s())
         self.backoffs.add_start(self.endpoint.instance)
         self.assertEqual(0.5, self.wait_s())
-        self.now_s += 0.1
+        self.now += 0.1
         self.backoffs.record_response(self.endpoint)
         self.assertEqual(0.0, self.wait_s())
 
@@ -71,9 +60,9 @@
 
     def test_endpoint_that_gets_no_request_after_a_pause_is_forgotten(self):
         self.backoffs.record(self.endpoint, 5.0)
-        self.now_s += 5.0
+        self.now += 5.0
         self.backoffs.add_start(self.endpoint.instance)
-        self.now_s += 10.0
+        self.now += 10.0
         self.backoffs.expire(())
         self.assertEqual(0.0, self.wait_s())
 
@@ -84,7 +73,7 @@
         self.assertEqual(1, len(records))
 
 
-class DrawnNoticesTest(_VirtualTimeTest):
+class DrawnNoticesTest(fake_clock.FakeClockTest):
     """Guards against requests that an endpoint has said it does not want.
 
     Endpoints, what they say, and faults are drawn: what the store lists, a
@@ -107,20 +96,20 @@
         def read_store():
             # Some entries lapse, and come back with the next read.
             found = [e for e in listed.values() if rng.random() < 0.9]
-            directory.replace(endpoints.EndpointList(tuple(found), self.now_s))
+            directory.replace(endpoints.EndpointList(tuple(found), self.now))
 
         read_store()
         for _ in range(400):
-            self.now_s += rng.choice((0.01, 0.05, 0.2))
+            self.now += rng.choice((0.01, 0.05, 0.2))
             match rng.randrange(20):
                 case 0 | 1:
                     read_store()
                 case 2:
                     # The node is suspended.
-                    self.now_s += rng.uniform(1, 8)
+                    self.now += rng.uniform(1, 8)
                 case 3:
                     endpoint = rng.choice(list(listed.values()))
-                    listed[endpoint.instance] = restarted(endpoint, self.now_s)
+                    listed[endpoint.instance] = restarted(endpoint, self.now)
                 case 4:
                     notices.keep_only(directory.instances)
                 case _:
@@ -137,7 +126,7 @@
         self.assertNotIn(process, left)
         for other, heard_s, until_s in pauses:
             if other == process:
-                is_free = heard_s + _UNDER_WAY_S < self.now_s < until_s
+                is_free = heard_s + _UNDER_WAY_S < self.now < until_s
                 self.assertFalse(is_free)
         notices.add_start(endpoint.instance)
         is_leaving = rng.random() < 0.02
@@ -146,7 +135,7 @@
         if is_leaving:
             left.add(process)
         if is_refusal and pause_s:
-            pauses.append((process, self.now_s, self.now_s + pause_s))
+            pauses.append((process, self.now, self.now + pause_s))
         notices.record(
             endpoint,
             messages.EndpointNotice(
--- a/tests/gateway/endpoints/test_rate_limits.py
+++ b/tests/gateway/endpoints/test_rate_limits.py
@@ -12,6 +12,7 @@
 from fireflyspur.experiment import example_engine
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import captured_logs
@@ -42,6 +43,7 @@
         self.sent = peer_updates.PeerUpdate()
         self.endpoint = example_engine.endpoint(0)
         self.limits = make_limits(lambda: self.sent)
+        self.notices = endpoint_notices.EndpointNotices(self.limits)
 
     def send_for(self, seconds):
         """Return the requests that are sent if as many as allowed come."""
@@ -150,13 +152,14 @@
 
     def test_callers_of_all_nodes_return_at_the_rate(self):
         self.limits = make_limits(share=rate_limits.FleetShare(1.0, 1, 4))
+        self.notices = endpoint_notices.EndpointNotices(self.limits)
         self.limits.record(self.endpoint, 2.0)
         waits = [
-            self.limits.retry_after_s([self.endpoint], 1) for _ in range(9)
+            self.notices.retry_after_s([self.endpoint], 1) for _ in range(9)
         ]
         self.assertGreater(waits[-1], 16.0)
         for _ in range(100):
-            wait_s = self.limits.retry_after_s([self.endpoint], 1)
+            wait_s = self.notices.retry_after_s([self.endpoint], 1)
         self.assertLess(wait_s, 23.0)
 
     def test_invalid_limit_changes_nothing(self):
@@ -174,7 +177,7 @@
         self.limits.record(self.endpoint, 2.0)
         self.limits.add_start(self.endpoint.instance)
         waits = [
-            self.limits.retry_after_s([self.endpoint], 1) for _ in range(20)
+            self.notices.retry_after_s([self.endpoint], 1) for _ in range(20)
         ]
         for number, wait_s in enumerate(waits):
             self.assertGreaterEqual(wait_s, 0.5 * number)
@@ -184,9 +187,9 @@
         self.limits.record(self.endpoint, 2.0)
         self.limits.add_start(self.endpoint.instance)
         for _ in range(10):
-            self.limits.retry_after_s([self.endpoint], 3)
-        urgent_s = self.limits.retry_after_s([self.endpoint], 1)
-        later_s = self.limits.retry_after_s([self.endpoint], 3)
+            self.notices.retry_after_s([self.endpoint], 3)
+        urgent_s = self.notices.retry_after_s([self.endpoint], 1)
+        later_s = self.notices.retry_after_s([self.endpoint], 3)
         self.assertLess(urgent_s, 2.0)
         self.assertGreater(later_s, 5.0)
 
--- a/tests/gateway/test_endpoint_notices.py
+++ b/tests/gateway/test_endpoint_notices.py
@@ -47,6 +47,15 @@
     The store may say otherwise, or not be reached.
     """
 
+    async def start(self, fleet):
+        """Start a node that heard that the first desk leaves."""
+        node = await fleet.start_node()
+        leaving = fleet.desks[0]
+        leaving.default_behaviour = respond_leaving
+        while not leaving.arrivals:
+            await node.request("/safe/")
+        return node, leaving
+
     async def assert_leaves(self, behaviour, path="/safe/"):
         """Check that nothing goes to an endpoint after a behaviour."""
         async with gateway_fleet.GatewayFleet() as fleet:
@@ -132,11 +141,7 @@
     @async_tests.in_loop
     async def test_store_that_lists_it_again_does_not_bring_it_back(self):
         async with gateway_fleet.GatewayFleet() as fleet:
-            node = await fleet.start_node()
-            leaving = fleet.desks[0]
-            leaving.default_behaviour = respond_leaving
-            while not leaving.arrivals:
-                await node.request("/safe/")
+            node, leaving = await self.start(fleet)
             directory = node.gateway.directory
             fleet.store.put("keyed.servers", leaving.instance, b"")
             await gateway_fleet.wait_until(
@@ -153,11 +158,7 @@
     @async_tests.in_loop
     async def test_process_that_restarted_is_used_again(self):
         async with gateway_fleet.GatewayFleet() as fleet:
-            node = await fleet.start_node()
-            leaving = fleet.desks[0]
-            leaving.default_behaviour = respond_leaving
-            while not leaving.arrivals:
-                await node.request("/safe/")
+            node, leaving = await self.start(fleet)
             leaving.default_behaviour = fake_endpoint.respond_plain
             fleet.register(leaving, "desk", born=1_700_000_009_000)
             ready = node.gateway.directory.ready
