--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -239,9 +239,9 @@
                     instance=instance,
                     state=endpoint.state.value,
                 )
-            if self._leaving.get(instance, endpoint.born_ms) != (
-                endpoint.born_ms
-            ):
+            left_ms = self._leaving.get(instance, endpoint.born_ms)
+            if left_ms != endpoint.born_ms:
+                # Another process has taken its name.
                 del self._leaving[instance]
         for instance in self._endpoints.keys() - new.keys():
             self._guard.add_removed(self._endpoints[instance], read_at_s)
--- a/src/fireflyspur/gateway/endpoints/rate_limits.py
+++ b/src/fireflyspur/gateway/endpoints/rate_limits.py
@@ -41,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Limit:
-    """The last word of an endpoint on its rate.
+    """What an endpoint said last of its rate.
 
     :param requests_per_s: None if the limit has ended
     :param heard_at_s: clock time of the response that named it
