Let the store come back from older copies in the soak of gateway nodes

Operators write again at once, endpoints within half a second; what nodes wrote is lost. Drawn apart, so that the other faults of a seed stay.

--- a/tests/gateway_soak/faults.py
+++ b/tests/gateway_soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 
 from tests.gateway_soak import endpoints
@@ -11,6 +12,8 @@
 _STORE_FAULTS = ("busy", "many", "silent", "reset", "slow")
 _SLOW_STORE_S = 0.3
 _RATES_PER_S = (0.5, 2.0, 10.0)
+# Topics that operators and endpoints write.
+_OTHERS_TOPICS = ("keyed.op", "keyed.servers")
 
 
 class Faults:
@@ -26,6 +29,8 @@
     def __init__(self, soak, generator):
         self._soak = soak
         self._random = generator
+        # The other faults of a seed stay what they were before this one came.
+        self._restore_random = random.Random(f"restore-{soak.seed}")
 
     async def run(self, seconds):
         """Strike for some seconds, then wait until all is healed."""
@@ -37,6 +42,7 @@
             (self._change_configuration, 1.0, 1),
         )
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._restore_stores(end_s))
             for strike, pause_s, count in series:
                 for _ in range(count):
                     group.create_task(self._repeat(strike, pause_s, end_s))
@@ -137,6 +143,34 @@
             await asyncio.sleep(self._random.uniform(0.3, 3.0))
             store.fault, store.delay_s = None, 0.0
 
+    async def _restore_stores(self, end_s):
+        """Let the store come back from older copies.
+
+        Operators write again at once, endpoints a little later. What nodes
+        wrote is lost.
+        """
+        store = self._soak.store
+        while True:
+            copies = store.copy_records()
+            copy_s = self._soak.now()
+            await asyncio.sleep(self._restore_random.uniform(1.0, 8.0))
+            if self._soak.now() >= end_s:
+                return
+            with self._disruption("store", "restore"):
+                age_s = round(self._soak.now() - copy_s, 1)
+                self._soak.log(f"store: restore, copy {age_s} s old")
+                written = {
+                    topic: store.newest(topic) for topic in _OTHERS_TOPICS
+                }
+                store.restore(copies)
+                for topic, values in written.items():
+                    older = store.newest(topic)
+                    if topic == "keyed.servers":
+                        await asyncio.sleep(
+                            self._restore_random.uniform(0.0, 0.5)
+                        )
+                    _write_again(store, topic, values, older)
+
     async def _change_configuration(self):
         soak = self._soak
         if self._random.random() < 0.5:
@@ -148,3 +182,16 @@
             ]
             soak.publish(routes)
         await asyncio.sleep(0)
+
+
+def _write_again(store, topic, written, older):
+    """Write what a restore has lost, unless it was written since.
+
+    :param older: values right after the restore
+    """
+    current = store.newest(topic)
+    for key in written.keys() | older.keys():
+        value = written.get(key, b"")
+        is_lost = value != older.get(key, b"")
+        if is_lost and current.get(key) == older.get(key):
+            store.put(topic, key, value)
--- a/tests/gateway_soak/soak.py
+++ b/tests/gateway_soak/soak.py
@@ -37,6 +37,7 @@
     """
 
     def __init__(self, seed, nodes=4, engines=4):
+        self.seed = seed
         self.record = records.Record()
         self.events = []
         # What each node has logged.
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -122,6 +122,11 @@
         self._partitions.update(copies)
         self._server.close_connections()
 
+    def newest(self, topic):
+        """Return the newest values of a keyed topic by key."""
+        records = self.partition(topic).newest
+        return {key: value for key, (value, _) in records.items()}
+
     async def _serve(self, connection, request):
         target = urllib.parse.urlsplit(request.target.decode())
         self.calls[target.path] += 1
