--- a/tests/gateway/test_endpoint_notices.py
+++ b/tests/gateway/test_endpoint_notices.py
@@ -14,12 +14,13 @@
 _RATE = 40
 
 
-def respond_leaving(worker, arrival, stream):
+async def respond_leaving(worker, arrival, stream):
+    """Answer, and say that the endpoint leaves."""
     body = b"done"
     text = fake_endpoint.response_head(
         arrival, worker, f"Content-Length: {len(body)}", _LEAVING
     )
-    return stream.write(text + body)
+    await stream.write(text + body)
 
 
 def refuse(*values, status="503 Service Unavailable"):
--- a/tests/gateway/test_false_answers.py
+++ b/tests/gateway/test_false_answers.py
@@ -32,16 +32,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def refuse_twice(worker, arrival, stream):
+async def refuse_twice(worker, arrival, stream):
     """Refuse, and write the same refusal once more on the connection."""
-
-    async def write():
-        text = refusal(worker, arrival.attempt_id)
-        await stream.write(text)
-        await asyncio.sleep(0.1)
-        await stream.write(text)
-
-    return write()
+    text = refusal(worker, arrival.attempt_id)
+    await stream.write(text)
+    await asyncio.sleep(0.1)
+    await stream.write(text)
 
 
 def run_after(attempt_id, status):
@@ -193,7 +189,7 @@
 class CutHeadTest(testtools.TestCase):
     """Guards against an answer whose head was cut and that looks whole."""
 
-    async def statuses(self, path):
+    async def responses_to_cut_heads(self, path):
         """Return the responses to heads that are cut at each place."""
         responses = []
         async with gateway_fleet.GatewayFleet(desks=1, engines=1) as fleet:
@@ -207,10 +203,11 @@
                     "Content-Length: 20",
                     "Content-Type: text/event-stream",
                 )
-                lines = head.split(b"\r\n")[: kept_lines + 1]
-                await stream.write(b"\r\n".join(lines)[: -1 or None])
+                lines = head.split(b"\r\n")[:kept_lines]
+                await stream.write(b"\r\n".join(lines))
 
-            for kept_lines in range(5):
+            # Up to all lines, without the blank one that ends the head.
+            for kept_lines in range(1, 7):
                 worker.default_behaviour = cut
                 # The endpoint is paused after a fault.
                 node.gateway.directory.record_success(worker.instance)
@@ -220,7 +217,7 @@
     @async_tests.in_loop
     async def test_cut_heads_give_no_success(self):
         for path in ("/safe/", "/unsafe/", "/once/"):
-            for response in await self.statuses(path):
+            for response in await self.responses_to_cut_heads(path):
                 self.assertIn(response.status, (502, 503), path)
 
     @async_tests.in_loop
