--- a/src/fireflyspur/gateway/endpoints/endpoint_notices.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_notices.py
@@ -16,7 +16,7 @@
 
 
 class EndpointNotices:
-    """Applies the notices of endpoints and tells whom they let send.
+    """Applies the notices of endpoints, and finds those that take requests.
 
     A leaving endpoint gets no requests from any node, for good. A rate binds
     all nodes together until a response names none. A pause binds this node
