--- /dev/null
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -0,0 +1,151 @@
+"""Nodes that reach no endpoint while callers and other nodes reach them."""
+
+import asyncio
+import contextlib
+
+import testtools
+
+from tests.support import async_tests
+from tests.support import captured_logs
+from tests.support import fake_endpoint
+from tests.support import gateway_fleet
+from tests.support import partition
+
+# A partition must have no more effect on callers after this time.
+_STABLE_S = 3.0
+
+
+@contextlib.asynccontextmanager
+async def start_fleet(nodes=2, **counts):
+    """Start a fleet whose nodes know each other, and can be cut off."""
+    async with gateway_fleet.GatewayFleet(**counts) as fleet:
+        with fleet.partition() as links:
+            started = [
+                await fleet.start_node(node_name=f"node-{n}")
+                for n in range(1, nodes + 1)
+            ]
+            await gateway_fleet.wait_until(
+                lambda: all(
+                    len(n.gateway.link.peers.live_names()) == nodes
+                    for n in started
+                )
+            )
+            yield fleet, links, started
+
+
+async def send_all(node, path, count, pause_s=0.05):
+    """Send requests one after the other begins, and return the responses."""
+    tasks = []
+    for number in range(count):
+        request = node.request(path, attempt_id=f"{path}-{number}")
+        tasks.append(asyncio.ensure_future(request))
+        await asyncio.sleep(pause_s)
+    return await asyncio.gather(*tasks)
+
+
+class PartitionedNodeTest(testtools.TestCase):
+    """Guards against refusals by a node that reaches no endpoint itself."""
+
+    async def assert_serves(self, path, how):
+        async with start_fleet() as (fleet, links, (cut, other)):
+            links.cut("node-1", how)
+            # Requests that show the node that it reaches no endpoint.
+            await send_all(cut, path, 10, _STABLE_S / 10)
+            links.connects.clear()
+            responses = await send_all(cut, path, 20)
+            sent = {a.attempt_id for a in fleet.arrivals}
+        self.assertEqual({200}, {r.status for r in responses})
+        self.assertTrue(all(r.is_complete for r in responses))
+        self.assertEqual({"node-2"}, set(links.connects))
+        missing = {f"{path}-{n}" for n in range(20)} - sent
+        self.assertEqual(set(), missing)
+
+    @async_tests.in_loop
+    async def test_safe_requests_when_connections_hang(self):
+        await self.assert_serves("/safe/", partition.Cut.HANG)
+
+    @async_tests.in_loop
+    async def test_unsafe_requests_when_connections_hang(self):
+        await self.assert_serves("/unsafe/", partition.Cut.HANG)
+
+    @async_tests.in_loop
+    async def test_streams_when_connections_hang(self):
+        await self.assert_serves("/chat/", partition.Cut.HANG)
+
+    @async_tests.in_loop
+    async def test_streams_that_cannot_be_resumed(self):
+        await self.assert_serves("/once/", partition.Cut.HANG)
+
+    @async_tests.in_loop
+    async def test_requests_when_connections_are_reset(self):
+        await self.assert_serves("/chat/", partition.Cut.RESET)
+
+    @async_tests.in_loop
+    async def test_requests_when_only_new_connections_are_refused(self):
+        await self.assert_serves("/safe/", partition.Cut.REFUSE)
+
+    @async_tests.in_loop
+    async def test_stream_in_flight_goes_on(self):
+        async with start_fleet() as (fleet, links, (cut, other)):
+            for engine in fleet.engines:
+                engine.default_behaviour = fake_endpoint.respond_events(
+                    20, pause_s=0.1
+                )
+            streaming = asyncio.ensure_future(
+                cut.request("/chat/", deadline_ms=10_000)
+            )
+            await gateway_fleet.wait_until(lambda: fleet.arrivals)
+            await asyncio.sleep(0.3)
+            links.cut("node-1")
+            response = await streaming
+        self.assertTrue(response.is_complete)
+        for number in range(1, 21):
+            event = fake_endpoint.event(number)
+            self.assertEqual(1, response.body.count(event))
+
+
+class SoundNodesTest(testtools.TestCase):
+    """Guards against a partitioned node that misleads the other nodes."""
+
+    @async_tests.in_loop
+    async def test_sound_node_keeps_all_endpoints_in_use(self):
+        async with start_fleet(desks=4, engines=4) as (
+            fleet,
+            links,
+            (cut, sound),
+        ):
+            links.cut("node-1")
+            await send_all(cut, "/safe/", 8)
+            await send_all(cut, "/chat/", 8)
+            directory = sound.gateway.directory
+            paused = [i for i in directory.instances if directory.is_paused(i)]
+        self.assertEqual([], paused)
+
+    @async_tests.in_loop
+    async def test_lost_streams_do_not_count_as_crashes(self):
+        with captured_logs.capture() as records:
+            async with start_fleet(engines=4) as (
+                fleet,
+                links,
+                (cut, sound),
+            ):
+                for engine in fleet.engines:
+                    engine.default_behaviour = fake_endpoint.respond_events(
+                        30, pause_s=0.1
+                    )
+                streams = [
+                    asyncio.ensure_future(
+                        cut.request("/chat/", body=bytes((n,)))
+                    )
+                    for n in range(4)
+                ]
+                await gateway_fleet.wait_until(
+                    lambda: len(fleet.arrivals) == 4
+                )
+                await asyncio.sleep(0.2)
+                links.cut("node-1", partition.Cut.RESET)
+                await asyncio.sleep(1.0)
+                for stream in streams:
+                    stream.cancel()
+        crashes = [r for r in records if r["message"] == "Answer broke off"]
+        self.assertEqual([], crashes)
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -15,6 +15,7 @@
 from fireflyspur.platform import store_registry
 from tests.support import fake_endpoint
 from tests.support import loopback
+from tests.support import partition
 from tests.support import platform_store
 
 KEY = "key-of-mender"
@@ -133,6 +134,16 @@
     async def __aexit__(self, *error):
         await self._stack.aclose()
 
+    @property
+    def arrivals(self):
+        """What has reached any worker."""
+        return [a for w in (*self.desks, *self.engines) for a in w.arrivals]
+
+    def partition(self):
+        """Return what cuts nodes off from the endpoints."""
+        workers = (*self.desks, *self.engines)
+        return partition.Partition([w.address for w in workers])
+
     def register_all(self):
         for worker in self.desks:
             self.register(worker, "desk")
@@ -178,7 +189,8 @@
             order_client.OrderClient(),
             started.load_settings,
         )
-        task = asyncio.ensure_future(node.run())
+        with partition.owned_by(settings.node_name):
+            task = asyncio.ensure_future(node.run())
         self._stack.push_async_callback(_end, task)
         if is_configured:
             if "config" not in self.store.partition("keyed.op").newest:
