Blame an endpoint only if this node reaches another one

Cause: a node that gets no connection reports the endpoint as failed to all nodes, also if its own paths are lost, and they believe it.

--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -19,10 +19,12 @@
     """Consecutive faults of an endpoint.
 
     :param paused_until_s: when the endpoint may get requests again
+    :param since_s: when the first of them was recorded
     """
 
     count: int
     paused_until_s: float
+    since_s: float
 
 
 class EndpointDirectory:
@@ -156,7 +158,8 @@
         now = clock.now_s()
         if faults and faults.paused_until_s > now:
             return
-        self._faults[instance] = _Faults(count, now + pause_s)
+        since_s = faults.since_s if faults else now
+        self._faults[instance] = _Faults(count, now + pause_s, since_s)
         _log.warning(
             "Endpoint paused",
             instance=instance,
@@ -170,6 +173,12 @@
         if self._faults.pop(instance, None) is not None:
             _log.info("Endpoint recovered", instance=instance)
 
+    def forget_faults(self, since_s: float) -> None:
+        """Forget the faults of endpoints that had none before a time."""
+        kept = {k: f for k, f in self._faults.items() if f.since_s < since_s}
+        _log.info("Faults forgotten", count=len(self._faults) - len(kept))
+        self._faults = kept
+
     def is_paused(self, instance: str) -> bool:
         """Whether an endpoint is paused after a fault."""
         faults = self._faults.get(instance)
@@ -194,6 +203,14 @@
         """Return the endpoints of a service that accept requests."""
         return self._by_service.get(service, ())
 
+    def usable(self) -> Iterable[endpoints.Endpoint]:
+        """Return the endpoints that are ready and not leaving."""
+        for endpoint in self._endpoints.values():
+            if endpoint.state is not endpoints.EndpointState.READY:
+                continue
+            if endpoint.instance not in self._leaving:
+                yield endpoint
+
     def _had_outage(self, read_at_s: float) -> bool:
         previous = self._read_at_s
         return previous is not None and read_at_s - previous > self._outage_s
@@ -249,13 +266,6 @@
 
     def _index(self) -> None:
         by_service: dict[str, list[endpoints.Endpoint]] = {}
-        for endpoint in self._usable():
+        for endpoint in self.usable():
             by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = {k: tuple(v) for k, v in by_service.items()}
-
-    def _usable(self) -> Iterable[endpoints.Endpoint]:
-        for endpoint in self._endpoints.values():
-            if endpoint.state is not endpoints.EndpointState.READY:
-                continue
-            if endpoint.instance not in self._leaving:
-                yield endpoint
--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -2,23 +2,21 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
 
-from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.fleet import update_channel
-from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
-# A reachable endpoint accepts a connection within a few round trips.
-_CONNECT_TIMEOUT_S = 0.3
 # Silence that is tolerated beyond the model's prediction: a factor for errors
 # of the model, and a margin for the network and the node itself.
 _MODEL_FACTOR = 2.0
@@ -36,6 +34,7 @@
     :param directory: gets the endpoints that failed or left
     :param table: in-flight requests on endpoints
     :param channel: broadcasts to the other nodes
+    :param reachable: tells whether this node reaches endpoints
     :param report_left: marks an endpoint as leaving on all nodes
     """
 
@@ -44,11 +43,13 @@
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
         channel: update_channel.UpdateChannel,
+        reachable: reachability.Reachability,
         report_left: Callable[[str, str], None],
     ) -> None:
         self._directory = directory
         self._table = table
         self._channel = channel
+        self._reachable = reachable
         self._report_left = report_left
         self._checks: set[asyncio.Future[None]] = set()
 
@@ -61,15 +62,20 @@
 
         :param on_crash: called if it accepts none
         """
-        check = asyncio.ensure_future(
-            self._check_for_crash(endpoint, on_crash)
-        )
-        self._checks.add(check)
-        check.add_done_callback(self._checks.discard)
+        self._start(self._check_for_crash(endpoint, on_crash))
+
+    def mark_unreachable(self, instance: str, since_s: float) -> None:
+        """Pause an endpoint that accepts no connection.
 
-    def mark_unreachable(self, instance: str) -> None:
-        """Mark an endpoint as failed because it accepts no connection."""
-        self.mark_failed(instance, "no connection")
+        The other nodes are told if it is at fault, and not the paths of this
+        node.
+
+        :param since_s: clock time at which the failed connection began
+        """
+        was_paused = self._directory.is_paused(instance)
+        self._directory.record_fault(instance, "no connection")
+        if not was_paused:
+            self._start(self._report_unreachable(instance, since_s))
 
     def mark_failed(self, instance: str, reason: str) -> None:
         """Mark an endpoint as failed, and broadcast it to the other nodes."""
@@ -108,7 +114,8 @@
 
         :raises BrokenResponseError: if it accepts none
         """
-        is_reachable = await _is_reachable(endpoint.address)
+        started_at_s = clock.now_s()
+        is_reachable = await self._reachable.accepts(endpoint)
         _log.info(
             "Endpoint silent",
             instance=endpoint.instance,
@@ -116,7 +123,7 @@
             is_reachable=is_reachable,
         )
         if not is_reachable:
-            self.mark_unreachable(endpoint.instance)
+            self.mark_unreachable(endpoint.instance, started_at_s)
             raise exceptions.BrokenResponseError(
                 f"silent for {silent_s:.1f} s and accepts no connection",
                 is_connection_lost=True,
@@ -136,12 +143,13 @@
             for endpoint in helpers
             if not self._directory.is_available(endpoint.instance)
         ]
+        started_at_s = clock.now_s()
         results = await asyncio.gather(
-            *(_is_reachable(endpoint.address) for endpoint in suspected)
+            *(self._reachable.accepts(endpoint) for endpoint in suspected)
         )
         for endpoint, is_reachable in zip(suspected, results, strict=True):
             if not is_reachable:
-                self.mark_unreachable(endpoint.instance)
+                self.mark_unreachable(endpoint.instance, started_at_s)
                 raise exceptions.BrokenResponseError(
                     f"{endpoint.instance} of its group accepts no connection",
                     failed_member=endpoint.instance,
@@ -156,21 +164,21 @@
     async def _check_for_crash(
         self, endpoint: endpoints.Endpoint, on_crash: Callable[[], None]
     ) -> None:
-        if not await _is_reachable(endpoint.address):
-            self.mark_unreachable(endpoint.instance)
-            on_crash()
+        started_at_s = clock.now_s()
+        if await self._reachable.accepts(endpoint):
+            return
+        self.mark_unreachable(endpoint.instance, started_at_s)
+        on_crash()
+
+    async def _report_unreachable(self, instance: str, since_s: float) -> None:
+        if await self._reachable.is_at_fault(instance, since_s):
+            self._broadcast(instance, peer_updates.FAILED)
+
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        check = asyncio.ensure_future(coroutine)
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
 
     def _broadcast(self, instance: str, event: int) -> None:
         report = peer_updates.EndpointReport(instance=instance, event=event)
         self._channel.fleet_draft.reports.append(report)
-
-
-async def _is_reachable(address: addresses.Address) -> bool:
-    try:
-        exchange = await http_exchange.HttpExchange.connect(
-            address, _CONNECT_TIMEOUT_S
-        )
-    except exceptions.EndpointUnreachableError:
-        return False
-    exchange.close()
-    return True
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -15,6 +15,7 @@
 from fireflyspur.gateway.configuration import store_follower
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
+from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.fleet import fleet_link
 from fireflyspur.gateway.node import gateway_metrics
 from fireflyspur.gateway.node import node_drain
@@ -85,10 +86,12 @@
         self._retry_budget = retry_budget.RetryBudget(
             settings.retries, self._link.peers.fleet_size
         )
+        self._reachability = reachability.Reachability(self._directory)
         self._endpoint_monitor = endpoint_monitor.EndpointMonitor(
             self._directory,
             in_flight,
             self._link.channel,
+            self._reachability,
             self._link.report_left,
         )
         self._memory_reserver = memory_reserver.MemoryReserver(
@@ -186,6 +189,7 @@
                 parts=self._link.parts,
                 notices=self._link.notices,
                 memory=self._memory_reserver,
+                reachable=self._reachability,
                 is_draining=lambda: self._drain.is_begun,
                 exits_at_s=lambda: self._drain.deadline_s,
                 timeouts=self._timeouts,
@@ -217,6 +221,7 @@
             self._exit_stack.callback(server.close_connections)
             self._exit_stack.callback(server.stop)
         self._exit_stack.push_async_callback(self._memory_reserver.close)
+        self._exit_stack.push_async_callback(self._reachability.close)
         self._exit_stack.push_async_callback(self._endpoint_monitor.close)
         self._exit_stack.callback(self._link.close)
         for coroutine in (
--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.requests import attempt_result
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.gateway.requests import request_plan
@@ -34,6 +35,7 @@
     :param codec: encodes and decodes the headers
     :param relay: relays the response to the caller
     :param memory: reserves memory on helpers
+    :param reachable: opens connections to endpoints
     :param on_head: called with the head of a response and what it says
     :param on_response_start: called when a successful response starts
     :param watch_silence: returns the callback that decides how long to wait
@@ -46,6 +48,7 @@
         codec: messages.Codec,
         relay: response_relay.ResponseRelay,
         memory: memory_reserver.MemoryReserver,
+        reachable: reachability.Reachability,
         on_head: Callable[
             [messages.ResponseHead, messages.ResponseInfo], None
         ],
@@ -58,6 +61,7 @@
         self._codec = codec
         self._relay = relay
         self._memory = memory
+        self._reachable = reachable
         self._on_head = on_head
         self._on_response_start = on_response_start
         self._watch_silence = watch_silence
@@ -90,8 +94,8 @@
         reservations: Sequence[memory_reserver.Reservation],
     ) -> attempt_result.AttemptResult:
         try:
-            exchange = await http_exchange.HttpExchange.connect(
-                placement.primary.address,
+            exchange = await self._reachable.connect(
+                placement.primary,
                 _CONNECT_TIMEOUT_S,
                 self._watch_silence(placement),
             )
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -77,8 +77,13 @@
             self._deps.crashes.record_success(self._fingerprint)
             self._deps.parts.record_success(self._parts)
 
-    def report_not_sent(self, result: attempt_result.NotSent) -> None:
-        """Report an attempt that was not sent."""
+    def report_not_sent(
+        self, result: attempt_result.NotSent, started_at_s: float
+    ) -> None:
+        """Report an attempt that was not sent.
+
+        :param started_at_s: clock time of the start of the attempt
+        """
         _log.info(
             "Request not sent",
             request=self._attempt_id,
@@ -86,7 +91,7 @@
             reason=result.reason,
         )
         if result.is_unreachable:
-            self._deps.monitor.mark_unreachable(result.instance)
+            self._deps.monitor.mark_unreachable(result.instance, started_at_s)
 
     def report_not_run(
         self,
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -10,6 +10,7 @@
 from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
+from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.node import gateway_metrics
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_timeouts
@@ -24,6 +25,7 @@
     """Shared objects that requests are served with.
 
     :param is_draining: returns whether the node is stopping
+    :param reachable: tells whether this node reaches endpoints
     :param timeouts: limits the time of each request
     :param exits_at_s: returns the clock time at which the process ends, or
         None until a stop begins
@@ -41,6 +43,7 @@
     parts: part_quarantine.PartQuarantine
     notices: endpoint_notices.EndpointNotices
     memory: memory_reserver.MemoryReserver
+    reachable: reachability.Reachability
     is_draining: Callable[[], bool]
     exits_at_s: Callable[[], float | None]
     timeouts: request_timeouts.RequestTimeouts
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -186,7 +186,7 @@
                 self._reason = reason
                 self._excluded.append(instance)
                 self._tried.pop()
-                self._reporter.report_not_sent(result)
+                self._reporter.report_not_sent(result, self._attempted_at_s)
             case attempt_result.NotRun(reason):
                 self._reason = reason
                 failed_member = self._reporter.report_not_run(
@@ -239,6 +239,7 @@
                 self._deps.codec,
                 self._relay,
                 self._deps.memory,
+                self._deps.reachable,
                 lambda head, info: self._reporter.report_notice(
                     placement.primary, head, info
                 ),
