Count no crash of an endpoint if this node reaches none

Cause: a lost connection and an endpoint that accepts no new one count as its crash, which is also what a node sees whose own paths are lost.

Change: the crash counts only if the node reaches another endpoint.

--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -168,7 +168,8 @@
         if await self._reachable.accepts(endpoint):
             return
         self.mark_unreachable(endpoint.instance, started_at_s)
-        on_crash()
+        if await self._reachable.is_at_fault(endpoint.instance, started_at_s):
+            on_crash()
 
     async def _report_unreachable(self, instance: str, since_s: float) -> None:
         if await self._reachable.is_at_fault(instance, since_s):
