--- a/src/fireflyspur/gateway/callers/caller_connection.py
+++ b/src/fireflyspur/gateway/callers/caller_connection.py
@@ -54,6 +54,14 @@
         # head or body may take, if that is later than its time limit.
         self._extended_to_s: float | None = None
 
+    @property
+    def remote_host(self) -> str:
+        """Host at the other end; empty if the connection is lost."""
+        try:
+            return self._stream.socket.getpeername()[0]
+        except (OSError, AttributeError):
+            return ""
+
     @property
     def is_receiving(self) -> bool:
         """Whether a part of the next request has arrived."""
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -198,6 +198,11 @@
         self._channel.mark_stopping()
         self._send_heartbeat()
 
+    def announce_isolation(self, is_isolated: bool) -> None:
+        """Announce whether this node reaches no endpoint."""
+        self._channel.mark_isolated(is_isolated)
+        self._send_heartbeat()
+
     def _introduce(self) -> None:
         """Announce this node to all nodes that registered before it.
 
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -38,6 +38,7 @@
     :param number: sequence number of the last datagram
     :param clock_offset_s: time from the sending to the arrival of the fastest
         datagrams, by the clocks of both nodes; None before the first
+    :param is_isolated: whether it reaches no endpoint
     """
 
     name: str
@@ -49,6 +50,23 @@
     number: int = 0
     is_stopping: bool = False
     clock_offset_s: float | None = None
+    is_isolated: bool = False
+
+    def transit_s(self, offset_s: float, now: float) -> float:
+        """Return how much longer a message was under way than others.
+
+        :param offset_s: time from its sending to its arrival, by the clocks
+            of both nodes
+        """
+        if self.clock_offset_s is None:
+            return 0.0
+        return max(0.0, offset_s - self.fastest_s(now))
+
+    def fastest_s(self, now: float) -> float:
+        """Return the offset that the fastest datagrams may have by now."""
+        return self.clock_offset_s + _MAX_CLOCK_DRIFT * (
+            now - self.last_seen_at_s
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,11 +123,14 @@
         is_stopping: bool,
         failure_domain: str = "",
         sent_at_s: float | None = None,
+        *,
+        is_isolated: bool = False,
     ) -> Contact:
         """Record that a datagram of a node arrived.
 
         :param failure_domain: that of the node; empty if it did not say
         :param sent_at_s: clock of the node when it sent the datagram
+        :param is_isolated: whether the node reaches no endpoint
         """
         now = clock.now_s()
         if failure_domain:
@@ -125,10 +146,8 @@
         if sent_at_s is not None:
             offset_s = now - sent_at_s
         if is_same_process and peer.clock_offset_s is not None:
-            fastest_s = peer.clock_offset_s
-            fastest_s += _MAX_CLOCK_DRIFT * (now - peer.last_seen_at_s)
-            delay_s = max(0.0, offset_s - fastest_s)
-            offset_s = min(offset_s, fastest_s)
+            delay_s = peer.transit_s(offset_s, now)
+            offset_s = min(offset_s, peer.fastest_s(now))
         self._peers[name] = Peer(
             name=name,
             address=address,
@@ -139,6 +158,7 @@
             number=number,
             is_stopping=is_stopping,
             clock_offset_s=None if sent_at_s is None else offset_s,
+            is_isolated=is_isolated,
         )
         self._silent.discard(name)
         if not was_live and self.is_in_pool(name):
@@ -192,6 +212,52 @@
             if now - (peer.last_seen_at_s or peer.added_at_s) < _RECIPIENT_S
         ]
 
+    def carriers(self, others: int) -> list[Peer]:
+        """Return nodes that may take requests of a node without paths.
+
+        If no node of the own pool can, some of other pools are returned,
+        which may have ended or be without paths too.
+
+        :param others: greatest number of nodes of other pools
+        """
+        now = clock.now_s()
+        own = [
+            peer
+            for peer in self._pool_peers(self._pools.own)
+            if self._is_live(peer, now)
+            and not (peer.is_stopping or peer.is_isolated)
+        ]
+        if own or not self._pools.others:
+            return own
+        pools = random.choices(self._pools.others, k=others)
+        return list(
+            {
+                peer.name: peer
+                for pool in pools
+                for peer in random.sample(list(self._pool_peers(pool)), 1)
+            }.values()
+        )
+
+    def is_lost(self, name: str) -> bool:
+        """Return whether a node was heard of, but not lately."""
+        peer = self._peers.get(name)
+        if peer is None or peer.last_seen_at_s is None:
+            return False
+        return not self._is_live(peer, clock.now_s())
+
+    def is_at(self, name: str, host: str) -> bool:
+        """Return whether a known node has a host."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.address.host == host
+
+    def transit_s(self, name: str, sent_at_s: float) -> float:
+        """Return how much longer a message of a node was under way.
+
+        :param sent_at_s: clock of the node when it sent the message
+        """
+        now = clock.now_s()
+        return self._peers[name].transit_s(now - sent_at_s, now)
+
     def relays(self, pool: pool_map.Pool) -> list[Peer]:
         """Return nodes of another pool that forward an update to it."""
         peers = list(self._pool_peers(pool))
--- /dev/null
+++ b/src/fireflyspur/gateway/handover/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that one node hands over to another one."""
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -17,6 +17,8 @@
 from fireflyspur.gateway.endpoints import endpoint_monitor
 from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.fleet import fleet_link
+from fireflyspur.gateway.handover import handover_server
+from fireflyspur.gateway.handover import peer_choice
 from fireflyspur.gateway.node import gateway_metrics
 from fireflyspur.gateway.node import node_drain
 from fireflyspur.gateway.node import settings as gateway_settings
@@ -87,6 +89,11 @@
             settings.retries, self._link.peers.fleet_size
         )
         self._reachability = reachability.Reachability(self._directory)
+        self._reachability.on_change(
+            lambda: self._link.announce_isolation(
+                self._reachability.is_isolated
+            )
+        )
         self._endpoint_monitor = endpoint_monitor.EndpointMonitor(
             self._directory,
             in_flight,
@@ -105,6 +112,12 @@
         )
         self._forwarder = self._build_forwarder(codec, in_flight)
         self._caller_server = self._build_server(self._forwarder.serve)
+        self._handover_server = handover_server.HandoverServer(
+            self._link.peers,
+            self._forwarder.serve,
+            self._forwarder.send_handover_error,
+            lambda: self._config_holder.limits,
+        )
         self._health_server = self._build_server(self._serve_health)
         self._metrics_server = self._build_server(self._serve_metrics)
 
@@ -148,7 +161,9 @@
             await self._stop_event.wait()
             self._drain.begin(self._settings.grace_s)
             self._link.announce_stopping()
-            await self._drain.wait(self._caller_server)
+            await self._drain.wait(
+                (self._caller_server, self._handover_server.server)
+            )
         _log.info("Stopped")
 
     def _build_follower(
@@ -172,6 +187,8 @@
     ) -> forwarder.Forwarder:
         return forwarder.Forwarder(
             request_dependencies.RequestDependencies(
+                node_name=self._settings.node_name,
+                peers=peer_choice.PeerChoice(self._link.peers),
                 planner=request_plan.RequestPlanner(
                     self._config_holder, codec
                 ),
@@ -212,6 +229,7 @@
         settings = self._settings
         for server, address in (
             (self._caller_server, settings.callers),
+            (self._handover_server.server, settings.peers),
             (self._health_server, settings.health),
             (self._metrics_server, settings.metrics),
         ):
--- a/src/fireflyspur/gateway/node/node_drain.py
+++ b/src/fireflyspur/gateway/node/node_drain.py
@@ -1,6 +1,7 @@
 """Planned stop of a node."""
 
 import asyncio
+from collections.abc import Sequence
 
 from fireflyspur.gateway.callers import caller_server
 from fireflyspur.gateway.common import clock
@@ -47,28 +48,40 @@
         """
         self._deadline_s = clock.now_s() + grace_s - _STOP_MARGIN_S
 
-    async def wait(self, server: caller_server.CallerServer) -> None:
-        """Serve until the balancer has removed the node and it is idle."""
+    async def wait(
+        self, servers: Sequence[caller_server.CallerServer]
+    ) -> None:
+        """Serve until the balancer has removed the node and it is idle.
+
+        :param servers: those of callers, and of other nodes
+        """
         deadline_s = self._deadline_s
-        _log.info("Stop begun", in_progress=server.in_progress)
+        _log.info("Stop begun", in_progress=_in_progress(servers))
         await asyncio.sleep(
             min(_BALANCER_DETECTION_S, deadline_s - clock.now_s())
         )
-        await _wait_until_idle(server, deadline_s)
+        await _wait_until_idle(servers, deadline_s)
         ended = self._timeouts.end_all()
-        _log.info("Stop goes on", in_progress=server.in_progress, ended=ended)
+        _log.info(
+            "Stop goes on", in_progress=_in_progress(servers), ended=ended
+        )
         # What has arrived is answered before the connections close.
-        server.stop()
-        await _wait_until_idle(server, deadline_s + _LAST_ANSWERS_S)
+        for server in servers:
+            server.stop()
+        await _wait_until_idle(servers, deadline_s + _LAST_ANSWERS_S)
+
+
+def _in_progress(servers: Sequence[caller_server.CallerServer]) -> int:
+    return sum(server.in_progress for server in servers)
 
 
 async def _wait_until_idle(
-    server: caller_server.CallerServer, deadline_s: float
+    servers: Sequence[caller_server.CallerServer], deadline_s: float
 ) -> None:
     """Wait until no request is in progress, for a whole interval."""
     idle_since_s: float | None = None
     while (now := clock.now_s()) < deadline_s:
-        if server.in_progress:
+        if _in_progress(servers):
             idle_since_s = None
         elif idle_since_s is None:
             idle_since_s = now
--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -9,6 +9,7 @@
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import reachability
+from fireflyspur.gateway.handover import handover_codec
 from fireflyspur.gateway.requests import attempt_result
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.gateway.requests import request_plan
@@ -110,7 +111,9 @@
                 return expired
             self._send(exchange, placement, reservations)
             try:
-                return await self._receive(exchange)
+                return await self._receive(
+                    exchange, placement.primary.instance
+                )
             except exceptions.BrokenResponseError as error:
                 return attempt_result.Broken(
                     str(error), error.is_connection_lost, error.failed_member
@@ -146,7 +149,7 @@
     ) -> None:
         plan = self._plan
         tickets = {r.endpoint.instance: r.ticket for r in reservations}
-        last_event_id = self._relay.last_event_id or plan.info.last_event_id
+        last_event_id = self._relay.last_event_id or plan.resumed_after_id
         info = messages.ForwardInfo(
             remaining_s=max(0.0, plan.deadline_s - clock.now_s()),
             instance=placement.primary.instance,
@@ -169,7 +172,7 @@
         exchange.send(request.method, request.target, headers, request.body)
 
     async def _receive(
-        self, exchange: http_exchange.HttpExchange
+        self, exchange: http_exchange.HttpExchange, instance: str
     ) -> attempt_result.AttemptResult:
         head = await exchange.read_head()
         info = self._codec.decode_response(head)
@@ -192,6 +195,8 @@
                 is_replaced=head.status == _OTHER_INSTANCE,
                 failed_member=info.failed_member,
             )
+        if self._plan.handover is not None:
+            head = handover_codec.mark_endpoint(head, instance)
         if not head.is_success:
             return await self._read_failure(exchange, head)
         if not info.is_sealed or info.is_encoded:
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -65,6 +65,18 @@
             is_own_refusal and head.status in _BUSY_STATUSES,
         )
 
+    def report_handed_over(
+        self, head: messages.ResponseHead, instance: str
+    ) -> None:
+        """Report what an endpoint says in a response by way of another node.
+
+        :param instance: the endpoint
+        """
+        endpoint = self._deps.directory.find_named(instance)
+        if endpoint is not None:
+            info = self._deps.codec.decode_response(head)
+            self.report_notice(endpoint, head, info)
+
     def report_delivered(
         self, placement: placements.Placement, is_confirmed: bool
     ) -> None:
--- a/src/fireflyspur/gateway/requests/forwarder.py
+++ b/src/fireflyspur/gateway/requests/forwarder.py
@@ -1,6 +1,7 @@
 """Serving of callers' requests."""
 
 import asyncio
+import dataclasses
 import json
 
 import h11
@@ -11,6 +12,8 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.handover import exceptions as handover_exceptions
+from fireflyspur.gateway.handover import handover_codec
 from fireflyspur.gateway.requests import request_dependencies
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_runner
@@ -36,18 +39,21 @@
         self,
         connection: caller_connection.CallerConnection,
         request: messages.CallerRequest,
+        handover: handover_codec.HandoverInfo | None = None,
     ) -> None:
         """Serve a request and respond to it, also on errors.
 
         The connection is closed if the response has started and cannot be
         completed.
+
+        :param handover: what the node says that handed it over, if any
         """
         relay = response_relay.ResponseRelay(
             connection, self._deps.is_draining
         )
         await self._deps.wait_until_current()
         try:
-            plan = self._deps.planner.plan(request)
+            plan = self._plan(request, handover)
             self._check_remaining_time(plan)
             runner = request_runner.RequestRunner(self._deps, plan, relay)
         except base_exceptions.FireflyspurError as error:
@@ -61,8 +67,9 @@
                 reason=str(error),
                 path=request.path,
                 version=self._deps.planner.version,
+                handed_over_by=handover.node if handover else None,
             )
-            await self._send_error(connection, error)
+            await self._send_error(connection, error, handover)
             return
         try:
             await runner.run()
@@ -71,7 +78,7 @@
             if relay.is_started:
                 connection.abort()
             else:
-                await self._send_error(connection, error)
+                await self._send_error(connection, error, handover)
         except asyncio.CancelledError:
             runner.log_end(0, None)
             raise
@@ -82,6 +89,25 @@
             runner.log_end(0, None)
             connection.abort()
 
+    def _plan(
+        self,
+        request: messages.CallerRequest,
+        handover: handover_codec.HandoverInfo | None,
+    ) -> request_plan.RequestPlan:
+        """Return the plan for a request.
+
+        :raises NodeBehindError: if the node that handed it over has a newer
+            configuration
+        """
+        version = self._deps.planner.version
+        if handover is not None and version < handover.version:
+            raise handover_exceptions.NodeBehindError(
+                f"this node has version {version}, not {handover.version}",
+                retry_after_s=_RETRY_ELSEWHERE_S,
+            )
+        plan = self._deps.planner.plan(request)
+        return dataclasses.replace(plan, handover=handover)
+
     def _check_remaining_time(self, plan: request_plan.RequestPlan) -> None:
         """Refuse a request that the end of this process would interrupt.
 
@@ -103,16 +129,39 @@
         error: base_exceptions.FireflyspurError,
     ) -> None:
         """Send an error response and close the connection."""
-        await self._send_error(connection, error, is_last=True)
+        await self._respond(connection, error, [], is_last=True)
+
+    async def send_handover_error(
+        self,
+        connection: caller_connection.CallerConnection,
+        error: base_exceptions.FireflyspurError,
+    ) -> None:
+        """Send an error response to another node, and close."""
+        headers = handover_codec.error_headers(error)
+        await self._respond(connection, error, headers, is_last=True)
 
     async def _send_error(
         self,
         connection: caller_connection.CallerConnection,
         error: base_exceptions.FireflyspurError,
+        handover: handover_codec.HandoverInfo | None,
+    ) -> None:
+        headers = []
+        if handover is not None:
+            headers = handover_codec.error_headers(error)
+        await self._respond(
+            connection, error, headers, is_last=self._deps.is_draining()
+        )
+
+    async def _respond(
+        self,
+        connection: caller_connection.CallerConnection,
+        error: base_exceptions.FireflyspurError,
+        extra: messages.Headers,
         *,
-        is_last: bool = False,
+        is_last: bool,
     ) -> None:
-        headers = [(b"Content-Type", b"application/json")]
+        headers = [(b"Content-Type", b"application/json"), *extra]
         if error.retry_after_s is not None:
             retry_after = f"{error.retry_after_s:.3f}".encode()
             headers.append((b"Retry-After", retry_after))
@@ -121,5 +170,5 @@
             error.http_status,
             headers,
             json.dumps(content).encode(),
-            is_last=is_last or self._deps.is_draining(),
+            is_last=is_last,
         )
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
 from fireflyspur.gateway.endpoints import reachability
+from fireflyspur.gateway.handover import peer_choice
 from fireflyspur.gateway.node import gateway_metrics
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_timeouts
@@ -24,6 +25,8 @@
 class RequestDependencies:
     """Shared objects that requests are served with.
 
+    :param node_name: name of this node
+    :param peers: chooses nodes that requests are handed over to
     :param is_draining: returns whether the node is stopping
     :param reachable: tells whether this node reaches endpoints
     :param timeouts: limits the time of each request
@@ -33,6 +36,8 @@
         are current again after this process was suspended
     """
 
+    node_name: str
+    peers: peer_choice.PeerChoice
     planner: request_plan.RequestPlanner
     codec: messages.Codec
     directory: endpoint_directory.EndpointDirectory
--- a/src/fireflyspur/gateway/requests/request_plan.py
+++ b/src/fireflyspur/gateway/requests/request_plan.py
@@ -6,6 +6,7 @@
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.handover import handover_codec
 from fireflyspur.gateway.scheduling import latency_model
 
 _MAX_PRIORITY = 9
@@ -21,6 +22,7 @@
     :param version: version of the configuration that was applied
     :param deadline_s: clock time by which the request must be answered
     :param priority: 0 is the most urgent
+    :param handover: what the node says that handed it over, or None
     """
 
     request: messages.CallerRequest
@@ -31,12 +33,20 @@
     account: routing_config.ClientAccount | None
     deadline_s: float
     priority: int
+    handover: handover_codec.HandoverInfo | None = None
 
     @property
     def account_name(self) -> str | None:
         """Name of the client account, if the request has one."""
         return self.account.name if self.account else None
 
+    @property
+    def resumed_after_id(self) -> str | None:
+        """Id of the event after which the request resumes a stream."""
+        if self.handover is not None and self.handover.last_event_id:
+            return self.handover.last_event_id
+        return self.info.last_event_id
+
     def expected_duration_s(self) -> float:
         """Return the time that the whole response takes on a busy endpoint."""
         limit_s = self.route.timeout_s
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -8,6 +8,8 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.handover import exceptions as handover_exceptions
+from fireflyspur.gateway.handover import handover_run
 from fireflyspur.gateway.requests import attempt as attempts
 from fireflyspur.gateway.requests import attempt_reporter
 from fireflyspur.gateway.requests import attempt_result
@@ -55,9 +57,12 @@
         self._limited_retry_s: float | None = None
         # Clock time of the start of the last attempt.
         self._attempted_at_s = 0.0
-        self._tried: list[str] = []
+        handover = plan.handover
+        self._tried = list(handover.tried) if handover else []
         self._excluded: list[str] = []
-        self._retries = 0
+        self._retries = len(self._tried)
+        self._first_choice = len(self._tried)
+        self._handover: handover_run.HandoverRun | None = None
         self._reason = _NONE_READY
         self._may_have_run = False
         self._response_start_s: float | None = None
@@ -69,13 +74,16 @@
 
         :raises FireflyspurError: if the caller gets no complete response
         """
-        self._deps.retries.record_request(self._plan.service.name)
+        if self._plan.handover is None:
+            self._deps.retries.record_request(self._plan.service.name)
         timeout_s = self._plan.deadline_s + _DEADLINE_GRACE_S - clock.now_s()
         try:
             async with self._deps.timeouts.limit(timeout_s):
                 await self._run_attempts()
         except TimeoutError as error:
-            if self._may_have_run:
+            if self._may_have_run or (
+                self._handover and self._handover.may_have_run
+            ):
                 raise exceptions.ServiceTimeoutError(
                     "this node stops"
                     if self._plan.deadline_s > clock.now_s()
@@ -102,20 +110,62 @@
         )
 
     async def _run_attempts(self) -> None:
-        while self._may_attempt():
+        reachable = self._deps.reachable
+        while self._may_attempt() and not reachable.is_isolated:
             placement = self._place()
+            if placement is None:
+                await reachable.settle()
             if placement is None or not self._acquire_retry():
                 break
             result = await self._attempt(placement)
             if await self._handle_result(placement, result):
                 return
-        if self._rejected is not None:
+        if reachable.is_isolated and self._may_hand_over():
+            await self._hand_over()
+        elif self._rejected is not None:
             await self._send_failure(self._rejected)
         elif self._may_have_run:
             raise exceptions.BrokenResponseError(self._reason)
         else:
             raise self._capacity_error(self._reason)
 
+    def _may_hand_over(self) -> bool:
+        """Return whether another node may try the request.
+
+        :raises NodeIsolatedError: if another node has handed it over and
+            nothing was sent
+        """
+        if self._plan.handover is None:
+            return len(self._tried) < self._plan.route.max_attempts
+        if not self._may_have_run:
+            raise handover_exceptions.NodeIsolatedError(
+                "this node reaches no endpoint either",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        return False
+
+    async def _hand_over(self) -> None:
+        """Let another node try the request.
+
+        :raises FireflyspurError: if the caller gets no complete response
+        """
+        self._handover = handover_run.HandoverRun(
+            self._deps.node_name,
+            self._deps.peers,
+            self._plan,
+            self._relay,
+            self._tried,
+            self._acquire_retry,
+            self._reporter.report_handed_over,
+            self._record_response_start,
+        )
+        status = await self._handover.run(self._may_have_run)
+        self.log_end(status, None)
+
+    def _record_response_start(self) -> None:
+        if self._response_start_s is None:
+            self._response_start_s = clock.now_s()
+
     def _may_attempt(self) -> bool:
         """Return whether another endpoint may be tried.
 
@@ -157,7 +207,7 @@
             placement = self._deps.placer.choose_engine(
                 plan.service, self._demand(), excluded
             )
-        if placement is None and not excluded:
+        if placement is None and len(excluded) == self._first_choice:
             any_ready = self._deps.directory.ready(plan.service.name)
             self._reason = _NO_ROOM if any_ready else _NONE_READY
         if placement is None:
@@ -285,8 +335,7 @@
             numbers.append(number)
 
         def record_response_start() -> None:
-            if self._response_start_s is None:
-                self._response_start_s = clock.now_s()
+            self._record_response_start()
             prefill_stack.close()
             for number in numbers:
                 tracker.mark_prefilled(number, demand)
