--- a/src/fireflyspur/gateway/handover/handover_codec.py
+++ b/src/fireflyspur/gateway/handover/handover_codec.py
@@ -24,6 +24,7 @@
     :param version: configuration that it applied to the request
     :param tried: instances that the request was sent to
     :param last_event_id: event after which to resume the stream
+    :param is_counted: whether another node counted it for the retry budget
     """
 
     node: str
@@ -32,6 +33,7 @@
     version: int
     tried: tuple[str, ...] = ()
     last_event_id: str | None = None
+    is_counted: bool = False
 
 
 class Outcome(msgspec.Struct, frozen=True):
--- a/src/fireflyspur/gateway/handover/handover_run.py
+++ b/src/fireflyspur/gateway/handover/handover_run.py
@@ -58,6 +58,7 @@
     :param plan: the request
     :param relay: relays the response to the caller
     :param tried: instances that the request was sent to; gets more
+    :param is_counted: whether this node counted it for the retry budget
     :param acquire_retry: acquires a retry if the request was sent before
     :param on_head: called with the head of each response of an endpoint, and
         its instance
@@ -71,6 +72,7 @@
         plan: request_plan.RequestPlan,
         relay: response_relay.ResponseRelay,
         tried: list[str],
+        is_counted: bool,
         acquire_retry: Callable[[], bool],
         on_head: Callable[[messages.ResponseHead, str], None],
         on_response_start: Callable[[], None],
@@ -80,6 +82,7 @@
         self._plan = plan
         self._relay = relay
         self._tried = tried
+        self._is_counted = is_counted
         self._acquire_retry = acquire_retry
         self._on_head = on_head
         self._on_response_start = on_response_start
@@ -185,7 +188,9 @@
             version=plan.version,
             tried=tuple(self._tried),
             last_event_id=self._relay.last_event_id,
+            is_counted=self._is_counted,
         )
+        self._is_counted = True
         headers = handover_codec.encode_request(request.headers, info)
         if request.body:
             length = str(len(request.body)).encode()
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -62,6 +62,8 @@
         self._excluded: list[str] = []
         self._retries = len(self._tried)
         self._first_choice = len(self._tried)
+        # Whether this node counted the request for the retry budget.
+        self._is_counted = False
         self._handover: handover_run.HandoverRun | None = None
         self._reason = _NONE_READY
         self._may_have_run = False
@@ -74,7 +76,8 @@
 
         :raises FireflyspurError: if the caller gets no complete response
         """
-        if self._plan.handover is None:
+        if self._must_count():
+            self._is_counted = True
             self._deps.retries.record_request(self._plan.service.name)
         timeout_s = self._plan.deadline_s + _DEADLINE_GRACE_S - clock.now_s()
         try:
@@ -129,6 +132,15 @@
         else:
             raise self._capacity_error(self._reason)
 
+    def _must_count(self) -> bool:
+        """Return whether the request counts for the budget of this node.
+
+        It counts at the first node that may send it to an endpoint.
+        """
+        if self._plan.handover is not None:
+            return not self._plan.handover.is_counted
+        return not self._deps.reachable.is_isolated
+
     def _may_hand_over(self) -> bool:
         """Return whether another node may try the request.
 
@@ -155,6 +167,7 @@
             self._plan,
             self._relay,
             self._tried,
+            self._is_counted,
             self._acquire_retry,
             self._reporter.report_handed_over,
             self._record_response_start,
--- a/tests/gateway/test_partitioned_nodes.py
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -1,7 +1,6 @@
 """Nodes that reach no endpoint while callers and other nodes reach them."""
 
 import asyncio
-import contextlib
 
 import testtools
 
@@ -10,49 +9,22 @@
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
 from tests.support import partition
+from tests.support import partitioned_fleet
 
 # A partition must have no more effect on callers after this time.
 _STABLE_S = 3.0
 
 
-@contextlib.asynccontextmanager
-async def start_fleet(nodes=2, **counts):
-    """Start a fleet whose nodes know each other, and can be cut off."""
-    async with gateway_fleet.GatewayFleet(**counts) as fleet:
-        with fleet.partition() as links:
-            started = [
-                await fleet.start_node(node_name=f"node-{n}")
-                for n in range(1, nodes + 1)
-            ]
-            await gateway_fleet.wait_until(
-                lambda: all(
-                    len(n.gateway.link.peers.live_names()) == nodes
-                    for n in started
-                )
-            )
-            yield fleet, links, started
-
-
-async def send_all(node, path, count, pause_s=0.05):
-    """Send requests one after the other begins, and return the responses."""
-    tasks = []
-    for number in range(count):
-        request = node.request(path, attempt_id=f"{path}-{number}")
-        tasks.append(asyncio.ensure_future(request))
-        await asyncio.sleep(pause_s)
-    return await asyncio.gather(*tasks)
-
-
 class PartitionedNodeTest(testtools.TestCase):
     """Guards against refusals by a node that reaches no endpoint itself."""
 
     async def assert_serves(self, path, how):
-        async with start_fleet() as (fleet, links, (cut, other)):
+        async with partitioned_fleet.start() as (fleet, links, (cut, other)):
             links.cut("node-1", how)
             # Requests that show the node that it reaches no endpoint.
-            await send_all(cut, path, 10, _STABLE_S / 10)
+            await partitioned_fleet.send_all(cut, path, 10, _STABLE_S / 10)
             links.connects.clear()
-            responses = await send_all(cut, path, 20)
+            responses = await partitioned_fleet.send_all(cut, path, 20)
             sent = {a.attempt_id for a in fleet.arrivals}
         self.assertEqual({200}, {r.status for r in responses})
         self.assertTrue(all(r.is_complete for r in responses))
@@ -86,7 +58,7 @@
 
     @async_tests.in_loop
     async def test_stream_in_flight_goes_on(self):
-        async with start_fleet() as (fleet, links, (cut, other)):
+        async with partitioned_fleet.start() as (fleet, links, (cut, other)):
             for engine in fleet.engines:
                 engine.default_behaviour = fake_endpoint.respond_events(
                     20, pause_s=0.05
@@ -109,14 +81,14 @@
 
     @async_tests.in_loop
     async def test_sound_node_keeps_all_endpoints_in_use(self):
-        async with start_fleet(desks=4, engines=4) as (
+        async with partitioned_fleet.start(desks=4, engines=4) as (
             fleet,
             links,
             (cut, sound),
         ):
             links.cut("node-1")
-            await send_all(cut, "/safe/", 8)
-            await send_all(cut, "/chat/", 8)
+            await partitioned_fleet.send_all(cut, "/safe/", 8)
+            await partitioned_fleet.send_all(cut, "/chat/", 8)
             directory = sound.gateway.directory
             paused = [i for i in directory.instances if directory.is_paused(i)]
         self.assertEqual([], paused)
@@ -124,7 +96,7 @@
     @async_tests.in_loop
     async def test_lost_streams_do_not_count_as_crashes(self):
         with captured_logs.capture() as records:
-            async with start_fleet(engines=4) as (
+            async with partitioned_fleet.start(engines=4) as (
                 fleet,
                 links,
                 (cut, sound),
