Bear one unanswered keep-alive probe (RECOVER)

Cause: with TCP_USER_TIMEOUT at 2.5 s, probes at 2 s and 3 s and two allowed, a connection was closed at 3 s after the first unanswered probe: the user timeout also decides when probes give up. A sound endpoint that is silent for a second at that moment lost its request.

Change: the user timeout covers all probes (4 s).

--- a/src/fireflyspur/gateway/common/socket_options.py
+++ b/src/fireflyspur/gateway/common/socket_options.py
@@ -4,15 +4,17 @@
 
 from tornado import iostream
 
-# A network path can fail without a reset. A connection is closed when sent
-# bytes stay unacknowledged for this time; a healthy peer acknowledges them
-# within a round trip.
-_USER_TIMEOUT_MS = 2_500
 # Keepalive probes of an idle connection: time until the first one, interval
 # between them, and number of unanswered ones that close the connection.
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# A network path can fail without a reset. A connection is closed when sent
+# bytes stay unacknowledged for this time. It also ends the probes, so that a
+# shorter time would close the connection after the first unanswered one.
+_USER_TIMEOUT_MS = 1_000 * (
+    _KEEPALIVE_IDLE_S + _KEEPALIVE_INTERVAL_S * _KEEPALIVE_PROBES
+)
 
 
 def apply(stream: iostream.IOStream) -> None:
