--- a/src/fireflyspur/platform/config_codec.py
+++ b/src/fireflyspur/platform/config_codec.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's configuration."""
 
+from typing import Annotated
+
 import msgspec
 
 from fireflyspur.gateway.common import exceptions
@@ -58,8 +60,12 @@
     priority: int | None = None
 
 
+# Nodes tell one another of versions in integers of 64 bits.
+_MAX_VERSION = 2**63 - 1
+
+
 class _Config(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -85,9 +91,9 @@
             accounts=tuple(_decode_account(t) for t in wire.tenants or ()),
             requires_api_key=wire.tenants is not None,
         )
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.RecordInvalidError(
-            f"configuration: {error}"
+            f"configuration: {error!r:.200}"
         ) from error
 
 
--- a/src/fireflyspur/platform/endpoint_codec.py
+++ b/src/fireflyspur/platform/endpoint_codec.py
@@ -1,5 +1,7 @@
 """Decoding of the entries that endpoints register in the store."""
 
+from typing import Annotated
+
 import msgspec
 
 from fireflyspur.gateway.common import address as addresses
@@ -12,16 +14,26 @@
 }
 
 
+# Names have some dozen characters; nodes pass them on in datagrams.
+_MAX_NAME_LENGTH = 200
+# Requests that an endpoint runs at a time; beyond any real one.
+_MAX_SLOTS = 65_536
+_MAX_COUNT = 2**63 - 1
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
+
 class _Entry(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     # Number of reports since the start of the process; orders do not count.
-    sequence: int = 0
+    sequence: _Count = 0
     # Unix time in ms at which the process started.
-    born: int | None = None
+    born: _Count | None = None
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -46,7 +58,12 @@
             sequence=wire.sequence,
             born_ms=wire.born,
         )
-    except (msgspec.DecodeError, ValueError, KeyError) as error:
+    except (
+        msgspec.DecodeError,
+        ValueError,
+        KeyError,
+        RecursionError,
+    ) as error:
         raise exceptions.RecordInvalidError(
             f"entry {instance!r:.60}: {error!r:.200}"
         ) from error
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -7,6 +7,8 @@
 from fireflyspur.platform import headers as header_names
 
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Messages between nodes hold whole numbers of 32 bits.
+_MAX_INT = 2**31 - 1
 _API_KEY_SCHEME = "token "
 _IS_LEAVING = "1"
 # Prompts consist of a few parts.
@@ -130,7 +132,11 @@
 
 
 def _parse_int(text: str | None) -> int | None:
-    return int(text) if text and text.isdecimal() else None
+    """Return a whole number, or the greatest one for one that is larger."""
+    if not text or not text.isdecimal():
+        return None
+    digits = text.lstrip("0") or "0"
+    return min(int(digits[: len(str(_MAX_INT)) + 1]), _MAX_INT)
 
 
 def _parse_decimal(text: str) -> float | None:
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -42,6 +42,22 @@
         head = head.removesuffix(b"\r\n")
         return head + b"".join(line + b"\r\n" for line in lines) + b"\r\n"
 
+    @async_tests.in_loop
+    async def test_numbers_that_are_too_large(self):
+        for header in (
+            f"X-Fireflyspur-Deadline-Ms: {'9' * 400}",
+            f"X-Fireflyspur-Token-Count: {'9' * 400},{'9' * 400}",
+            f"X-Fireflyspur-Token-Count: {2**40},{2**40}",
+            f"X-Fireflyspur-Deadline-Ms: {'9' * 3_500}",
+        ):
+            async with gateway_fleet.GatewayFleet() as fleet:
+                node = await fleet.start_node()
+                for path in ("/safe/", "/chat/"):
+                    response = await node.request(path, extra=[header])
+                    self.assertIn(response.status, (200, 503), header)
+                    self.assertTrue(response.is_complete)
+                self.assertEqual(200, (await node.request("/safe/")).status)
+
     @async_tests.in_loop
     async def test_conflicting_lengths(self):
         result = await self.send(
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -1,6 +1,7 @@
 """Faults of the store and their effect on a node."""
 
 import asyncio
+import json
 
 import testtools
 
@@ -10,6 +11,77 @@
 from tests.support import gateway_fleet
 
 
+def odd_entries(worker):
+    """Return entries of an endpoint that another writer may leave."""
+    nested = b"[" * 100_000 + b"]" * 100_000
+    proper = json.dumps(worker.entry("desk")).encode()
+    texts = [nested, b'{"a":' * 100_000, proper[:-1] + b',"odd":' + nested]
+    texts.append(proper[:-1] + b',"slots":' + b"9" * 400 + b"}")
+    changes = (
+        {"slots": 10**400},
+        {"slots": -3},
+        {"slots": 2**62},
+        {"sequence": 2**70},
+        {"born": 2**64},
+        {"address": "999.1.1.1:80"},
+        {"address": "127.0.0.1:99999"},
+        {"zone": "z" * 70_000},
+    )
+    odd = [json.dumps(worker.entry("desk", **c)).encode() for c in changes]
+    return [*texts, *odd]
+
+
+class OddEntryTest(testtools.TestCase):
+    """Guards against nodes that end or stop following the endpoints.
+
+    One entry of another writer is deeply nested or has odd numbers.
+    """
+
+    @async_tests.in_loop
+    async def test_other_endpoints_are_followed_and_used(self):
+        async with gateway_fleet.GatewayFleet(desks=3) as fleet:
+            *desks, odd = fleet.desks
+            nodes = [
+                await fleet.start_node(node_name=f"node-{n}") for n in (1, 2)
+            ]
+            for number, text in enumerate(odd_entries(odd)):
+                fleet.store.put("keyed.servers", f"odd-{number}", text)
+            await asyncio.sleep(1.5)
+            fleet.register(desks[0], "desk", state="draining", sequence=2)
+            await asyncio.sleep(1.5)
+            for desk in fleet.desks:
+                desk.arrivals.clear()
+            for node in nodes:
+                self.assertEqual(200, await node.health())
+                directory = node.gateway.directory
+                names = set(directory.instances)
+                self.assertEqual(set(), {n for n in names if "odd" in n})
+                self.assertFalse(directory.is_available(desks[0].instance))
+                for _ in range(4):
+                    response = await node.request("/safe/")
+                    self.assertEqual(200, response.status)
+            self.assertEqual([], desks[0].arrivals)
+
+    @async_tests.in_loop
+    async def test_last_configuration_stays_in_force(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for value in (
+                b"[" * 100_000,
+                b'{"version":2,"routes":' + b"[" * 100_000,
+                json.dumps(gateway_fleet.config(version=2**70)).encode(),
+                json.dumps(gateway_fleet.config(version=-1)).encode(),
+            ):
+                fleet.store.put("keyed.op", "config", value)
+                await asyncio.sleep(0.4)
+                self.assertEqual(200, await node.health())
+                self.assertEqual(200, (await node.request("/safe/")).status)
+            fleet.publish(gateway_fleet.config(version=5))
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 5, timeout_s=1.9
+            )
+
+
 class StoreFaultTest(testtools.TestCase):
     """Guards against requests that fail because of a fault of the store."""
 
