--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -208,6 +208,7 @@
                 memory=self._memory_reserver,
                 reachable=self._reachability,
                 is_draining=lambda: self._drain.is_begun,
+                is_removed=lambda: self._drain.is_removed,
                 exits_at_s=lambda: self._drain.deadline_s,
                 timeouts=self._timeouts,
                 wait_until_current=self._store_follower.wait_until_current,
--- a/src/fireflyspur/gateway/node/node_drain.py
+++ b/src/fireflyspur/gateway/node/node_drain.py
@@ -29,6 +29,7 @@
 
     def __init__(self, timeouts: request_timeouts.RequestTimeouts) -> None:
         self._timeouts = timeouts
+        self._begun_at_s: float | None = None
         self._deadline_s: float | None = None
 
     @property
@@ -41,12 +42,21 @@
         """Clock time until which requests may run, or None before a stop."""
         return self._deadline_s
 
+    @property
+    def is_removed(self) -> bool:
+        """Whether the balancer should have removed the node by now."""
+        begun_at_s = self._begun_at_s
+        if begun_at_s is None:
+            return False
+        return clock.now_s() >= begun_at_s + _BALANCER_DETECTION_S
+
     def begin(self, grace_s: float) -> None:
         """Begin the stop.
 
         :param grace_s: time after which the process is killed
         """
-        self._deadline_s = clock.now_s() + grace_s - _STOP_MARGIN_S
+        self._begun_at_s = clock.now_s()
+        self._deadline_s = self._begun_at_s + grace_s - _STOP_MARGIN_S
 
     async def wait(
         self, servers: Sequence[caller_server.CallerServer]
--- a/src/fireflyspur/gateway/requests/forwarder.py
+++ b/src/fireflyspur/gateway/requests/forwarder.py
@@ -111,13 +111,19 @@
     def _check_remaining_time(self, plan: request_plan.RequestPlan) -> None:
         """Refuse a request that the end of this process would interrupt.
 
+        As long as callers are still sent here, it only has to be likely that
+        the request ends before. After that, its whole time limit must fit.
+
         :raises NodeStoppingError: if it would not be complete before
         """
         exits_at_s = self._deps.exits_at_s()
         if exits_at_s is None:
             return
         remaining_s = exits_at_s - clock.now_s()
-        if plan.expected_duration_s() > remaining_s:
+        needed_s = plan.expected_duration_s()
+        if self._deps.is_removed():
+            needed_s = plan.deadline_s - clock.now_s()
+        if needed_s > remaining_s:
             raise exceptions.NodeStoppingError(
                 f"this node stops in {remaining_s:.1f} s; use another node",
                 retry_after_s=_RETRY_ELSEWHERE_S,
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -30,6 +30,8 @@
     :param is_draining: returns whether the node is stopping
     :param reachable: tells whether this node reaches endpoints
     :param timeouts: limits the time of each request
+    :param is_removed: returns whether the node is stopping and callers
+        should reach others
     :param exits_at_s: returns the clock time at which the process ends, or
         None until a stop begins
     :param wait_until_current: waits until the configuration and the endpoints
@@ -50,6 +52,7 @@
     memory: memory_reserver.MemoryReserver
     reachable: reachability.Reachability
     is_draining: Callable[[], bool]
+    is_removed: Callable[[], bool]
     exits_at_s: Callable[[], float | None]
     timeouts: request_timeouts.RequestTimeouts
     wait_until_current: Callable[[], Awaitable[None]]
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -11,6 +11,12 @@
 from tests.support import gateway_fleet
 
 
+async def respond_late(worker, arrival, stream):
+    """Answer after most of the time limit."""
+    await asyncio.sleep(1.6)
+    await fake_endpoint.respond_plain(worker, arrival, stream)
+
+
 class StopTest(testtools.TestCase):
     """Guards against requests that are interrupted by a planned stop."""
 
@@ -71,6 +77,49 @@
         self.assertEqual(200, short.status)
         self.assertEqual(1, sent)
 
+    async def send_late(self, path, respond, deadline_ms=2_000):
+        """Send a request late in a planned stop.
+
+        :returns: status of the response, whether it is complete, and the
+            number of requests that were passed on
+        """
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node(grace_s=5.0)
+            for desk in fleet.desks:
+                desk.default_behaviour = respond_late
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(2.0)
+            # Something is in progress, so that the node goes on.
+            earlier = asyncio.ensure_future(node.request("/safe/"))
+            await asyncio.sleep(1.3)
+            fleet.clear_arrivals()
+            for worker in (*fleet.desks, *fleet.engines):
+                worker.default_behaviour = respond
+            response = await node.request(path, deadline_ms=deadline_ms)
+            self.assertEqual(200, (await earlier).status)
+            await node.task
+            return response.status, response.is_complete, len(fleet.arrivals)
+
+    # A planned stop cut requests that came late and were passed on.
+    @async_tests.in_loop
+    async def test_late_request_that_may_outlast_the_stop_is_refused(self):
+        for path in ("/unsafe/", "/safe/"):
+            result = await self.send_late(path, respond_late)
+            self.assertEqual((503, True, 0), result, path)
+
+    @async_tests.in_loop
+    async def test_late_stream_that_may_outlast_the_stop_is_refused(self):
+        slow = fake_endpoint.respond_events(20, pause_s=0.1)
+        result = await self.send_late("/once/", slow)
+        self.assertEqual((503, True, 0), result)
+
+    @async_tests.in_loop
+    async def test_late_request_that_ends_before_the_stop_is_served(self):
+        result = await self.send_late(
+            "/unsafe/", fake_endpoint.respond_plain, deadline_ms=900
+        )
+        self.assertEqual((200, True, 1), result)
+
     @async_tests.in_loop
     async def test_lost_responses_do_not_count_as_crashes(self):
         async with gateway_fleet.GatewayFleet(desks=4) as fleet:
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -139,6 +139,11 @@
         """What has reached any worker."""
         return [a for w in (*self.desks, *self.engines) for a in w.arrivals]
 
+    def clear_arrivals(self):
+        """Forget what has reached the workers."""
+        for worker in (*self.desks, *self.engines):
+            worker.arrivals.clear()
+
     def partition(self):
         """Return what cuts nodes off from the endpoints."""
         workers = (*self.desks, *self.engines)
