--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -109,10 +109,10 @@
 
     async def probe(
         self, endpoint: endpoints.Endpoint, silent_s: float
-    ) -> None:
+    ) -> bool:
         """Open a connection to a silent endpoint to check that it is alive.
 
-        :raises BrokenResponseError: if it accepts none
+        :returns: whether it accepts one
         """
         started_at_s = clock.now_s()
         is_reachable = await self._reachable.accepts(endpoint)
@@ -124,10 +124,7 @@
         )
         if not is_reachable:
             self.mark_unreachable(endpoint.instance, started_at_s)
-            raise exceptions.BrokenResponseError(
-                f"silent for {silent_s:.1f} s and accepts no connection",
-                is_connection_lost=True,
-            )
+        return is_reachable
 
     async def check_helpers(
         self, helpers: Sequence[endpoints.Endpoint]
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -369,12 +369,14 @@
         )
 
     def _may_move(self) -> bool:
-        """Return whether another endpoint could take over the request now."""
+        """Return whether the request could be run elsewhere now."""
         route, service = self._plan.route, self._plan.service.name
         if not route.may_repeat or len(self._tried) >= route.max_attempts:
             return False
         if not self._deps.retries.is_available(service):
             return False
+        if self._deps.reachable.is_isolated:
+            return self._plan.handover is None
         excluded = {*self._tried, *self._excluded}
         return any(
             endpoint.instance not in excluded
--- a/src/fireflyspur/gateway/requests/stall_detector.py
+++ b/src/fireflyspur/gateway/requests/stall_detector.py
@@ -11,6 +11,9 @@
 # Interval between checks of a group for lost members: short compared to the
 # seconds that its prompt takes, and long compared to the cost of a check.
 _GROUP_CHECK_S = 0.25
+# Interval between checks whether the request of an endpoint that accepts no
+# connection can move.
+_RECHECK_S = 0.25
 # Multiple of the expected silence after which a response is abandoned.
 _GIVE_UP_FACTOR = 2
 # Minimum time between two calls, so that rounding causes no busy loop.
@@ -21,10 +24,9 @@
     """Decides when to abandon a silent response.
 
     An endpoint that is silent for longer than its in-flight requests explain
-    is probed with a new connection. If it accepts none, the response is
-    abandoned at once. Otherwise, the response is abandoned after the same
-    time again if the request can move to another endpoint; a slow response is
-    better than none. The response of a group is abandoned at once if a member
+    is probed with a new connection. A response is only abandoned if the
+    request can move to another endpoint: at once if the probe fails, and else
+    after the same time again; a slow response is better than none. The response of a group is abandoned at once if a member
     accepts no connection and the response may still meet its target. After
     that, a repeat would only delay requests that can still meet theirs.
 
@@ -48,7 +50,8 @@
         self._engine = engine
         self._may_move = may_move
         self._may_meet_target = may_meet_target
-        self._probed = False
+        # Whether the endpoint accepted the probe; None before that.
+        self._accepts: bool | None = None
         self._expected_silence_s = 0.0
 
     async def __call__(self, silent_s: float) -> float:
@@ -67,7 +70,17 @@
         if silent_s < self._expected_silence_s:
             pause_s = self._expected_silence_s - silent_s
             return min(pause_s, _GROUP_CHECK_S) if is_checked else pause_s
-        await self._probe_once(silent_s)
+        if self._accepts is None:
+            self._accepts = await self._monitor.probe(
+                self._members[0], silent_s
+            )
+        if not self._accepts:
+            if self._may_move():
+                raise exceptions.BrokenResponseError(
+                    f"silent for {silent_s:.1f} s and accepts no connection",
+                    is_connection_lost=True,
+                )
+            return _RECHECK_S
         if self._engine is None or not self._may_move():
             return self._expected_silence_s
         remaining_s = _GIVE_UP_FACTOR * self._expected_silence_s - silent_s
@@ -81,8 +94,3 @@
     def _is_group_checked(self) -> bool:
         is_group = len(self._members) > 1
         return is_group and self._may_move() and self._may_meet_target()
-
-    async def _probe_once(self, silent_s: float) -> None:
-        if not self._probed:
-            self._probed = True
-            await self._monitor.probe(self._members[0], silent_s)
--- a/tests/gateway/test_partitioned_nodes.py
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -121,3 +121,36 @@
                     stream.cancel()
         crashes = [r for r in records if r["message"] == "Answer broke off"]
         self.assertEqual([], crashes)
+
+
+class ShortSilenceTest(testtools.TestCase):
+    """Guards against ending an answer that only pauses for a second."""
+
+    async def assert_completes(self, path, respond):
+        async with partitioned_fleet.start(nodes=1) as (fleet, links, (node,)):
+            for worker in (*fleet.desks, *fleet.engines):
+                worker.default_behaviour = respond
+            sending = asyncio.ensure_future(node.request(path))
+            await gateway_fleet.wait_until(lambda: fleet.arrivals)
+            await asyncio.sleep(0.1)
+            links.cut("node-1")
+            await asyncio.sleep(1.2)
+            links.heal()
+            response = await sending
+            self.assertEqual(1, len(fleet.arrivals))
+        self.assertEqual(200, response.status)
+        self.assertTrue(response.is_complete)
+
+    @async_tests.in_loop
+    async def test_request_that_may_not_be_repeated(self):
+        async def respond_late(worker, arrival, stream):
+            await asyncio.sleep(0.4)
+            await fake_endpoint.respond_plain(worker, arrival, stream)
+
+        await self.assert_completes("/unsafe/", respond_late)
+
+    @async_tests.in_loop
+    async def test_stream_that_may_not_be_resumed(self):
+        await self.assert_completes(
+            "/once/", fake_endpoint.respond_events(8, pause_s=0.1)
+        )
