--- a/src/fireflyspur/gateway/requests/stall_detector.py
+++ b/src/fireflyspur/gateway/requests/stall_detector.py
@@ -26,9 +26,11 @@
     An endpoint that is silent for longer than its in-flight requests explain
     is probed with a new connection. A response is only abandoned if the
     request can move to another endpoint: at once if the probe fails, and else
-    after the same time again; a slow response is better than none. The response of a group is abandoned at once if a member
-    accepts no connection and the response may still meet its target. After
-    that, a repeat would only delay requests that can still meet theirs.
+    after the same time again; a slow response is better than none.
+
+    The response of a group is abandoned at once if a member accepts no
+    connection and the response may still meet its target. After that, a
+    repeat would only delay requests that can still meet theirs.
 
     :param members: the endpoint that responds, and its helpers
     :param engine: figures of the engines, or None for a plain service
