Find out that a node is isolated before a request is refused

Cause: a request whose endpoints all refuse at once ended with 503 while the check whether the node reaches any was only about to begin; a single node that takes requests was passed over for a second after one missed connection; the choice among nodes of other pools failed for an empty pool.

Metrics: isolated, handovers by result.

--- a/src/fireflyspur/gateway/endpoints/reachability.py
+++ b/src/fireflyspur/gateway/endpoints/reachability.py
@@ -30,27 +30,26 @@
     endpoints then says nothing about them.
 
     :param directory: the known endpoints
+    :param on_change: called when the node becomes isolated (True) or not
     """
 
     def __init__(
-        self, directory: endpoint_directory.EndpointDirectory
+        self,
+        directory: endpoint_directory.EndpointDirectory,
+        on_change: Callable[[bool], None],
     ) -> None:
         self._directory = directory
+        self._on_change = on_change
         self._connected_at_s = float("-inf")
         self._is_isolated = False
         self._check: asyncio.Future[None] | None = None
         self._search: asyncio.Future[None] | None = None
-        self._on_change: Callable[[], None] = lambda: None
 
     @property
     def is_isolated(self) -> bool:
         """Whether this node reaches no endpoint, as far as it knows."""
         return self._is_isolated
 
-    def on_change(self, callback: Callable[[], None]) -> None:
-        """Set the callback for when the node becomes isolated or not."""
-        self._on_change = callback
-
     async def connect(
         self,
         endpoint: endpoints.Endpoint,
@@ -96,6 +95,8 @@
 
     async def settle(self) -> None:
         """Wait until a check that is under way has ended."""
+        # One that was asked for just now begins.
+        await asyncio.sleep(0)
         if self._check is not None:
             await asyncio.shield(self._check)
 
@@ -163,4 +164,4 @@
             _log.warning("No endpoint reached")
         else:
             _log.info("Endpoint reached again")
-        self._on_change()
+        self._on_change(is_isolated)
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -229,14 +229,11 @@
         ]
         if own or not self._pools.others:
             return own
-        pools = random.choices(self._pools.others, k=others)
-        return list(
-            {
-                peer.name: peer
-                for pool in pools
-                for peer in random.sample(list(self._pool_peers(pool)), 1)
-            }.values()
+        pools = random.sample(
+            self._pools.others, min(others, len(self._pools.others))
         )
+        elsewhere = (list(self._pool_peers(pool)) for pool in pools)
+        return [random.choice(peers) for peers in elsewhere if peers]
 
     def is_lost(self, name: str) -> bool:
         """Return whether a node was heard of, but not lately."""
--- a/src/fireflyspur/gateway/handover/handover_run.py
+++ b/src/fireflyspur/gateway/handover/handover_run.py
@@ -63,6 +63,7 @@
     :param on_head: called with the head of each response of an endpoint, and
         its instance
     :param on_response_start: called when a successful response starts
+    :param count: counts how an offer ended
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         acquire_retry: Callable[[], bool],
         on_head: Callable[[messages.ResponseHead, str], None],
         on_response_start: Callable[[], None],
+        count: Callable[[str], None],
     ) -> None:
         self._node_name = node_name
         self._peers = peers
@@ -86,6 +88,7 @@
         self._acquire_retry = acquire_retry
         self._on_head = on_head
         self._on_response_start = on_response_start
+        self._count = count
         # The endpoint whose response was lost last, if known.
         self._instance: str | None = None
         self._may_have_run = False
@@ -111,6 +114,7 @@
                 break
             result = await self._offer(peer)
             self._log_result(peer, result)
+            self._count(type(result).__name__)
             match result:
                 case attempt_result.Delivered(status):
                     return status
--- a/src/fireflyspur/gateway/handover/peer_choice.py
+++ b/src/fireflyspur/gateway/handover/peer_choice.py
@@ -32,12 +32,12 @@
             for name, until_s in self._avoided_until_s.items()
             if until_s > now
         }
-        carriers = [
-            peer
-            for peer in self._peers.carriers(_MAX_OFFERS)
-            if peer.name not in self._avoided_until_s
+        carriers = self._peers.carriers(_MAX_OFFERS)
+        random.shuffle(carriers)
+        preferred = [
+            peer for peer in carriers if peer.name not in self._avoided_until_s
         ]
-        return random.sample(carriers, min(_MAX_OFFERS, len(carriers)))
+        return preferred[:_MAX_OFFERS] or carriers[:1]
 
     def avoid(self, name: str) -> None:
         """Avoid a node for a while that did not take a request."""
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -88,11 +88,8 @@
         self._retry_budget = retry_budget.RetryBudget(
             settings.retries, self._link.peers.fleet_size
         )
-        self._reachability = reachability.Reachability(self._directory)
-        self._reachability.on_change(
-            lambda: self._link.announce_isolation(
-                self._reachability.is_isolated
-            )
+        self._reachability = reachability.Reachability(
+            self._directory, self._link.announce_isolation
         )
         self._endpoint_monitor = endpoint_monitor.EndpointMonitor(
             self._directory,
@@ -104,20 +101,10 @@
         self._memory_reserver = memory_reserver.MemoryReserver(
             orders, lambda: self._settings.memory
         )
-        self._metrics = gateway_metrics.GatewayMetrics(
-            in_progress=lambda: self._caller_server.in_progress,
-            config_age_s=self._config_holder.age_s,
-            endpoints_age_s=self._directory.age_s,
-            limited_endpoints=lambda: self._link.limits.count,
-        )
+        self._metrics = self._build_metrics()
         self._forwarder = self._build_forwarder(codec, in_flight)
         self._caller_server = self._build_server(self._forwarder.serve)
-        self._handover_server = handover_server.HandoverServer(
-            self._link.peers,
-            self._forwarder.serve,
-            self._forwarder.send_handover_error,
-            lambda: self._config_holder.limits,
-        )
+        self._handover_server = self._build_handover_server()
         self._health_server = self._build_server(self._serve_health)
         self._metrics_server = self._build_server(self._serve_metrics)
 
@@ -217,6 +204,23 @@
             )
         )
 
+    def _build_handover_server(self) -> handover_server.HandoverServer:
+        return handover_server.HandoverServer(
+            self._link.peers,
+            self._forwarder.serve,
+            self._forwarder.send_handover_error,
+            lambda: self._config_holder.limits,
+        )
+
+    def _build_metrics(self) -> gateway_metrics.GatewayMetrics:
+        return gateway_metrics.GatewayMetrics(
+            in_progress=lambda: self._caller_server.in_progress,
+            config_age_s=self._config_holder.age_s,
+            endpoints_age_s=self._directory.age_s,
+            limited_endpoints=lambda: self._link.limits.count,
+            is_isolated=lambda: self._reachability.is_isolated,
+        )
+
     def _build_server(
         self, handle_request: caller_server.RequestHandler
     ) -> caller_server.CallerServer:
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -23,6 +23,7 @@
     :param config_age_s: returns the age of the configuration
     :param endpoints_age_s: returns the age of the list of endpoints
     :param limited_endpoints: returns the number of endpoints that name a rate
+    :param is_isolated: returns whether the node reaches no endpoint
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         config_age_s: Callable[[], float],
         endpoints_age_s: Callable[[], float],
         limited_endpoints: Callable[[], float],
+        is_isolated: Callable[[], bool],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._requests = self._counter(
@@ -45,6 +47,11 @@
         self._attempts = self._counter(
             "attempts", "Attempts on endpoints by their end.", ("result",)
         )
+        self._handovers = self._counter(
+            "handovers",
+            "Offers of requests to other nodes by their end.",
+            ("result",),
+        )
         self._first_byte = self._histogram(
             "first_part_seconds",
             "Time from a request to the beginning of its answer.",
@@ -68,6 +75,7 @@
                 limited_endpoints,
                 "Endpoints whose named rate limit is in force.",
             ),
+            ("isolated", is_isolated, "1 while no endpoint is reached."),
         ):
             gauge = prometheus_client.Gauge(
                 f"{_PREFIX}_{name}", help_text, registry=self._registry
@@ -92,6 +100,10 @@
         """Count an attempt on an endpoint."""
         self._attempts.labels(result).inc()
 
+    def count_handover(self, result: str) -> None:
+        """Count an offer of a request to another node."""
+        self._handovers.labels(result).inc()
+
     def observe_first_byte(
         self,
         kind: routing_config.RouteKind,
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -116,13 +116,13 @@
         reachable = self._deps.reachable
         while self._may_attempt() and not reachable.is_isolated:
             placement = self._place()
-            if placement is None:
-                await reachable.settle()
             if placement is None or not self._acquire_retry():
                 break
             result = await self._attempt(placement)
             if await self._handle_result(placement, result):
                 return
+        if not reachable.is_isolated:
+            await reachable.settle()
         if reachable.is_isolated and self._may_hand_over():
             await self._hand_over()
         elif self._rejected is not None:
@@ -171,6 +171,7 @@
             self._acquire_retry,
             self._reporter.report_handed_over,
             self._record_response_start,
+            self._deps.metrics.count_handover,
         )
         status = await self._handover.run(self._may_have_run)
         self.log_end(status, None)
--- a/tests/gateway/fleet/test_peer_table.py
+++ b/tests/gateway/fleet/test_peer_table.py
@@ -73,3 +73,50 @@
             sent_at_s = 5.0 + 0.9998 * self.now
             contact = self.receive(7, number, sent_at_s=sent_at_s)
             self.assertLess(contact.delay_s, 0.01)
+
+
+class CarriersTest(fake_clock.FakeClockTest):
+    """Guards against requests that are handed over to nodes without paths."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = peer_table.PeerTable("node-0", "zone-a")
+
+    def hear(self, number, **flags):
+        self.table.record_contact(
+            f"node-{number}",
+            addresses.Address(f"10.0.0.{number}", 7340),
+            1,
+            1,
+            flags.pop("is_stopping", False),
+            "zone-a",
+            **flags,
+        )
+
+    def carriers(self):
+        return {peer.name for peer in self.table.carriers(3)}
+
+    def test_live_nodes_that_reach_endpoints(self):
+        self.hear(1)
+        self.hear(2, is_isolated=True)
+        self.hear(3, is_stopping=True)
+        self.assertEqual({"node-1"}, self.carriers())
+        self.now += 4.0
+        self.assertEqual(set(), self.carriers())
+
+    def test_nodes_of_other_pools_if_the_own_one_has_none(self):
+        entries = {
+            f"node-{n}": registry.NodeEntry(
+                addresses.Address(f"10.0.{n % 3}.{n}", 7340),
+                f"zone-{'abc'[n % 3]}",
+            )
+            for n in range(1, 180)
+        }
+        self.table.add_nodes(entries)
+        domains = {entries[name].failure_domain for name in self.carriers()}
+        self.assertTrue(domains)
+        self.assertNotIn("zone-a", domains)
+        own = self.table.recipients()[0]
+        number = int(own.name.removeprefix("node-"))
+        self.hear(number)
+        self.assertEqual({own.name}, self.carriers())
--- a/tests/gateway/test_partitioned_nodes.py
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -56,6 +56,17 @@
     async def test_requests_when_only_new_connections_are_refused(self):
         await self.assert_serves("/safe/", partition.Cut.REFUSE)
 
+    @async_tests.in_loop
+    async def test_first_request_when_connections_are_refused(self):
+        async with partitioned_fleet.start(desks=8) as (
+            fleet,
+            links,
+            (cut, other),
+        ):
+            links.cut("node-1", partition.Cut.REFUSE)
+            response = await cut.request("/unsafe/")
+        self.assertEqual(200, response.status)
+
     @async_tests.in_loop
     async def test_stream_in_flight_goes_on(self):
         async with partitioned_fleet.start() as (fleet, links, (cut, other)):
