--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -1,8 +1,11 @@
 """Dependencies and settings of the deployment."""
 
+import os
 import pathlib
+import shutil
 import subprocess
 import sys
+import tempfile
 import tomllib
 
 import testtools
@@ -59,3 +62,53 @@
         deploy = tomllib.loads(text)
         self.assertIn("platform", deploy["roles"]["node"]["run"])
         self.assertEqual(["front"], deploy["roles"]["node"]["serves"])
+
+
+# Stands for python3: says what kind of machine it is on, and installs a file.
+_PYTHON = """#!/bin/sh
+case "$*" in
+    -c*) echo "$KIND" ;;
+    *pip*) mkdir -p target/deps && echo "$KIND" >target/deps/library.so ;;
+esac
+"""
+
+
+class BuildTest(testtools.TestCase):
+    """Guards against libraries of another kind of machine or Python."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = pathlib.Path(folder.name)
+        shutil.copytree(_ROOT / "deploy", self.root / "deploy")
+        (self.root / "src" / "fireflyspur").mkdir(parents=True)
+        (self.root / "bin").mkdir()
+        python = self.root / "bin" / "python3"
+        python.write_text(_PYTHON)
+        python.chmod(0o755)
+
+    def build(self, kind):
+        """Build on a kind of machine, and return that of the libraries."""
+        path = f"{self.root / 'bin'}:{os.environ['PATH']}"
+        subprocess.run(
+            ["sh", "deploy/build.sh"],
+            check=True,
+            cwd=self.root,
+            env={"PATH": path, "KIND": kind},
+        )
+        return self.library.read_text().strip()
+
+    @property
+    def library(self):
+        return self.root / "target" / "deps" / "library.so"
+
+    def test_libraries_are_kept_on_the_same_kind(self):
+        self.build("linux-x86_64 3.11.6")
+        self.library.write_text("kept")
+        self.assertEqual("kept", self.build("linux-x86_64 3.11.6"))
+
+    def test_libraries_are_replaced_on_another_kind(self):
+        self.build("linux-x86_64 3.11.6")
+        for kind in ("linux-aarch64 3.11.6", "linux-aarch64 3.11.7"):
+            self.assertEqual(kind, self.build(kind))
