Count a request that is handed over at the node that was asked

Cause: both nodes counted it, so that sums over the fleet were too high while nodes were isolated, and the lines of the second node did not say where it came from.

Change: only the first node counts it; Request ended names the node that handed it over.

--- a/src/fireflyspur/gateway/requests/request_report.py
+++ b/src/fireflyspur/gateway/requests/request_report.py
@@ -44,7 +44,9 @@
     outcome: RequestOutcome,
 ) -> None:
     """Log the end of a request, and update the metrics."""
-    _update_metrics(plan, relay, metrics, outcome)
+    if plan.handover is None:
+        # Else the node that the caller asked counts the request.
+        _update_metrics(plan, relay, metrics, outcome)
     error, response_start_s = outcome.error, outcome.response_start_s
     received_at_s = plan.request.received_at_s
     _log.info(
@@ -53,6 +55,7 @@
         route=plan.route.name,
         account=plan.account_name,
         version=plan.version,
+        handed_over_by=plan.handover.node if plan.handover else None,
         tokens=plan.info.prompt_tokens,
         tried=outcome.tried,
         status=outcome.status,
--- a/tests/gateway/handover/test_handover.py
+++ b/tests/gateway/handover/test_handover.py
@@ -181,6 +181,19 @@
         # The requests allow a retry where they were sent to endpoints.
         self.assertEqual([2, 1], sent)
 
+    @async_tests.in_loop
+    async def test_request_is_counted_at_the_node_that_was_asked(self):
+        async with partitioned_fleet.start() as (fleet, links, (cut, other)):
+            await partitioned_fleet.isolate(links, cut)
+            self.assertIn("fireflyspur_isolated 1.0", await cut.metrics())
+            await cut.request("/safe/")
+            metrics = [await node.metrics() for node in (cut, other)]
+        counter = 'fireflyspur_requests_total{kind="safe",status="200"}'
+        self.assertEqual([True, False], [counter in m for m in metrics])
+        self.assertIn(
+            'fireflyspur_handovers_total{result="Delivered"}', metrics[0]
+        )
+
     @async_tests.in_loop
     async def test_node_uses_its_own_paths_again(self):
         async with partitioned_fleet.start() as (fleet, links, (cut, other)):
