--- a/tests/gateway/fleet/test_peer_table.py
+++ b/tests/gateway/fleet/test_peer_table.py
@@ -110,7 +110,7 @@
                 addresses.Address(f"10.0.{n % 3}.{n}", 7340),
                 f"zone-{'abc'[n % 3]}",
             )
-            for n in range(1, 180)
+            for n in range(1, 100)
         }
         self.table.add_nodes(entries)
         domains = {entries[name].failure_domain for name in self.carriers()}
