Deliver an endpoint's error if no other node takes the request over

Cause: a request that an endpoint had answered with an error, and that was then to be tried by another node, ended with 502 if none took it.

Change: the caller gets the endpoint's error.

Measured: the new test failed before (502 instead of 500) and passes.

--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -173,8 +173,14 @@
             self._record_response_start,
             self._deps.metrics.count_handover,
         )
-        status = await self._handover.run(self._may_have_run)
-        self.log_end(status, None)
+        try:
+            status = await self._handover.run(self._may_have_run)
+        except base_exceptions.FireflyspurError:
+            if self._rejected is None or self._relay.is_started:
+                raise
+            await self._send_failure(self._rejected)
+        else:
+            self.log_end(status, None)
 
     def _record_response_start(self) -> None:
         if self._response_start_s is None:
--- a/tests/gateway/handover/test_handover.py
+++ b/tests/gateway/handover/test_handover.py
@@ -13,6 +13,7 @@
 from tests.support import async_tests
 from tests.support import fake_endpoint
 from tests.support import gateway_fleet
+from tests.support import partition
 from tests.support import partitioned_fleet
 
 
@@ -106,6 +107,23 @@
                 timeout_s=0.5,
             )
 
+    @async_tests.in_loop
+    async def test_answer_of_an_endpoint_is_kept_if_no_node_takes_over(self):
+        async with partitioned_fleet.start(desks=3) as (fleet, links, nodes):
+            cut, other = nodes
+
+            async def fail_and_cut(worker, arrival, stream):
+                for node in nodes:
+                    links.cut(node.settings.node_name, partition.Cut.REFUSE)
+                await other.request("/safe/", attempt_id="a2")
+                await fail(worker, arrival, stream)
+
+            fail = fake_endpoint.respond_status("500 Failed", seal=True)
+            for desk in fleet.desks:
+                desk.default_behaviour = fail_and_cut
+            response = await cut.request("/safe/")
+        self.assertEqual(500, response.status)
+
     @async_tests.in_loop
     async def test_requests_are_refused_at_once_if_no_node_reaches_any(self):
         async with partitioned_fleet.start() as (fleet, links, nodes):
