Track attempts as in flight in a module of its own

Change: the tracking of an attempt on its endpoints moves to attempt_tracking; no behaviour changes.

--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -1,8 +1,5 @@
 """Running of one request through attempts at endpoints."""
 
-from collections.abc import Callable
-import contextlib
-
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway.common import clock
@@ -13,6 +10,7 @@
 from fireflyspur.gateway.requests import attempt as attempts
 from fireflyspur.gateway.requests import attempt_reporter
 from fireflyspur.gateway.requests import attempt_result
+from fireflyspur.gateway.requests import attempt_tracking
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.gateway.requests import request_dependencies
 from fireflyspur.gateway.requests import request_plan
@@ -302,8 +300,15 @@
         self._tried.append(placement.primary.instance)
         self._placement = placement
         self._attempted_at_s = clock.now_s()
-        with contextlib.ExitStack() as stack:
-            on_response_start = self._track_in_flight(stack, placement)
+        remaining_s = self._plan.deadline_s - clock.now_s()
+        with attempt_tracking.track(
+            self._deps.in_flight, placement, self._demand(), remaining_s
+        ) as end_prefill:
+
+            def record_response_start() -> None:
+                self._record_response_start()
+                end_prefill()
+
             attempt = attempts.Attempt(
                 self._plan,
                 self._deps.codec,
@@ -313,7 +318,7 @@
                 lambda head, info: self._reporter.report_notice(
                     placement.primary, head, info
                 ),
-                on_response_start,
+                record_response_start,
                 self._stall_detector,
             )
             may_have_run = self._may_have_run
@@ -326,42 +331,6 @@
                     self._may_have_run = may_have_run
             return result
 
-    def _track_in_flight(
-        self, stack: contextlib.ExitStack, placement: placements.Placement
-    ) -> Callable[[], None]:
-        """Track the request as in flight on its endpoints.
-
-        :returns: callback for the start of the response
-        """
-        demand = self._demand()
-        members = 1 + len(placement.helpers)
-        remaining_s = self._plan.deadline_s - clock.now_s()
-        tracker = self._deps.in_flight
-        prefill_stack = stack.enter_context(contextlib.ExitStack())
-        numbers = [
-            stack.enter_context(
-                tracker.track_primary(
-                    placement.primary, demand, members, remaining_s
-                )
-            )
-        ]
-        for helper in placement.helpers:
-            # A helper that stores a part of the prompt stays in use until the
-            # end of the request.
-            helper_stack = stack if helper.tokens else prefill_stack
-            number = helper_stack.enter_context(
-                tracker.track_helper(helper, demand, members, remaining_s)
-            )
-            numbers.append(number)
-
-        def record_response_start() -> None:
-            self._record_response_start()
-            prefill_stack.close()
-            for number in numbers:
-                tracker.mark_prefilled(number, demand)
-
-        return record_response_start
-
     def _stall_detector(
         self, placement: placements.Placement
     ) -> http_exchange.SilenceCallback:
