Log handovers that are refused

Cause: a request that no known node had handed over was refused without a line.

Change: a line with the sender's host and the reason.

Measured: tests/gateway/handover passes.

--- a/src/fireflyspur/gateway/handover/handover_server.py
+++ b/src/fireflyspur/gateway/handover/handover_server.py
@@ -12,6 +12,9 @@
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.gateway.handover import exceptions
 from fireflyspur.gateway.handover import handover_codec
+from fireflyspur.observability import logs
+
+_log = logs.log_for("handover")
 
 # Responds to a request that another node handed over.
 Serve = Callable[
@@ -76,6 +79,11 @@
             if not self._peers.is_at(info.node, connection.remote_host):
                 raise exceptions.HandoverRefusedError("not a known node")
         except exceptions.HandoverRefusedError as error:
+            _log.warning(
+                "Handover refused",
+                sender=connection.remote_host,
+                reason=str(error),
+            )
             await self._send_error(connection, error)
             return
         transit_s = self._peers.transit_s(info.node, info.sent_at_s)
