--- a/src/fireflyspur/gateway/common/socket_options.py
+++ b/src/fireflyspur/gateway/common/socket_options.py
@@ -6,7 +6,7 @@
 
 # Keepalive probes of an idle connection: time until the first one, interval
 # between them, and number of unanswered ones that close the connection.
-_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 # A network path can fail without a reset. A connection is closed when sent
--- a/tests/gateway/common/test_socket_options.py
+++ b/tests/gateway/common/test_socket_options.py
@@ -10,6 +10,10 @@
 
 # A sound peer may be silent for a second or so.
 _SILENCE_S = 1.5
+# Memory that is reserved for a request must be free this long after its end,
+# also if its engine was lost; some of it is needed to release the memory.
+_FREE_S = 4.0
+_RELEASE_S = 0.5
 
 
 def connected_pair():
@@ -20,10 +24,13 @@
 
 
 class SocketOptionsTest(testtools.TestCase):
-    """Guards against a sound connection that is closed for a short silence."""
+    """Guards against giving up sound connections, or lost ones too late."""
 
-    @async_tests.in_loop
-    async def test_probes_bear_a_silence_whenever_it_begins(self):
+    async def probe_times(self):
+        """Return the time of the first probe and that of the close.
+
+        :returns: seconds since the peer was last heard
+        """
         first, second = connected_pair()
         self.addCleanup(second.close)
         stream = iostream.IOStream(first)
@@ -43,4 +50,14 @@
         closed_s = next(
             (t for t in probes_s if t >= user_timeout_s), probes_s[-1]
         )
-        self.assertGreater(closed_s - idle_s, _SILENCE_S)
+        return idle_s, max(closed_s, user_timeout_s)
+
+    @async_tests.in_loop
+    async def test_probes_bear_a_silence_whenever_it_begins(self):
+        first_s, closed_s = await self.probe_times()
+        self.assertGreater(closed_s - first_s, _SILENCE_S)
+
+    @async_tests.in_loop
+    async def test_lost_peer_is_noticed_before_memory_must_be_free(self):
+        _, closed_s = await self.probe_times()
+        self.assertLessEqual(closed_s, _FREE_S - _RELEASE_S)
