--- a/tests/gateway/test_partitioned_nodes.py
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -1,6 +1,7 @@
 """Nodes that reach no endpoint while callers and other nodes reach them."""
 
 import asyncio
+import time
 
 import testtools
 
@@ -11,6 +12,8 @@
 from tests.support import partition
 from tests.support import partitioned_fleet
 
+# Memory that is reserved for a request must be free this long after its end.
+_FREE_S = 4.0
 # A partition must have no more effect on callers after this time.
 _STABLE_S = 3.0
 
@@ -165,3 +168,31 @@
         await self.assert_completes(
             "/once/", fake_endpoint.respond_events(8, pause_s=0.1)
         )
+
+    # A lost endpoint was waited for until the time limit, so that memory which
+    # was reserved for the request stayed set aside.
+    @async_tests.in_loop
+    async def test_lost_endpoint_is_given_up(self):
+        routes = [
+            gateway_fleet.route("unsafe", "unsafe", "desk", timeout_ms=10_000)
+        ]
+        async with gateway_fleet.GatewayFleet(desks=3) as fleet:
+            fleet.publish(gateway_fleet.config(routes=routes))
+            lost, *_ = fleet.desks
+            with partition.Partition([lost.address]) as links:
+                node = await fleet.start_node()
+                for desk in fleet.desks:
+                    desk.default_behaviour = fake_endpoint.never_respond
+                sending = []
+                while not lost.arrivals:
+                    request = node.request("/unsafe/", deadline_ms=10_000)
+                    sending.append(asyncio.ensure_future(request))
+                    await asyncio.sleep(0.05)
+                links.cut("node-1")
+                started_s = time.monotonic()
+                response = await sending[-1]
+                lasted_s = time.monotonic() - started_s
+                for request in sending:
+                    request.cancel()
+        self.assertEqual(502, response.status)
+        self.assertLess(lasted_s, _FREE_S)
