Try all endpoints before a node counts as isolated

Symptom: test_unreachable_endpoints_do_not_count_as_attempts failed in one of five runs, 503 although one of five endpoints took requests.

Cause: three others are tried before an endpoint is blamed; if these had failed too, the node took its paths for lost, and refused what another node did not take.

Measured: that test passes in 13 of 13 runs; test_node_finds_the_only_endpoint_that_is_left failed before and passes.

--- a/src/fireflyspur/gateway/endpoints/reachability.py
+++ b/src/fireflyspur/gateway/endpoints/reachability.py
@@ -12,9 +12,10 @@
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.observability import logs
 
-# Other endpoints that are tried before one is blamed. They rarely all fail
-# together with it.
+# Other endpoints that are tried before one is blamed, and those that are tried
+# before the node counts as isolated, as some may have failed together with it.
 _CONTROLS = 3
+_ALL_CONTROLS = 32
 # A reachable endpoint accepts a connection within a few round trips.
 _CONNECT_TIMEOUT_S = 0.3
 # Interval at which an isolated node looks for an endpoint that it reaches.
@@ -84,7 +85,7 @@
         """
         while self._connected_at_s < since_s and not self._is_isolated:
             if self._check is None:
-                controls = self._controls(instance)
+                controls = self._controls(instance, _ALL_CONTROLS)
                 if not controls:
                     return True
                 check = asyncio.ensure_future(self._try_controls(controls))
@@ -107,16 +108,17 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _controls(self, instance: str) -> list[endpoints.Endpoint]:
+    def _controls(self, instance: str, most: int) -> list[endpoints.Endpoint]:
         others = [
             endpoint
             for endpoint in self._directory.usable()
             if endpoint.instance != instance
         ]
-        return random.sample(others, min(_CONTROLS, len(others)))
+        return random.sample(others, min(most, len(others)))
 
     async def _try_controls(self, controls: list[endpoints.Endpoint]) -> None:
-        if await self._reaches_any(controls):
+        first, rest = controls[:_CONTROLS], controls[_CONTROLS:]
+        if await self._reaches_any(first) or await self._reaches_any(rest):
             return
         self._set_isolated(True)
         if self._search is None or self._search.done():
@@ -142,7 +144,7 @@
         """Look for an endpoint that accepts a connection until one does."""
         while self._is_isolated:
             await asyncio.sleep(_RETRY_S)
-            await self._reaches_any(self._controls(""))
+            await self._reaches_any(self._controls("", _CONTROLS))
 
     def _clear_check(self, check: "asyncio.Future[None]") -> None:
         self._check = None
--- a/tests/gateway/test_partitioned_nodes.py
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -90,6 +90,24 @@
             self.assertEqual(1, response.body.count(event))
 
 
+class FailedEndpointsTest(testtools.TestCase):
+    """Guards against a node that takes many failed endpoints for lost paths."""
+
+    @async_tests.in_loop
+    async def test_node_finds_the_only_endpoint_that_is_left(self):
+        async with gateway_fleet.GatewayFleet(desks=9, engines=0) as fleet:
+            for _ in range(4):
+                node = await fleet.start_node()
+                for desk in fleet.desks[:8]:
+                    desk.close()
+                await asyncio.gather(
+                    *(node.request("/safe/") for _ in range(3))
+                )
+                await asyncio.sleep(0.1)
+                metrics = await node.metrics()
+                self.assertIn("fireflyspur_isolated 0.0", metrics)
+
+
 class SoundNodesTest(testtools.TestCase):
     """Guards against a partitioned node that misleads the other nodes."""
 
