--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -64,18 +64,16 @@
         """
         self._start(self._check_for_crash(endpoint, on_crash))
 
-    def mark_unreachable(self, instance: str, since_s: float) -> None:
+    def mark_unreachable(self, instance: str) -> None:
         """Pause an endpoint that accepts no connection.
 
         The other nodes are told if it is at fault, and not the paths of this
         node.
-
-        :param since_s: clock time at which the failed connection began
         """
         was_paused = self._directory.is_paused(instance)
         self._directory.record_fault(instance, "no connection")
         if not was_paused:
-            self._start(self._report_unreachable(instance, since_s))
+            self._start(self._report_unreachable(instance))
 
     def mark_failed(self, instance: str, reason: str) -> None:
         """Mark an endpoint as failed, and broadcast it to the other nodes."""
@@ -114,7 +112,6 @@
 
         :returns: whether it accepts one
         """
-        started_at_s = clock.now_s()
         is_reachable = await self._reachable.accepts(endpoint)
         _log.info(
             "Endpoint silent",
@@ -123,7 +120,7 @@
             is_reachable=is_reachable,
         )
         if not is_reachable:
-            self.mark_unreachable(endpoint.instance, started_at_s)
+            self.mark_unreachable(endpoint.instance)
         return is_reachable
 
     async def check_helpers(
@@ -140,13 +137,12 @@
             for endpoint in helpers
             if not self._directory.is_available(endpoint.instance)
         ]
-        started_at_s = clock.now_s()
         results = await asyncio.gather(
             *(self._reachable.accepts(endpoint) for endpoint in suspected)
         )
         for endpoint, is_reachable in zip(suspected, results, strict=True):
             if not is_reachable:
-                self.mark_unreachable(endpoint.instance, started_at_s)
+                self.mark_unreachable(endpoint.instance)
                 raise exceptions.BrokenResponseError(
                     f"{endpoint.instance} of its group accepts no connection",
                     failed_member=endpoint.instance,
@@ -161,15 +157,14 @@
     async def _check_for_crash(
         self, endpoint: endpoints.Endpoint, on_crash: Callable[[], None]
     ) -> None:
-        started_at_s = clock.now_s()
         if await self._reachable.accepts(endpoint):
             return
-        self.mark_unreachable(endpoint.instance, started_at_s)
-        if await self._reachable.is_at_fault(endpoint.instance, started_at_s):
+        self.mark_unreachable(endpoint.instance)
+        if await self._reachable.is_at_fault(endpoint.instance):
             on_crash()
 
-    async def _report_unreachable(self, instance: str, since_s: float) -> None:
-        if await self._reachable.is_at_fault(instance, since_s):
+    async def _report_unreachable(self, instance: str) -> None:
+        if await self._reachable.is_at_fault(instance):
             self._broadcast(instance, peer_updates.FAILED)
 
     def _start(self, coroutine: Coroutine[None, None, None]) -> None:
--- a/src/fireflyspur/gateway/endpoints/reachability.py
+++ b/src/fireflyspur/gateway/endpoints/reachability.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import enum
 import random
 
 from fireflyspur.gateway.common import clock
@@ -12,26 +13,38 @@
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.observability import logs
 
-# Other endpoints that are tried before one is blamed, and those that are tried
-# before the node counts as isolated, as some may have failed together with it.
-_CONTROLS = 3
-_ALL_CONTROLS = 32
+# Other endpoints that are tried before one is blamed, and all that are tried
+# if one of them fails too.
+_FIRST_CONTROLS = 3
+_CONTROLS = 12
+# Share of these that a node with good paths reaches.
+_GOOD_SHARE = 0.5
 # A reachable endpoint accepts a connection within a few round trips.
 _CONNECT_TIMEOUT_S = 0.3
-# Interval at which an isolated node looks for an endpoint that it reaches.
+# Interval at which a node without good paths tries endpoints.
 _RETRY_S = 0.5
 
 _log = logs.log_for("endpoints")
 
 
+class Paths(enum.Enum):
+    """Which endpoints a node reaches, as far as it knows.
+
+    ``GOOD``: most of them. ``POOR``: some. ``NONE``: none, it is isolated.
+    """
+
+    GOOD = "good"
+    POOR = "poor"
+    NONE = "none"
+
+
 class Reachability:
     """Tells endpoints that accept no connection from lost paths of this node.
 
-    A node that reaches no endpoint at all is isolated. What it sees of
-    endpoints then says nothing about them.
+    What a node without good paths sees of endpoints says little about them.
 
     :param directory: the known endpoints
-    :param on_change: called when the node becomes isolated (True) or not
+    :param on_change: called with whether the paths are good, when that changes
     """
 
     def __init__(
@@ -41,15 +54,21 @@
     ) -> None:
         self._directory = directory
         self._on_change = on_change
+        self._paths = Paths.GOOD
+        # Clock time of the last connection while the paths were good.
         self._connected_at_s = float("-inf")
-        self._is_isolated = False
         self._check: asyncio.Future[None] | None = None
         self._search: asyncio.Future[None] | None = None
 
+    @property
+    def has_good_paths(self) -> bool:
+        """Whether this node reaches most endpoints."""
+        return self._paths is Paths.GOOD
+
     @property
     def is_isolated(self) -> bool:
-        """Whether this node reaches no endpoint, as far as it knows."""
-        return self._is_isolated
+        """Whether this node reaches no endpoint."""
+        return self._paths is Paths.NONE
 
     async def connect(
         self,
@@ -64,7 +83,8 @@
         exchange = await http_exchange.HttpExchange.connect(
             endpoint.address, timeout_s, on_silence
         )
-        self._record_connection()
+        if self._paths is Paths.GOOD:
+            self._connected_at_s = clock.now_s()
         return exchange
 
     async def accepts(self, endpoint: endpoints.Endpoint) -> bool:
@@ -76,23 +96,19 @@
         exchange.close()
         return True
 
-    async def is_at_fault(self, instance: str, since_s: float) -> bool:
+    async def is_at_fault(self, instance: str) -> bool:
         """Return whether an endpoint is at fault that accepts no connection.
 
-        It is if this node reaches another one.
-
-        :param since_s: clock time at which the failed connection began
+        It is if this node reaches most of the others.
         """
-        while self._connected_at_s < since_s and not self._is_isolated:
+        if self._paths is Paths.GOOD:
             if self._check is None:
-                controls = self._controls(instance, _ALL_CONTROLS)
-                if not controls:
-                    return True
-                check = asyncio.ensure_future(self._try_controls(controls))
-                self._check = check
-                check.add_done_callback(self._clear_check)
+                self._check = asyncio.ensure_future(
+                    self._try_controls(instance)
+                )
+                self._check.add_done_callback(self._clear_check)
             await asyncio.shield(self._check)
-        return not self._is_isolated
+        return self._paths is Paths.GOOD
 
     async def settle(self) -> None:
         """Wait until a check that is under way has ended."""
@@ -108,62 +124,57 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _controls(self, instance: str, most: int) -> list[endpoints.Endpoint]:
+    async def _try_controls(self, instance: str) -> None:
+        controls = self._draw_others(instance)
+        if not controls:
+            return
+        first, rest = controls[:_FIRST_CONTROLS], controls[_FIRST_CONTROLS:]
+        reached = await self._count_reached(first)
+        if reached < len(first):
+            reached += await self._count_reached(rest)
+            self._set_paths(_to_paths(reached, len(controls)))
+
+    def _draw_others(self, instance: str = "") -> list[endpoints.Endpoint]:
+        """Return endpoints to try in random order, except for one."""
         others = [
             endpoint
             for endpoint in self._directory.usable()
             if endpoint.instance != instance
         ]
-        return random.sample(others, min(most, len(others)))
-
-    async def _try_controls(self, controls: list[endpoints.Endpoint]) -> None:
-        first, rest = controls[:_CONTROLS], controls[_CONTROLS:]
-        if await self._reaches_any(first) or await self._reaches_any(rest):
-            return
-        self._set_isolated(True)
-        if self._search is None or self._search.done():
-            self._search = asyncio.ensure_future(self._search_endpoint())
+        return random.sample(others, min(_CONTROLS, len(others)))
 
-    async def _reaches_any(self, tried: list[endpoints.Endpoint]) -> bool:
-        """Return whether one of some endpoints accepts a connection.
+    async def _count_reached(self, tried: list[endpoints.Endpoint]) -> int:
+        return sum(await asyncio.gather(*(self.accepts(e) for e in tried)))
 
-        A connection that another request got meanwhile counts too.
-        """
-        started_at_s = clock.now_s()
-        tasks = [asyncio.ensure_future(self.accepts(e)) for e in tried]
-        try:
-            for task in asyncio.as_completed(tasks):
-                if await task:
-                    return True
-        finally:
-            for task in tasks:
-                task.cancel()
-        return self._connected_at_s >= started_at_s
-
-    async def _search_endpoint(self) -> None:
-        """Look for an endpoint that accepts a connection until one does."""
-        while self._is_isolated:
+    async def _search_paths(self) -> None:
+        """Try endpoints until the paths are good again."""
+        while self._paths is not Paths.GOOD:
             await asyncio.sleep(_RETRY_S)
-            await self._reaches_any(self._controls("", _CONTROLS))
+            tried = self._draw_others()
+            reached = await self._count_reached(tried)
+            self._set_paths(_to_paths(reached, len(tried)))
 
     def _clear_check(self, check: "asyncio.Future[None]") -> None:
         self._check = None
         with contextlib.suppress(asyncio.CancelledError):
             check.result()
 
-    def _record_connection(self) -> None:
-        if self._is_isolated:
+    def _set_paths(self, paths: Paths) -> None:
+        if paths is self._paths:
+            return
+        was_good = self._paths is Paths.GOOD
+        self._paths = paths
+        _log.info("Paths to endpoints changed", paths=paths.value)
+        if paths is Paths.GOOD:
             # Faults since then were those of the paths.
             self._directory.forget_faults(self._connected_at_s)
-        self._connected_at_s = clock.now_s()
-        self._set_isolated(False)
+            self._on_change(True)
+        elif was_good:
+            self._search = asyncio.ensure_future(self._search_paths())
+            self._on_change(False)
 
-    def _set_isolated(self, is_isolated: bool) -> None:
-        if is_isolated == self._is_isolated:
-            return
-        self._is_isolated = is_isolated
-        if is_isolated:
-            _log.warning("No endpoint reached")
-        else:
-            _log.info("Endpoint reached again")
-        self._on_change(is_isolated)
+
+def _to_paths(reached: int, tried: int) -> Paths:
+    if reached and reached >= _GOOD_SHARE * tried:
+        return Paths.GOOD
+    return Paths.POOR if reached else Paths.NONE
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -198,9 +198,9 @@
         self._channel.mark_stopping()
         self._send_heartbeat()
 
-    def announce_isolation(self, is_isolated: bool) -> None:
-        """Announce whether this node reaches no endpoint."""
-        self._channel.mark_isolated(is_isolated)
+    def announce_paths(self, are_good: bool) -> None:
+        """Announce whether this node reaches most endpoints."""
+        self._channel.mark_paths(are_good)
         self._send_heartbeat()
 
     def _introduce(self) -> None:
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -38,7 +38,7 @@
     :param number: sequence number of the last datagram
     :param clock_offset_s: time from the sending to the arrival of the fastest
         datagrams, by the clocks of both nodes; None before the first
-    :param is_isolated: whether it reaches no endpoint
+    :param lacks_paths: whether it reaches few endpoints or none
     """
 
     name: str
@@ -50,7 +50,7 @@
     number: int = 0
     is_stopping: bool = False
     clock_offset_s: float | None = None
-    is_isolated: bool = False
+    lacks_paths: bool = False
 
     def transit_s(self, offset_s: float, now: float) -> float:
         """Return how much longer a message was under way than others.
@@ -124,13 +124,13 @@
         failure_domain: str = "",
         sent_at_s: float | None = None,
         *,
-        is_isolated: bool = False,
+        lacks_paths: bool = False,
     ) -> Contact:
         """Record that a datagram of a node arrived.
 
         :param failure_domain: that of the node; empty if it did not say
         :param sent_at_s: clock of the node when it sent the datagram
-        :param is_isolated: whether the node reaches no endpoint
+        :param lacks_paths: whether the node reaches few endpoints or none
         """
         now = clock.now_s()
         if failure_domain:
@@ -158,7 +158,7 @@
             number=number,
             is_stopping=is_stopping,
             clock_offset_s=None if sent_at_s is None else offset_s,
-            is_isolated=is_isolated,
+            lacks_paths=lacks_paths,
         )
         self._silent.discard(name)
         if not was_live and self.is_in_pool(name):
@@ -225,7 +225,7 @@
             peer
             for peer in self._pool_peers(self._pools.own)
             if self._is_live(peer, now)
-            and not (peer.is_stopping or peer.is_isolated)
+            and not (peer.is_stopping or peer.lacks_paths)
         ]
         if own or not self._pools.others:
             return own
--- a/src/fireflyspur/gateway/fleet/update_channel.py
+++ b/src/fireflyspur/gateway/fleet/update_channel.py
@@ -54,7 +54,7 @@
         self._fleet_draft = peer_updates.PeerUpdate()
         self._is_flush_scheduled = False
         self._is_stopping = False
-        self._is_isolated = False
+        self._lacks_paths = False
         self._transport: asyncio.DatagramTransport | None = None
 
     @property
@@ -85,9 +85,9 @@
         """Say in each update from now on that this node is about to stop."""
         self._is_stopping = True
 
-    def mark_isolated(self, is_isolated: bool) -> None:
-        """Say in each update from now on whether this node is isolated."""
-        self._is_isolated = is_isolated
+    def mark_paths(self, are_good: bool) -> None:
+        """Say in each update from now on whether endpoints are reached."""
+        self._lacks_paths = not are_good
 
     async def open(self) -> None:
         """Open the socket.
@@ -177,7 +177,7 @@
             update.is_stopping,
             update.failure_domain,
             update.sent_ms / 1000 if update.sent_ms else None,
-            is_isolated=update.is_isolated,
+            lacks_paths=update.lacks_paths,
         )
         self._handler(update, contact)
 
@@ -191,7 +191,7 @@
         update.incarnation = self._incarnation
         update.number = self._number
         update.is_stopping = self._is_stopping
-        update.is_isolated = self._is_isolated
+        update.lacks_paths = self._lacks_paths
         update.sent_ms = round(clock.now_s() * 1000)
         return update.SerializeToString()
 
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -89,7 +89,7 @@
             settings.retries, self._link.peers.fleet_size
         )
         self._reachability = reachability.Reachability(
-            self._directory, self._link.announce_isolation
+            self._directory, self._link.announce_paths
         )
         self._endpoint_monitor = endpoint_monitor.EndpointMonitor(
             self._directory,
@@ -218,7 +218,7 @@
             config_age_s=self._config_holder.age_s,
             endpoints_age_s=self._directory.age_s,
             limited_endpoints=lambda: self._link.limits.count,
-            is_isolated=lambda: self._reachability.is_isolated,
+            lacks_paths=lambda: not self._reachability.has_good_paths,
         )
 
     def _build_server(
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -23,7 +23,7 @@
     :param config_age_s: returns the age of the configuration
     :param endpoints_age_s: returns the age of the list of endpoints
     :param limited_endpoints: returns the number of endpoints that name a rate
-    :param is_isolated: returns whether the node reaches no endpoint
+    :param lacks_paths: returns whether the node reaches few endpoints or none
     """
 
     def __init__(
@@ -32,7 +32,7 @@
         config_age_s: Callable[[], float],
         endpoints_age_s: Callable[[], float],
         limited_endpoints: Callable[[], float],
-        is_isolated: Callable[[], bool],
+        lacks_paths: Callable[[], bool],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._requests = self._counter(
@@ -75,7 +75,11 @@
                 limited_endpoints,
                 "Endpoints whose named rate limit is in force.",
             ),
-            ("isolated", is_isolated, "1 while no endpoint is reached."),
+            (
+                "lacks_paths",
+                lacks_paths,
+                "1 while few endpoints or none are reached.",
+            ),
         ):
             gauge = prometheus_client.Gauge(
                 f"{_PREFIX}_{name}", help_text, registry=self._registry
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -89,13 +89,8 @@
             self._deps.crashes.record_success(self._fingerprint)
             self._deps.parts.record_success(self._parts)
 
-    def report_not_sent(
-        self, result: attempt_result.NotSent, started_at_s: float
-    ) -> None:
-        """Report an attempt that was not sent.
-
-        :param started_at_s: clock time of the start of the attempt
-        """
+    def report_not_sent(self, result: attempt_result.NotSent) -> None:
+        """Report an attempt that was not sent."""
         _log.info(
             "Request not sent",
             request=self._attempt_id,
@@ -103,7 +98,7 @@
             reason=result.reason,
         )
         if result.is_unreachable:
-            self._deps.monitor.mark_unreachable(result.instance, started_at_s)
+            self._deps.monitor.mark_unreachable(result.instance)
 
     def report_not_run(
         self,
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -111,25 +111,34 @@
         )
 
     async def _run_attempts(self) -> None:
-        reachable = self._deps.reachable
-        while self._may_attempt() and not reachable.is_isolated:
-            placement = self._place()
-            if placement is None or not self._acquire_retry():
-                break
-            result = await self._attempt(placement)
-            if await self._handle_result(placement, result):
+        if await self._try_endpoints():
+            return
+        # A request that met unreachable endpoints may have shown lost paths.
+        await self._deps.reachable.settle()
+        if self._must_hand_over():
+            if await self._hand_over() or await self._try_endpoints():
                 return
-        if not reachable.is_isolated:
-            await reachable.settle()
-        if reachable.is_isolated and self._may_hand_over():
-            await self._hand_over()
-        elif self._rejected is not None:
+        if self._rejected is not None:
             await self._send_failure(self._rejected)
         elif self._may_have_run:
             raise exceptions.BrokenResponseError(self._reason)
         else:
             raise self._capacity_error(self._reason)
 
+    async def _try_endpoints(self) -> bool:
+        """Try endpoints as long as that is best; return whether one responded.
+
+        :raises FireflyspurError: if the caller gets no complete response
+        """
+        while self._may_attempt() and not self._must_hand_over():
+            placement = self._place()
+            if placement is None or not self._acquire_retry():
+                break
+            result = await self._attempt(placement)
+            if await self._handle_result(placement, result):
+                return True
+        return False
+
     def _must_count(self) -> bool:
         """Return whether the request counts for the budget of this node.
 
@@ -137,26 +146,31 @@
         """
         if self._plan.handover is not None:
             return not self._plan.handover.is_counted
-        return not self._deps.reachable.is_isolated
+        return self._deps.reachable.has_good_paths
 
-    def _may_hand_over(self) -> bool:
-        """Return whether another node may try the request.
+    def _must_hand_over(self) -> bool:
+        """Return whether another node should try the request now.
 
-        :raises NodeIsolatedError: if another node has handed it over and
-            nothing was sent
+        :raises NodeIsolatedError: if another node has handed it over to this
+            one, which reaches no endpoint either
         """
+        reachable = self._deps.reachable
         if self._plan.handover is None:
-            return len(self._tried) < self._plan.route.max_attempts
-        if not self._may_have_run:
+            is_offered = self._handover is not None
+            may_try = len(self._tried) < self._plan.route.max_attempts
+            return may_try and not (reachable.has_good_paths or is_offered)
+        if reachable.is_isolated and not self._may_have_run:
             raise handover_exceptions.NodeIsolatedError(
                 "this node reaches no endpoint either",
                 retry_after_s=_RETRY_AFTER_S,
             )
         return False
 
-    async def _hand_over(self) -> None:
+    async def _hand_over(self) -> bool:
         """Let another node try the request.
 
+        :returns: whether one did; False if this node may still reach an
+            endpoint
         :raises FireflyspurError: if the caller gets no complete response
         """
         self._handover = handover_run.HandoverRun(
@@ -173,12 +187,17 @@
         )
         try:
             status = await self._handover.run(self._may_have_run)
+        except handover_exceptions.NodeIsolatedError:
+            if self._deps.reachable.is_isolated:
+                raise
+            return False
         except base_exceptions.FireflyspurError:
             if self._rejected is None or self._relay.is_started:
                 raise
             await self._send_failure(self._rejected)
         else:
             self.log_end(status, None)
+        return True
 
     def _record_response_start(self) -> None:
         if self._response_start_s is None:
@@ -254,7 +273,7 @@
                 self._reason = reason
                 self._excluded.append(instance)
                 self._tried.pop()
-                self._reporter.report_not_sent(result, self._attempted_at_s)
+                self._reporter.report_not_sent(result)
             case attempt_result.NotRun(reason):
                 self._reason = reason
                 failed_member = self._reporter.report_not_run(
@@ -351,8 +370,8 @@
             return False
         if not self._deps.retries.is_available(service):
             return False
-        if self._deps.reachable.is_isolated:
-            return self._plan.handover is None
+        if self._must_hand_over():
+            return True
         excluded = {*self._tried, *self._excluded}
         return any(
             endpoint.instance not in excluded
--- a/tests/gateway/fleet/test_peer_table.py
+++ b/tests/gateway/fleet/test_peer_table.py
@@ -98,7 +98,7 @@
 
     def test_live_nodes_that_reach_endpoints(self):
         self.hear(1)
-        self.hear(2, is_isolated=True)
+        self.hear(2, lacks_paths=True)
         self.hear(3, is_stopping=True)
         self.assertEqual({"node-1"}, self.carriers())
         self.now += 4.0
--- a/tests/gateway/handover/test_handover.py
+++ b/tests/gateway/handover/test_handover.py
@@ -203,7 +203,7 @@
     async def test_request_is_counted_at_the_node_that_was_asked(self):
         async with partitioned_fleet.start() as (fleet, links, (cut, other)):
             await partitioned_fleet.isolate(links, cut)
-            self.assertIn("fireflyspur_isolated 1.0", await cut.metrics())
+            self.assertIn("fireflyspur_lacks_paths 1.0", await cut.metrics())
             await cut.request("/safe/")
             metrics = [await node.metrics() for node in (cut, other)]
         counter = 'fireflyspur_requests_total{kind="safe",status="200"}'
--- a/tests/gateway/test_partitioned_nodes.py
+++ b/tests/gateway/test_partitioned_nodes.py
@@ -90,22 +90,59 @@
             self.assertEqual(1, response.body.count(event))
 
 
+class PoorPathsTest(testtools.TestCase):
+    """Guards against a node that reaches few of the endpoints."""
+
+    async def send_when_stable(self, nodes):
+        """Return responses after the partition, and the time for all."""
+        with captured_logs.capture() as records:
+            async with partitioned_fleet.start(
+                nodes=nodes, kept=1, desks=24, engines=1
+            ) as (fleet, links, (cut, *others)):
+                links.cut("node-1")
+                await partitioned_fleet.send_all(
+                    cut, "/safe/", 10, _STABLE_S / 10
+                )
+                started_s = time.monotonic()
+                responses = await partitioned_fleet.send_all(cut, "/safe/", 20)
+                lasted_s = time.monotonic() - started_s
+        reasons = {r["extra"].get("reason") for r in records}
+        self.assertNotIn("reported by node-1", reasons)
+        return [r.status for r in responses], lasted_s
+
+    @async_tests.in_loop
+    async def test_other_nodes_run_its_requests(self):
+        statuses, lasted_s = await self.send_when_stable(nodes=2)
+        self.assertEqual([200] * 20, statuses)
+        # None waited for connections that hang.
+        self.assertLess(lasted_s, 1.5)
+
+    @async_tests.in_loop
+    async def test_without_other_nodes_it_uses_what_it_reaches(self):
+        statuses, _ = await self.send_when_stable(nodes=1)
+        # A request is refused after some endpoints that it cannot reach.
+        self.assertGreater(statuses.count(200), 10)
+
+
 class FailedEndpointsTest(testtools.TestCase):
-    """Guards against a node that takes many failed endpoints for lost paths."""
+    """Guards against failed endpoints that are taken for lost paths."""
 
     @async_tests.in_loop
-    async def test_node_finds_the_only_endpoint_that_is_left(self):
-        async with gateway_fleet.GatewayFleet(desks=9, engines=0) as fleet:
-            for _ in range(4):
-                node = await fleet.start_node()
-                for desk in fleet.desks[:8]:
-                    desk.close()
-                await asyncio.gather(
-                    *(node.request("/safe/") for _ in range(3))
-                )
-                await asyncio.sleep(0.1)
-                metrics = await node.metrics()
-                self.assertIn("fireflyspur_isolated 0.0", metrics)
+    async def test_node_uses_the_only_endpoint_that_is_left(self):
+        rounds = 16
+        async with gateway_fleet.GatewayFleet(desks=5, engines=0) as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks[:4]:
+                desk.close()
+            statuses = []
+            for _ in range(rounds):
+                for desk in fleet.desks:
+                    node.gateway.directory.record_success(desk.instance)
+                response = await node.request("/safe/")
+                statuses.append(response.status)
+                # Checks that the request has asked for end.
+                await asyncio.sleep(0.05)
+        self.assertEqual([200] * rounds, statuses)
 
 
 class SoundNodesTest(testtools.TestCase):
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -144,9 +144,12 @@
         for worker in (*self.desks, *self.engines):
             worker.arrivals.clear()
 
-    def partition(self):
-        """Return what cuts nodes off from the endpoints."""
-        workers = (*self.desks, *self.engines)
+    def partition(self, kept=0):
+        """Return what cuts nodes off from the endpoints.
+
+        :param kept: number of workers of each service that it leaves alone
+        """
+        workers = (*self.desks[kept:], *self.engines[kept:])
         return partition.Partition([w.address for w in workers])
 
     def register_all(self):
--- a/tests/support/partitioned_fleet.py
+++ b/tests/support/partitioned_fleet.py
@@ -7,13 +7,14 @@
 
 
 @contextlib.asynccontextmanager
-async def start(nodes=2, settings=None, **counts):
+async def start(nodes=2, settings=None, kept=0, **counts):
     """Start a fleet whose nodes know each other, and can be cut off.
 
+    :param kept: number of workers of each service that all nodes reach
     :param settings: settings of all nodes that differ from the usual ones
     """
     async with gateway_fleet.GatewayFleet(**counts) as fleet:
-        with fleet.partition() as links:
+        with fleet.partition(kept) as links:
             started = [
                 await fleet.start_node(
                     node_name=f"node-{n}", **(settings or {})
