Use what a node with poor paths reaches

Cause: not the load. Twelve of 25 endpoints were drawn; if the two that the node reaches were not among them, it counted as isolated and refused everything for half a second.

Change: if none of twelve accepts a connection, up to 48 are tried before a node counts as isolated. What does not accept one is paused at this node, so that requests go to what it reaches at once.

--- a/src/fireflyspur/gateway/endpoints/reachability.py
+++ b/src/fireflyspur/gateway/endpoints/reachability.py
@@ -14,9 +14,10 @@
 from fireflyspur.observability import logs
 
 # Other endpoints that are tried before one is blamed, and all that are tried
-# if one of them fails too.
+# if one of them fails too. More are tried before the node counts as isolated.
 _FIRST_CONTROLS = 3
 _CONTROLS = 12
+_MAX_CONTROLS = 48
 # Share of these that a node with good paths reaches.
 _GOOD_SHARE = 0.5
 # A reachable endpoint accepts a connection within a few round trips.
@@ -126,13 +127,27 @@
 
     async def _try_controls(self, instance: str) -> None:
         controls = self._draw_others(instance)
-        if not controls:
-            return
         first, rest = controls[:_FIRST_CONTROLS], controls[_FIRST_CONTROLS:]
         reached = await self._count_reached(first)
         if reached < len(first):
-            reached += await self._count_reached(rest)
-            self._set_paths(_to_paths(reached, len(controls)))
+            self._set_paths(await self._survey(rest, reached, len(first)))
+
+    async def _survey(
+        self, untried: list[endpoints.Endpoint], reached: int, tried: int
+    ) -> Paths:
+        """Try endpoints until it is clear what this node reaches.
+
+        :param reached: number of endpoints that it reached just now
+        :param tried: number of those that were tried
+        """
+        for most in (_CONTROLS, _MAX_CONTROLS):
+            batch = untried[: most - tried]
+            untried = untried[len(batch) :]
+            reached += await self._count_reached(batch)
+            tried += len(batch)
+            if reached:
+                break
+        return _to_paths(reached, tried)
 
     def _draw_others(self, instance: str = "") -> list[endpoints.Endpoint]:
         """Return endpoints to try in random order, except for one."""
@@ -141,18 +156,23 @@
             for endpoint in self._directory.usable()
             if endpoint.instance != instance
         ]
-        return random.sample(others, min(_CONTROLS, len(others)))
+        return random.sample(others, min(_MAX_CONTROLS, len(others)))
 
     async def _count_reached(self, tried: list[endpoints.Endpoint]) -> int:
-        return sum(await asyncio.gather(*(self.accepts(e) for e in tried)))
+        """Return how many endpoints accept a connection; pause the others."""
+        results = await asyncio.gather(*(self.accepts(e) for e in tried))
+        for endpoint, is_accepted in zip(tried, results, strict=True):
+            if not is_accepted:
+                self._directory.record_fault(
+                    endpoint.instance, "no connection"
+                )
+        return sum(results)
 
     async def _search_paths(self) -> None:
         """Try endpoints until the paths are good again."""
         while self._paths is not Paths.GOOD:
             await asyncio.sleep(_RETRY_S)
-            tried = self._draw_others()
-            reached = await self._count_reached(tried)
-            self._set_paths(_to_paths(reached, len(tried)))
+            self._set_paths(await self._survey(self._draw_others(), 0, 0))
 
     def _clear_check(self, check: "asyncio.Future[None]") -> None:
         self._check = None
