Say in plainer words what a handover and the controls are

Read as a newcomer would: the error of a refused handover, the numbers of endpoints that are tried, and what is forgotten of faults.

--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -174,7 +174,10 @@
             _log.info("Endpoint recovered", instance=instance)
 
     def forget_faults(self, since_s: float) -> None:
-        """Forget the faults of endpoints that had none before a time."""
+        """Forget the faults of endpoints that had none before a time.
+
+        Faults from before that time are kept, with all that followed them.
+        """
         kept = {k: f for k, f in self._faults.items() if f.since_s < since_s}
         _log.info("Faults forgotten", count=len(self._faults) - len(kept))
         self._faults = kept
--- a/src/fireflyspur/gateway/endpoints/reachability.py
+++ b/src/fireflyspur/gateway/endpoints/reachability.py
@@ -13,12 +13,13 @@
 from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.observability import logs
 
-# Other endpoints that are tried before one is blamed, and all that are tried
-# if one of them fails too. More are tried before the node counts as isolated.
+# Other endpoints that are tried when one accepts no connection. If all of the
+# first ones do, the endpoint is at fault; else more are tried. The last number
+# is for a node that has reached none so far, before it counts as isolated.
 _FIRST_CONTROLS = 3
 _CONTROLS = 12
 _MAX_CONTROLS = 48
-# Share of these that a node with good paths reaches.
+# Share of the tried endpoints that a node with good paths reaches.
 _GOOD_SHARE = 0.5
 # A reachable endpoint accepts a connection within a few round trips.
 _CONNECT_TIMEOUT_S = 0.3
@@ -137,6 +138,7 @@
     ) -> Paths:
         """Try endpoints until it is clear what this node reaches.
 
+        :param untried: endpoints to try
         :param reached: number of endpoints that it reached just now
         :param tried: number of those that were tried
         """
--- a/src/fireflyspur/gateway/handover/exceptions.py
+++ b/src/fireflyspur/gateway/handover/exceptions.py
@@ -5,7 +5,7 @@
 
 
 class NodeIsolatedError(exceptions.FireflyspurError):
-    """The node reaches no endpoint, and no other node took the request."""
+    """The node reaches no endpoint, and no other node runs the request."""
 
     code = "node_isolated"
     http_status = 503
@@ -19,7 +19,7 @@
 
 
 class HandoverRefusedError(exceptions.FireflyspurError):
-    """The sender of a handed over request is not a node, or says no sense."""
+    """A request was not handed over by a known node, or not in a valid way."""
 
     code = "handover_refused"
     http_status = 403
