--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -166,9 +166,14 @@
 
     def put(self, topic, key, value):
         """Append a record; it is acknowledged with the return."""
-        name, data = key.encode(), json.dumps(value).encode()
+        name = key.encode()
+        data = json.dumps(value, separators=(",", ":")).encode()
         self._append(topic, bytes((len(name),)) + name + data)
 
+    def size_of(self, topic, key):
+        """Return the bytes of the newest value of a key."""
+        return len(self._newest[topic][key][0])
+
     def delete(self, topic, key):
         name = key.encode()
         self._append(topic, bytes((len(name),)) + name)
