Review: find the node that reads the log by an address of its own

All nodes call the stand-in of the store from one loopback address, so the case could not tell them apart and took a node by chance.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -108,9 +108,10 @@
 def find_reader(fleet):
     """Return the node that waits in the store for new configurations."""
     waits = {
-        node.name: fleet.store.log_reads[node.host, True]
+        node.name: fleet.store.log_waits[node.store_address.partition(":")[0]]
         for node in fleet.nodes
     }
+    fleet.record.add(f"reads of the log that waited: {waits}")
     return max(waits, key=waits.get)
 
 
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -113,17 +113,20 @@
     """Serves HTTP/1.1 on kept connections."""
 
     def __init__(self):
-        self._server = None
+        self._servers = []
         self._tasks = set()
         self.address = None
 
     async def start(self, host):
-        self._server = await asyncio.start_server(self._accept, host, 0)
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        """Listen at a host, also at several; returns the address."""
+        server = await asyncio.start_server(self._accept, host, 0)
+        self._servers.append(server)
+        self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        return self.address
 
     async def stop(self):
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -154,7 +157,9 @@
 class Store(Server):
     """The platform's store: keyed topics with one partition.
 
-    ``log_reads`` counts the reads of the operator's log by host of the node.
+    Each node has an address of its own for the store, as all nodes call from
+    the same one. ``log_waits`` counts the reads of the operator's log that
+    wait for a record, by host of that address.
     """
 
     def __init__(self):
@@ -162,7 +167,7 @@
         self._topics = collections.defaultdict(list)
         self._newest = collections.defaultdict(dict)
         self._grown = asyncio.Event()
-        self.log_reads = collections.Counter()
+        self.log_waits = collections.Counter()
 
     def put(self, topic, key, value):
         """Append a record; it is acknowledged with the return."""
@@ -200,9 +205,8 @@
             case "/api/log-newest":
                 answer = self._newest_page(topic, query)
             case "/api/log-read":
-                if topic == "keyed.op":
-                    host = writer.get_extra_info("peername")[0]
-                    self.log_reads[host, int(query.get("wait_ms", 0)) > 0] += 1
+                if topic == "keyed.op" and int(query.get("wait_ms", 0)):
+                    self.log_waits[writer.get_extra_info("sockname")[0]] += 1
                 kind = "application/octet-stream"
                 answer = await self._read(topic, query)
             case "/api/log-append":
@@ -330,13 +334,13 @@
 class Node:
     """A node of the system, started with the command of the deploy file."""
 
-    def __init__(self, name, host, zone, folder, store):
+    def __init__(self, name, host, zone, folder, store_address):
         self.name = name
         self.host = host
         self.front = f"{host}:8227"
+        self.store_address = store_address
         self._zone = zone
         self._folder = folder
-        self._store = store
         self._process = None
 
     async def start(self):
@@ -385,7 +389,7 @@
 [bounds]
 {bounds}
 [platform]
-address = "{self._store.address}"
+address = "{self.store_address}"
 form = "log"
 """
 
@@ -484,9 +488,6 @@
         self.version = 0
         self._beats = None
 
-    async def start_store(self):
-        await self.store.start(f"{self.network}.1")
-
     def put_config(self, routes, services, tenants=None):
         """Publish a configuration; returns its version."""
         self.version += 1
@@ -509,8 +510,10 @@
         return worker
 
     async def add_node(self, name, zone):
-        host = f"{self.network}.{10 + len(self.nodes)}"
-        node = Node(name, host, zone, self.folder, self.store)
+        number = len(self.nodes)
+        host = f"{self.network}.{10 + number}"
+        address = await self.store.start(f"{self.network}.{200 + number}")
+        node = Node(name, host, zone, self.folder, address)
         self.nodes.append(node)
         await node.start()
         return node
@@ -554,7 +557,6 @@
         fleet = Fleet(record)
         try:
             async with asyncio.timeout(limit_s):
-                await fleet.start_store()
                 return await play(fleet, record)
         finally:
             await fleet.stop()
