--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -139,9 +139,10 @@
                 first, headers = await read_message(reader)
                 body = await read_body(headers, reader)
                 method, target, _ = first.split(" ", 2)
-                if not await self.serve(
-                    method, target, headers, body, writer
-                ):
+                serving = asyncio.ensure_future(
+                    self.serve(method, target, headers, body, writer)
+                )
+                if not await self._finish(serving, reader):
                     return
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             return
@@ -149,8 +150,27 @@
             self._tasks.discard(task)
             writer.close()
 
+    async def _finish(self, serving, reader):
+        """Wait for an answer; drop the request if its connection closes.
+
+        Nodes send one request on a connection, so that nothing else comes.
+        """
+        closing = asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait(
+                (serving, closing), return_when=asyncio.FIRST_COMPLETED
+            )
+            return serving.done() and serving.result() and not closing.done()
+        finally:
+            for task in (serving, closing):
+                task.cancel()
+            await asyncio.gather(serving, closing, return_exceptions=True)
+
     async def serve(self, method, target, headers, body, writer):
-        """Answer a request; returns whether the connection is kept."""
+        """Answer a request; returns whether the connection is kept.
+
+        It is cancelled if the connection closes.
+        """
         raise NotImplementedError
 
 
