Review: requests are cut while a stopping node waits for memory

A node that stops as planned and has no request left awaits the release of reserved memory before it closes its callers' connections.

It becomes the second case; the others move by one.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,18 +1,19 @@
-"""A sound engine is silent for a second while a node stops as planned."""
+"""A node stops as planned while the release of memory is answered late."""
 
 import asyncio
+import json
 import pathlib
 import signal
 import time
 
 import platform_standins as standins
 
-SERVICE, HOST, KEY = "mender-assistant", "mender.example", "key-1"
-# Figures of the sheet's engines.
-SLOTS = 8
+MODELS, DESK, HOST, KEY = "mender-assistant", "shop-desk", "h.example", "key-1"
+SLOTS, KV_TOKENS = 8, 450_000
+READ_PER_MS, PAIRS_MS_PER_M = 256.0, 0.0917
 ENGINE = {
     "slots": SLOTS,
-    "kv_capacity_tokens": 450000,
+    "kv_capacity_tokens": KV_TOKENS,
     "kv_token_bytes": 327680,
     "link_mbps": 400000.0,
     "stride": 46,
@@ -20,72 +21,142 @@
     "step_ms": 0.925,
     "per_seq_ms": 0.00966,
     "context_per_k": 0.00254,
-    "read_per_s": 256000.0,
-    "pairs_per_m": 0.0917,
+    "read_per_s": READ_PER_MS * 1000,
+    "pairs_per_m": PAIRS_MS_PER_M,
     "chunk": 2048,
     "report_lag_ms": 200.0,
     "usual": {"prompt": 13199, "answer": 1541},
     "hop_ms": 0.1,
 }
-SERVICES = [
-    {
-        "name": SERVICE,
+ENGINES = 8
+# Longer than the memory of one engine.
+PROMPT_TOKENS, EVENTS, EVENT_TOKENS, EVENT_S = 460_000, 17, 46, 0.15
+STOP_AFTER_S = 0.2
+# A sound worker may be silent "for a second or so".
+SILENT_S = 1.2
+# Bookings on kept connections, from the end of the long answer on.
+BOOKINGS, BOOKING_GAP_S, BOOKING_WORK_S = 16, 0.06, 0.3
+# Callers are quiet for a moment before the first of them.
+QUIET_S = 0.4
+BOOKING_DEADLINE_MS = 1_500
+GRACE_S = standins.BOUNDS["grace_s"]
+
+
+def service(name, **more):
+    return {
+        "name": name,
         "health_check": "/health",
         "max_connections": 274,
         "protocol": "h1",
         "tls": False,
-        "engine": ENGINE,
+        **more,
     }
-]
-TENANTS = [{"name": "tenant-1", "api_keys": [KEY]}]
-DEADLINE_MS = 10_000
-ROUTES = [
-    {
-        "name": "r-quote",
+
+
+def route(name, kind, service_name, timeout_ms, **more):
+    return {
+        "name": f"r-{name}",
         "host": HOST,
-        "path_prefix": "/quote/",
-        "kind": "streaming",
-        "timeout_ms": DEADLINE_MS,
-        "target_latency_ms": 300,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 125,
         "priority": 1,
-        "service": SERVICE,
+        "service": service_name,
         "max_attempts": 2,
         "public": False,
-        "sticky": True,
-        "stream_resume": True,
-        "gap_aim_ms": 200,
+        "sticky": False,
+        **more,
     }
+
+
+ROUTES = [
+    route(
+        "ledger",
+        "streaming",
+        MODELS,
+        15_000,
+        target_latency_ms=3_000,
+        sticky=True,
+        stream_resume=True,
+        gap_aim_ms=800,
+    ),
+    route("booking", "unsafe", DESK, BOOKING_DEADLINE_MS),
 ]
-PROMPT_TOKENS, EVENTS, EVENT_TOKENS = 4_960, 87, 46
-# A pass of a full engine takes 54 ms.
-EVENT_S = 0.054
-NODES, WORKERS = 4, 2
-STOP_AFTER_S = 1.0
-# A sound worker may be silent "for a second or so"; clients stay for 2 s.
-SILENT_AFTER_S, SILENT_S = 1.0, 1.2
+SERVICES = [service(MODELS, engine=ENGINE), service(DESK)]
+TENANTS = [{"name": "tenant-1", "api_keys": [KEY]}]
+
+
+class Story:
+    """What happened, for the engines and for the client."""
+
+    def __init__(self, record):
+        self.record = record
+        self.ended = asyncio.Event()
+        self.silent = None
+        self.is_silent = False
+        self.goes_on = asyncio.Event()
+
+    async def hold(self):
+        """Let one helper be silent from just before the answer's end."""
+        if not standins.is_troubled():
+            return
+        self.is_silent = True
+        self.record.add(f"{self.silent} is silent")
+        await asyncio.sleep(SILENT_S)
+        self.is_silent = False
+        self.goes_on.set()
+        self.record.add(f"{self.silent} goes on")
 
 
-class Pause:
-    """When a worker is silent."""
+class Engine(standins.Worker):
+    """An engine that takes memory orders and reads prompts with others."""
 
-    def __init__(self):
-        self._goes_on = asyncio.Event()
-        self._goes_on.set()
+    def __init__(self, *options, story):
+        super().__init__(*options, slots=SLOTS)
+        self.story = story
+        self.tickets = {}
 
-    async def hold(self, seconds):
-        self._goes_on.clear()
-        await asyncio.sleep(seconds)
-        self._goes_on.set()
+    async def serve(self, method, target, headers, body, writer):
+        if target != "/api/order":
+            return await super().serve(method, target, headers, body, writer)
+        order = json.loads(body)
+        name = f"{order['operation']} {order['id']}"
+        self.record.add(f"{self.instance}: order {name}")
+        if self.story.is_silent and self.story.silent == self.instance:
+            await self.story.goes_on.wait()
+        if order["operation"] == "reserve":
+            self.tickets[order["id"]] = order["tokens"]
+            if self.story.silent is None:
+                self.story.silent = self.instance
+        else:
+            self.tickets.pop(order["id"], None)
+        free = KV_TOKENS - sum(self.tickets.values())
+        answer = json.dumps({"free": free}).encode()
+        head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        head += f"Content-Length: {len(answer)}\r\n\r\n"
+        writer.write(head.encode() + answer)
+        await writer.drain()
+        return True
 
-    async def wait(self):
-        await self._goes_on.wait()
 
+def read_s(helpers):
+    """Return how long the engines need to read the prompt together."""
+    pairs_m = PROMPT_TOKENS * (PROMPT_TOKENS + 1) / 2 / 1e6
+    all_ms = PROMPT_TOKENS / READ_PER_MS + pairs_m * PAIRS_MS_PER_M
+    return all_ms / (1 + helpers) / 1000
 
-def make_answer(record, pause):
+
+def make_stream(story):
     async def answer(worker, target, headers, body, writer):
         attempt = headers["x-fireflyspur-attempt-id"]
-        begin = int(headers.get("last-event-id") or 0) + 1
-        record.add(f"{worker.instance} runs {attempt} from event {begin}")
+        helpers = headers.get("x-fireflyspur-helpers", "")
+        count = len(helpers.split(",")) if helpers else 0
+        story.record.add(
+            f"{worker.instance} runs {attempt} with {count} helpers, reads"
+            f" for {read_s(count):.2f} s"
+        )
+        await asyncio.sleep(read_s(count))
         writer.write(
             worker.head(
                 headers,
@@ -94,103 +165,176 @@
                 f"X-Fireflyspur-Response-Seal: {worker.instance}.{attempt}",
             ).encode()
         )
-        try:
-            for number in range(begin, EVENTS + 1):
-                await pause.wait()
-                data = f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
-                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-                await writer.drain()
-                await asyncio.sleep(EVENT_S)
-        except asyncio.CancelledError:
-            record.add(f"{worker.instance}: connection of {attempt} closed")
-            raise
+        begin = int(headers.get("last-event-id") or 0) + 1
+        for number in range(begin, EVENTS + 1):
+            data = f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        asyncio.ensure_future(story.hold())
+        await asyncio.sleep(0.01)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        record.add(f"{worker.instance} has ended {attempt}")
+        story.record.add(f"{worker.instance} has ended {attempt}")
+        story.ended.set()
         return True
 
     return answer
 
 
-async def send(node, number, record):
-    """Send one request; returns its node, answer, and times."""
-    attempt = f"q{number:03d}"
-    sent_at = time.monotonic()
-    answer = await standins.request(
-        node.front,
-        "POST",
-        "/quote/2f",
-        {
-            "Host": HOST,
-            "X-Fireflyspur-Attempt-Id": attempt,
-            "X-Fireflyspur-Model": "m",
-            "X-Fireflyspur-Token-Count": (
-                f"{PROMPT_TOKENS},{EVENTS * EVENT_TOKENS}"
-            ),
-            "X-Fireflyspur-Prompt-Prefix": f"{number:08x}:{PROMPT_TOKENS}",
-            "X-Fireflyspur-Deadline-Ms": DEADLINE_MS,
-            "Authorization": f"Token {KEY}",
-        },
-        body=b"x" * 1200,
-        timeout_s=DEADLINE_MS / 1000 + 1,
-    )
-    ended_at = time.monotonic()
-    events = answer.body.count(b"\n\n")
-    record.add(
-        f"client {attempt} at {node.name}: {answer.status},"
-        f" {events or 'part'} of {EVENTS} events after"
-        f" {ended_at - sent_at:.2f} s; {answer.reason or 'complete'}"
-    )
-    return node, attempt, answer, ended_at - sent_at
+def make_booking(story):
+    async def answer(worker, target, headers, body, writer):
+        attempt = headers["x-fireflyspur-attempt-id"]
+        story.record.add(f"{worker.instance} runs {attempt}")
+        await asyncio.sleep(BOOKING_WORK_S)
+        data = b"booked " + attempt.encode()
+        writer.write(
+            worker.head(
+                headers,
+                f"Content-Length: {len(data)}",
+                f"X-Fireflyspur-Response-Seal: {worker.instance}.{attempt}",
+            ).encode()
+            + data
+        )
+        await writer.drain()
+        return True
 
+    return answer
 
-async def play(fleet, record):
-    fleet.put_config(ROUTES, SERVICES, TENANTS)
-    pauses = [Pause() for _ in range(WORKERS)]
-    for number in range(WORKERS):
+
+def request_headers(attempt, deadline_ms):
+    return {
+        "Host": HOST,
+        "X-Fireflyspur-Attempt-Id": attempt,
+        "X-Fireflyspur-Deadline-Ms": deadline_ms,
+        "Authorization": f"Token {KEY}",
+    }
+
+
+class KeptClient:
+    """A client that keeps its connection open."""
+
+    def __init__(self, node, record):
+        self._node = node
+        self._record = record
+        self._reader = None
+        self._writer = None
+
+    async def connect(self):
+        host, _, port = self._node.front.rpartition(":")
+        self._reader, self._writer = await asyncio.open_connection(
+            host, int(port)
+        )
+
+    async def book(self, attempt):
+        """Book on the kept connection.
+
+        :returns: status; 0 if the connection closed without an answer, or
+            None if it had closed before
+        """
+        if self._reader.at_eof():
+            self._record.add(f"client {attempt}: not sent, closed before")
+            return None
+        headers = request_headers(attempt, BOOKING_DEADLINE_MS)
+        lines = ["POST /booking/2f HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        body = b"x" * 600
+        lines.append(f"Content-Length: {len(body)}")
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+        sent_at = time.monotonic()
+        got = {}
+        try:
+            self._writer.write(head + body)
+            await self._writer.drain()
+            first, got = await standins.read_message(self._reader)
+            await standins.read_body(got, self._reader)
+            status = int(first.split()[1])
+        except (asyncio.IncompleteReadError, ConnectionError):
+            status = 0
+        self._record.add(
+            f"client {attempt}: {status or 'closed without an answer'}"
+            f" after {time.monotonic() - sent_at:.3f} s"
+        )
+        if got.get("connection") == "close":
+            self._writer.close()
+        return status
+
+    def close(self):
+        self._writer.close()
+
+
+async def book_later(client, number, story):
+    """Book once, some time after the long answer has ended."""
+    await story.ended.wait()
+    await asyncio.sleep(QUIET_S + number * BOOKING_GAP_S)
+    attempt = f"b{number:03d}"
+    return attempt, time.monotonic(), await client.book(attempt)
+
+
+async def add_workers(fleet, story):
+    for number in range(ENGINES):
+        engine = Engine(
+            f"i-model-{number}",
+            MODELS,
+            f"zone-{number % 3}",
+            fleet.record,
+            make_stream(story),
+            story=story,
+        )
+        await engine.start(f"{fleet.network}.{100 + number}")
+        fleet.workers.append(engine)
+        engine.beat(fleet.store)
+    for number in range(3):
         await fleet.add_worker(
-            f"i-{number}",
-            SERVICE,
-            f"zone-{number}",
-            make_answer(record, pauses[number]),
-            slots=SLOTS,
+            f"i-desk-{number}", DESK, f"zone-{number}", make_booking(story)
         )
-    for number in range(NODES):
-        await fleet.add_node(f"front-{number}", f"zone-{number % 3}")
+
+
+async def play(fleet, record):
+    fleet.put_config(ROUTES, SERVICES, TENANTS)
+    story = Story(record)
+    await add_workers(fleet, story)
+    for number in range(3):
+        await fleet.add_node(f"front-{number}", f"zone-{number}")
     await fleet.wait_until_ready()
-    await asyncio.sleep(4.0)
-    sending = []
-    for number in range(WORKERS * SLOTS):
-        node = fleet.nodes[number % NODES]
-        sending.append(asyncio.ensure_future(send(node, number, record)))
-        await asyncio.sleep(0.03)
+    await asyncio.sleep(2.0)
+    stopped = fleet.nodes[0]
+    clients = [KeptClient(stopped, record) for _ in range(BOOKINGS)]
+    for number, client in enumerate(clients):
+        await client.connect()
+        await client.book(f"first{number:03d}")
+    headers = request_headers("ledger-1", 15_000)
+    headers["X-Fireflyspur-Model"] = "m"
+    tokens = f"{PROMPT_TOKENS},{EVENTS * EVENT_TOKENS}"
+    headers["X-Fireflyspur-Token-Count"] = tokens
+    headers["X-Fireflyspur-Prompt-Prefix"] = f"5c1e07a2:{PROMPT_TOKENS}"
+    ledger = asyncio.ensure_future(
+        standins.request(
+            stopped.front, "POST", "/ledger/2f", headers, b"x" * 900, 16.0
+        )
+    )
+    booking = [
+        asyncio.ensure_future(book_later(client, number, story))
+        for number, client in enumerate(clients)
+    ]
     await asyncio.sleep(STOP_AFTER_S)
-    stopped = fleet.nodes[-1]
     stopped.send_signal(signal.SIGTERM)
+    stopped_at = time.monotonic()
     record.add(f"SIGTERM to {stopped.name}")
-    await asyncio.sleep(SILENT_AFTER_S)
-    if standins.is_troubled():
-        at_stopped = {
-            f"q{number:03d}"
-            for number in range(WORKERS * SLOTS)
-            if fleet.nodes[number % NODES] is stopped
-        }
-        counts = [len(at_stopped.intersection(w.runs)) for w in fleet.workers]
-        silent = counts.index(max(counts))
-        name = fleet.workers[silent].instance
-        record.add(f"{name} is silent; it has {max(counts)} of {stopped.name}")
-        await pauses[silent].hold(SILENT_S)
-        record.add(f"{name} goes on")
-    lost = []
-    for node, attempt, answer, lasted_s in await asyncio.gather(*sending):
-        is_cut = answer.status is None or not answer.is_complete
-        # No worker broke off, and no time limit was reached.
-        if node is stopped and is_cut and lasted_s < DEADLINE_MS / 1000:
-            lost.append(attempt)
-    for line in stopped.log().splitlines():
-        if any(f'"{attempt}"' in line for attempt in lost):
-            record.add(f"log: {line}")
-    record.add(f"{len(lost)} requests lost at the stopped node: {lost}")
+    answer = await ledger
+    record.add(f"ledger-1: {answer.status} {answer.reason or 'whole'}")
+    results = await asyncio.gather(*booking)
+    passed_on = {attempt for worker in fleet.workers for attempt in worker.runs}
+    lost = [
+        attempt
+        for attempt, sent_at, status in results
+        if status == 0
+        and attempt in passed_on
+        and sent_at < stopped_at + GRACE_S + 1
+    ]
+    record.add(f"bookings passed on and cut without an answer: {lost}")
+    for client in clients:
+        client.close()
     return bool(lost)
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A node freezes while a large configuration changes several times."""
+"""A sound engine is silent for a second while a node stops as planned."""
 
 import asyncio
 import pathlib
@@ -7,198 +7,191 @@
 
 import platform_standins as standins
 
-HOST, KEY = "shop.example", "key-1"
-OLD, NEW = "shop-desk", "shop-desk-2"
-# Routes of the sheet's days, with those that a big_config adds (350).
-ROUTES = 110 + 350
-# Largest doses: node_freeze for 3.5 s; config_storm for 2 s, each 0.08 s.
-FREEZE_S = 3.5
-STORM_S, STORM_GAP_S = 2.0, 0.08
-# The storm lies in the freeze.
-STORM_AT_S = 1.0
-STABILITY_S = standins.BOUNDS["stability_window_ms"] / 1000
-APPLY_S = standins.BOUNDS["config_apply_ms"] / 1000
-WATCH_S = 6.0
-GAP_S = 0.05
-
-
-def idle_route(number):
-    return {
-        "name": f"r-idle{number:05d}",
-        "host": "ficu95.example",
-        "path_prefix": f"/idle{number:05d}/",
+SERVICE, HOST, KEY = "mender-assistant", "mender.example", "key-1"
+# Figures of the sheet's engines.
+SLOTS = 8
+ENGINE = {
+    "slots": SLOTS,
+    "kv_capacity_tokens": 450000,
+    "kv_token_bytes": 327680,
+    "link_mbps": 400000.0,
+    "stride": 46,
+    "models": [{"name": "m"}],
+    "step_ms": 0.925,
+    "per_seq_ms": 0.00966,
+    "context_per_k": 0.00254,
+    "read_per_s": 256000.0,
+    "pairs_per_m": 0.0917,
+    "chunk": 2048,
+    "report_lag_ms": 200.0,
+    "usual": {"prompt": 13199, "answer": 1541},
+    "hop_ms": 0.1,
+}
+SERVICES = [
+    {
+        "name": SERVICE,
+        "health_check": "/health",
+        "max_connections": 274,
+        "protocol": "h1",
+        "tls": False,
+        "engine": ENGINE,
+    }
+]
+TENANTS = [{"name": "tenant-1", "api_keys": [KEY]}]
+DEADLINE_MS = 10_000
+ROUTES = [
+    {
+        "name": "r-quote",
+        "host": HOST,
+        "path_prefix": "/quote/",
         "kind": "streaming",
-        "timeout_ms": 10000,
+        "timeout_ms": DEADLINE_MS,
         "target_latency_ms": 300,
         "priority": 1,
-        "traffic_split": [
-            {"service": OLD, "weight": 90},
-            {"service": NEW, "weight": 10},
-        ],
+        "service": SERVICE,
         "max_attempts": 2,
         "public": False,
         "sticky": True,
         "stream_resume": True,
         "gap_aim_ms": 200,
     }
-
-
-def routes(service, target_ms):
-    """Return all routes; the one in use goes to a service."""
-    used = {
-        "name": "r-lookup",
-        "host": HOST,
-        "path_prefix": "/lookup/",
-        "kind": "safe",
-        "timeout_ms": 1500,
-        "target_latency_ms": target_ms,
-        "priority": 2,
-        "service": service,
-        "max_attempts": 2,
-        "public": False,
-        "sticky": False,
-    }
-    return [used, *(idle_route(number) for number in range(ROUTES))]
-
-
-def service(name):
-    return {
-        "name": name,
-        "health_check": "/health",
-        "max_connections": 110,
-        "protocol": "h1",
-        "tls": False,
-    }
-
-
-SERVICES = [service(OLD), service(NEW)]
-TENANTS = [{"name": "tenant-1", "api_keys": [KEY]}]
-
-
-async def answer(worker, target, headers, body, writer):
-    attempt = headers["x-fireflyspur-attempt-id"]
-    data = f"{worker.service} {attempt}".encode()
-    writer.write(
-        worker.head(
-            headers,
-            f"Content-Length: {len(data)}",
-            f"X-Fireflyspur-Response-Seal: {worker.instance}.{attempt}",
-        ).encode()
-        + data
-    )
-    await writer.drain()
-    return True
-
-
-async def send(node, attempt):
-    return await standins.request(
+]
+PROMPT_TOKENS, EVENTS, EVENT_TOKENS = 4_960, 87, 46
+# A pass of a full engine takes 54 ms.
+EVENT_S = 0.054
+NODES, WORKERS = 4, 2
+STOP_AFTER_S = 1.0
+# A sound worker may be silent "for a second or so"; clients stay for 2 s.
+SILENT_AFTER_S, SILENT_S = 1.0, 1.2
+
+
+class Pause:
+    """When a worker is silent."""
+
+    def __init__(self):
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
+
+    async def hold(self, seconds):
+        self._goes_on.clear()
+        await asyncio.sleep(seconds)
+        self._goes_on.set()
+
+    async def wait(self):
+        await self._goes_on.wait()
+
+
+def make_answer(record, pause):
+    async def answer(worker, target, headers, body, writer):
+        attempt = headers["x-fireflyspur-attempt-id"]
+        begin = int(headers.get("last-event-id") or 0) + 1
+        record.add(f"{worker.instance} runs {attempt} from event {begin}")
+        writer.write(
+            worker.head(
+                headers,
+                "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked",
+                f"X-Fireflyspur-Response-Seal: {worker.instance}.{attempt}",
+            ).encode()
+        )
+        try:
+            for number in range(begin, EVENTS + 1):
+                await pause.wait()
+                data = f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
+                await asyncio.sleep(EVENT_S)
+        except asyncio.CancelledError:
+            record.add(f"{worker.instance}: connection of {attempt} closed")
+            raise
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        record.add(f"{worker.instance} has ended {attempt}")
+        return True
+
+    return answer
+
+
+async def send(node, number, record):
+    """Send one request; returns its node, answer, and times."""
+    attempt = f"q{number:03d}"
+    sent_at = time.monotonic()
+    answer = await standins.request(
         node.front,
-        "GET",
-        "/lookup/2f",
+        "POST",
+        "/quote/2f",
         {
             "Host": HOST,
             "X-Fireflyspur-Attempt-Id": attempt,
-            "X-Fireflyspur-Deadline-Ms": 1500,
+            "X-Fireflyspur-Model": "m",
+            "X-Fireflyspur-Token-Count": (
+                f"{PROMPT_TOKENS},{EVENTS * EVENT_TOKENS}"
+            ),
+            "X-Fireflyspur-Prompt-Prefix": f"{number:08x}:{PROMPT_TOKENS}",
+            "X-Fireflyspur-Deadline-Ms": DEADLINE_MS,
             "Authorization": f"Token {KEY}",
         },
-        timeout_s=2.0,
+        body=b"x" * 1200,
+        timeout_s=DEADLINE_MS / 1000 + 1,
     )
-
-
-def find_reader(fleet):
-    """Return the node that waits in the store for new configurations."""
-    waits = {
-        node.name: fleet.store.log_waits[node.store_address.partition(":")[0]]
-        for node in fleet.nodes
-    }
-    fleet.record.add(f"reads of the log that waited: {waits}")
-    return max(waits, key=waits.get)
-
-
-async def storm(fleet, record):
-    """Change the configuration; the last change moves the route."""
-    until = time.monotonic() + STORM_S
-    count = 0
-    while time.monotonic() < until:
-        count += 1
-        fleet.put_config(routes(OLD, 125 + count % 2), SERVICES, TENANTS)
-        await asyncio.sleep(STORM_GAP_S)
-    version = fleet.put_config(routes(NEW, 125), SERVICES, TENANTS)
-    record.add(f"version {version} acknowledged: /lookup/ goes to {NEW}")
-    return time.monotonic()
-
-
-async def watch(fleet, frozen, in_touch_at, due_at, record):
-    """Send requests to all nodes; returns those that the old service ran."""
-    late = []
-    number = 0
-    until = time.monotonic() + WATCH_S
-    while time.monotonic() < until:
-        for node in fleet.nodes:
-            number += 1
-            attempt = f"w{number:05d}"
-            sent_at = time.monotonic()
-            result = await send(node, attempt)
-            by_old = result.status == 200 and result.body.startswith(
-                f"{OLD} ".encode()
-            )
-            is_in_touch = node is not frozen or sent_at >= in_touch_at
-            if not by_old:
-                continue
-            is_late = is_in_touch and sent_at > due_at
-            record.add(
-                f"{attempt} at {node.name}: run by {OLD},"
-                f" {sent_at - due_at:+.2f} s from its bound,"
-                f" {sent_at - in_touch_at:+.2f} s from in touch again"
-                + (": LATE" if is_late else "")
-            )
-            if is_late:
-                late.append(attempt)
-        await asyncio.sleep(GAP_S)
-    return late
+    ended_at = time.monotonic()
+    events = answer.body.count(b"\n\n")
+    record.add(
+        f"client {attempt} at {node.name}: {answer.status},"
+        f" {events or 'part'} of {EVENTS} events after"
+        f" {ended_at - sent_at:.2f} s; {answer.reason or 'complete'}"
+    )
+    return node, attempt, answer, ended_at - sent_at
 
 
 async def play(fleet, record):
-    fleet.put_config(routes(OLD, 125), SERVICES, TENANTS)
-    size = fleet.store.size_of("keyed.op", "config")
-    record.add(f"a configuration has {1 + ROUTES} routes and {size} bytes")
-    for number in range(3):
-        for name in (OLD, NEW):
-            await fleet.add_worker(
-                f"i-{name}-{number}", name, f"zone-{number}", answer
-            )
-    for number in range(8):
+    fleet.put_config(ROUTES, SERVICES, TENANTS)
+    pauses = [Pause() for _ in range(WORKERS)]
+    for number in range(WORKERS):
+        await fleet.add_worker(
+            f"i-{number}",
+            SERVICE,
+            f"zone-{number}",
+            make_answer(record, pauses[number]),
+            slots=SLOTS,
+        )
+    for number in range(NODES):
         await fleet.add_node(f"front-{number}", f"zone-{number % 3}")
     await fleet.wait_until_ready()
-    await asyncio.sleep(6.0)
-    reader = find_reader(fleet)
-    frozen = next(node for node in fleet.nodes if node.name != reader)
-    record.add(f"{reader} reads the log for all; {frozen.name} will freeze")
-    for node in fleet.nodes:
-        result = await send(node, f"first-{node.name}")
-        record.add(f"{node.name}: {result.status} {result.body[:12]!r}")
+    await asyncio.sleep(4.0)
+    sending = []
+    for number in range(WORKERS * SLOTS):
+        node = fleet.nodes[number % NODES]
+        sending.append(asyncio.ensure_future(send(node, number, record)))
+        await asyncio.sleep(0.03)
+    await asyncio.sleep(STOP_AFTER_S)
+    stopped = fleet.nodes[-1]
+    stopped.send_signal(signal.SIGTERM)
+    record.add(f"SIGTERM to {stopped.name}")
+    await asyncio.sleep(SILENT_AFTER_S)
     if standins.is_troubled():
-        frozen.send_signal(signal.SIGSTOP)
-        record.add(f"{frozen.name} freezes")
-    frozen_at = time.monotonic()
-    await asyncio.sleep(STORM_AT_S)
-    acknowledged_at = await storm(fleet, record)
-    await asyncio.sleep(frozen_at + FREEZE_S - time.monotonic())
-    frozen.send_signal(signal.SIGCONT)
-    woken_at = time.monotonic()
-    record.add(f"{frozen.name} goes on")
-    late = await watch(
-        fleet,
-        frozen,
-        woken_at + STABILITY_S,
-        acknowledged_at + APPLY_S,
-        record,
-    )
-    for line in frozen.log().splitlines():
-        if "Configuration in force" in line or "resumed" in line:
+        at_stopped = {
+            f"q{number:03d}"
+            for number in range(WORKERS * SLOTS)
+            if fleet.nodes[number % NODES] is stopped
+        }
+        counts = [len(at_stopped.intersection(w.runs)) for w in fleet.workers]
+        silent = counts.index(max(counts))
+        name = fleet.workers[silent].instance
+        record.add(f"{name} is silent; it has {max(counts)} of {stopped.name}")
+        await pauses[silent].hold(SILENT_S)
+        record.add(f"{name} goes on")
+    lost = []
+    for node, attempt, answer, lasted_s in await asyncio.gather(*sending):
+        is_cut = answer.status is None or not answer.is_complete
+        # No worker broke off, and no time limit was reached.
+        if node is stopped and is_cut and lasted_s < DEADLINE_MS / 1000:
+            lost.append(attempt)
+    for line in stopped.log().splitlines():
+        if any(f'"{attempt}"' in line for attempt in lost):
             record.add(f"log: {line}")
-    record.add(f"{len(late)} requests run by the old service too late")
-    return bool(late)
+    record.add(f"{len(lost)} requests lost at the stopped node: {lost}")
+    return bool(lost)
 
 
 standins.run_case(play, pathlib.Path(__file__).resolve().parent)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,197 +1,204 @@
-"""Two weight versions stand side by side, and some clients expect one."""
+"""A node freezes while a large configuration changes several times."""
 
 import asyncio
 import pathlib
+import signal
+import time
 
 import platform_standins as standins
 
-MODELS, DESK, HOST, KEY = "mender-assistant", "shop-desk", "h.example", "key-1"
-SLOTS = 8
-ENGINE = {
-    "slots": SLOTS,
-    "kv_capacity_tokens": 450000,
-    "kv_token_bytes": 327680,
-    "link_mbps": 400000.0,
-    "stride": 46,
-    "models": [{"name": "m"}],
-    "step_ms": 0.925,
-    "per_seq_ms": 0.00966,
-    "context_per_k": 0.00254,
-    "read_per_s": 256000.0,
-    "pairs_per_m": 0.0917,
-    "chunk": 2048,
-    "report_lag_ms": 200.0,
-    "usual": {"prompt": 13199, "answer": 1541},
-    "hop_ms": 0.1,
-}
-DEADLINE_MS = 10_000
-EVENTS, EVENT_S, EVENT_TOKENS, PROMPT_TOKENS = 35, 0.01, 46, 4_960
-VERSIONS = (1, 1, 1, 2, 2, 2)
-# Requests that expect a version come first, some of each.
-EXPECTING, LATER = 12, 40
-
-
-def service(name, **more):
+HOST, KEY = "shop.example", "key-1"
+OLD, NEW = "shop-desk", "shop-desk-2"
+# Routes of the sheet's days, with those that a big_config adds (350).
+ROUTES = 110 + 350
+# Largest doses: node_freeze for 3.5 s; config_storm for 2 s, each 0.08 s.
+FREEZE_S = 3.5
+STORM_S, STORM_GAP_S = 2.0, 0.08
+# The storm lies in the freeze.
+STORM_AT_S = 1.0
+STABILITY_S = standins.BOUNDS["stability_window_ms"] / 1000
+APPLY_S = standins.BOUNDS["config_apply_ms"] / 1000
+WATCH_S = 6.0
+GAP_S = 0.05
+
+
+def idle_route(number):
     return {
-        "name": name,
-        "health_check": "/health",
-        "max_connections": 110,
-        "protocol": "h1",
-        "tls": False,
-        **more,
+        "name": f"r-idle{number:05d}",
+        "host": "ficu95.example",
+        "path_prefix": f"/idle{number:05d}/",
+        "kind": "streaming",
+        "timeout_ms": 10000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "traffic_split": [
+            {"service": OLD, "weight": 90},
+            {"service": NEW, "weight": 10},
+        ],
+        "max_attempts": 2,
+        "public": False,
+        "sticky": True,
+        "stream_resume": True,
+        "gap_aim_ms": 200,
     }
 
 
-def route(name, kind, service_name, **more):
-    return {
-        "name": f"r-{name}",
+def routes(service, target_ms):
+    """Return all routes; the one in use goes to a service."""
+    used = {
+        "name": "r-lookup",
         "host": HOST,
-        "path_prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": DEADLINE_MS,
-        "target_latency_ms": 300,
-        "priority": 1,
-        "service": service_name,
+        "path_prefix": "/lookup/",
+        "kind": "safe",
+        "timeout_ms": 1500,
+        "target_latency_ms": target_ms,
+        "priority": 2,
+        "service": service,
         "max_attempts": 2,
         "public": False,
         "sticky": False,
-        **more,
+    }
+    return [used, *(idle_route(number) for number in range(ROUTES))]
+
+
+def service(name):
+    return {
+        "name": name,
+        "health_check": "/health",
+        "max_connections": 110,
+        "protocol": "h1",
+        "tls": False,
     }
 
 
-ROUTES = [
-    route(
-        "quote",
-        "streaming",
-        MODELS,
-        sticky=True,
-        stream_resume=True,
-        gap_aim_ms=200,
-    ),
-    route("lookup", "safe", DESK),
-]
-SERVICES = [service(MODELS, engine=ENGINE), service(DESK)]
+SERVICES = [service(OLD), service(NEW)]
 TENANTS = [{"name": "tenant-1", "api_keys": [KEY]}]
 
 
-def make_answer(record, version):
-    async def answer(worker, target, headers, body, writer):
-        attempt = headers["x-fireflyspur-attempt-id"]
-        expected = headers.get("x-fireflyspur-expect-version")
-        if version is not None and expected not in (None, str(version)):
-            record.add(
-                f"{worker.instance}, version {version}: 421 for {attempt},"
-                f" which expects {expected}"
+async def answer(worker, target, headers, body, writer):
+    attempt = headers["x-fireflyspur-attempt-id"]
+    data = f"{worker.service} {attempt}".encode()
+    writer.write(
+        worker.head(
+            headers,
+            f"Content-Length: {len(data)}",
+            f"X-Fireflyspur-Response-Seal: {worker.instance}.{attempt}",
+        ).encode()
+        + data
+    )
+    await writer.drain()
+    return True
+
+
+async def send(node, attempt):
+    return await standins.request(
+        node.front,
+        "GET",
+        "/lookup/2f",
+        {
+            "Host": HOST,
+            "X-Fireflyspur-Attempt-Id": attempt,
+            "X-Fireflyspur-Deadline-Ms": 1500,
+            "Authorization": f"Token {KEY}",
+        },
+        timeout_s=2.0,
+    )
+
+
+def find_reader(fleet):
+    """Return the node that waits in the store for new configurations."""
+    waits = {
+        node.name: fleet.store.log_waits[node.store_address.partition(":")[0]]
+        for node in fleet.nodes
+    }
+    fleet.record.add(f"reads of the log that waited: {waits}")
+    return max(waits, key=waits.get)
+
+
+async def storm(fleet, record):
+    """Change the configuration; the last change moves the route."""
+    until = time.monotonic() + STORM_S
+    count = 0
+    while time.monotonic() < until:
+        count += 1
+        fleet.put_config(routes(OLD, 125 + count % 2), SERVICES, TENANTS)
+        await asyncio.sleep(STORM_GAP_S)
+    version = fleet.put_config(routes(NEW, 125), SERVICES, TENANTS)
+    record.add(f"version {version} acknowledged: /lookup/ goes to {NEW}")
+    return time.monotonic()
+
+
+async def watch(fleet, frozen, in_touch_at, due_at, record):
+    """Send requests to all nodes; returns those that the old service ran."""
+    late = []
+    number = 0
+    until = time.monotonic() + WATCH_S
+    while time.monotonic() < until:
+        for node in fleet.nodes:
+            number += 1
+            attempt = f"w{number:05d}"
+            sent_at = time.monotonic()
+            result = await send(node, attempt)
+            by_old = result.status == 200 and result.body.startswith(
+                f"{OLD} ".encode()
             )
-            worker.runs.remove(attempt)
-            writer.write(
-                worker.head(
-                    headers,
-                    "X-Fireflyspur-Not-Executed: 1",
-                    f"At-Server: {worker.instance}",
-                    "Content-Length: 0",
-                    status="421 Misdirected Request",
-                ).encode()
+            is_in_touch = node is not frozen or sent_at >= in_touch_at
+            if not by_old:
+                continue
+            is_late = is_in_touch and sent_at > due_at
+            record.add(
+                f"{attempt} at {node.name}: run by {OLD},"
+                f" {sent_at - due_at:+.2f} s from its bound,"
+                f" {sent_at - in_touch_at:+.2f} s from in touch again"
+                + (": LATE" if is_late else "")
             )
-            await writer.drain()
-            return True
-        seal = f"X-Fireflyspur-Response-Seal: {worker.instance}.{attempt}"
-        if version is None:
-            data = b"status of " + attempt.encode()
-            length = f"Content-Length: {len(data)}"
-            head = worker.head(headers, length, seal).encode()
-            writer.write(head + data)
-            await writer.drain()
-            return True
-        writer.write(
-            worker.head(
-                headers,
-                "Content-Type: text/event-stream",
-                "Transfer-Encoding: chunked",
-                f"X-Fireflyspur-Weight-Versions: {version}",
-                seal,
-            ).encode()
-        )
-        begin = int(headers.get("last-event-id") or 0) + 1
-        for number in range(begin, EVENTS + 1):
-            data = f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await writer.drain()
-            await asyncio.sleep(EVENT_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
-
-    return answer
-
-
-async def send(node, kind, attempt, record, expected=None):
-    """Send a request; returns whether it is served."""
-    headers = {
-        "Host": HOST,
-        "X-Fireflyspur-Attempt-Id": attempt,
-        "X-Fireflyspur-Deadline-Ms": DEADLINE_MS,
-        "Authorization": f"Token {KEY}",
-    }
-    if kind == "quote":
-        tokens = f"{PROMPT_TOKENS},{EVENTS * EVENT_TOKENS}"
-        headers["X-Fireflyspur-Model"] = "m"
-        headers["X-Fireflyspur-Token-Count"] = tokens
-        headers["X-Fireflyspur-Prompt-Prefix"] = (
-            f"{hash(attempt) & 0xFFFFFFFF:08x}:{PROMPT_TOKENS}"
-        )
-    if expected is not None:
-        headers["X-Fireflyspur-Expect-Version"] = expected
-    answer = await standins.request(
-        node.front, "POST", f"/{kind}/2f", headers, b"x" * 600, timeout_s=12.0
-    )
-    text = answer.reason or "whole"
-    if answer.status != 200:
-        text += f" {answer.body[:120]!r}"
-    record.add(f"client {attempt} at {node.name}: {answer.status} {text}")
-    return answer.status == 200 and answer.is_complete
+            if is_late:
+                late.append(attempt)
+        await asyncio.sleep(GAP_S)
+    return late
 
 
 async def play(fleet, record):
-    fleet.put_config(ROUTES, SERVICES, TENANTS)
-    for number, version in enumerate(VERSIONS):
-        await fleet.add_worker(
-            f"i-model-{number}",
-            MODELS,
-            f"zone-{number % 3}",
-            make_answer(record, version),
-            slots=SLOTS,
-        )
-    for number in range(2):
-        await fleet.add_worker(
-            f"i-desk-{number}",
-            DESK,
-            f"zone-{number}",
-            make_answer(record, None),
-        )
+    fleet.put_config(routes(OLD, 125), SERVICES, TENANTS)
+    size = fleet.store.size_of("keyed.op", "config")
+    record.add(f"a configuration has {1 + ROUTES} routes and {size} bytes")
     for number in range(3):
-        await fleet.add_node(f"front-{number}", f"zone-{number}")
+        for name in (OLD, NEW):
+            await fleet.add_worker(
+                f"i-{name}-{number}", name, f"zone-{number}", answer
+            )
+    for number in range(8):
+        await fleet.add_node(f"front-{number}", f"zone-{number % 3}")
     await fleet.wait_until_ready()
-    await asyncio.sleep(3.0)
-    nodes = fleet.nodes
-    for number in range(EXPECTING):
-        expected = None
-        if standins.is_troubled():
-            expected = 1 + number % 2
-        node = nodes[number % len(nodes)]
-        await send(node, "quote", f"e{number:03d}", record, expected)
-    # Well after the last of them; no other disruption is played.
-    await asyncio.sleep(5.0)
-    served = {"quote": 0, "lookup": 0}
-    for number in range(LATER):
-        node = nodes[number % len(nodes)]
-        for kind in served:
-            attempt = f"{kind[0]}{number:03d}"
-            served[kind] += await send(node, kind, attempt, record)
-    all_share = sum(served.values()) / (LATER * len(served))
-    least_share = min(served.values()) / LATER
-    record.add(f"served of {LATER} each, 5 s later: {served}")
-    return least_share < all_share / 4
+    await asyncio.sleep(6.0)
+    reader = find_reader(fleet)
+    frozen = next(node for node in fleet.nodes if node.name != reader)
+    record.add(f"{reader} reads the log for all; {frozen.name} will freeze")
+    for node in fleet.nodes:
+        result = await send(node, f"first-{node.name}")
+        record.add(f"{node.name}: {result.status} {result.body[:12]!r}")
+    if standins.is_troubled():
+        frozen.send_signal(signal.SIGSTOP)
+        record.add(f"{frozen.name} freezes")
+    frozen_at = time.monotonic()
+    await asyncio.sleep(STORM_AT_S)
+    acknowledged_at = await storm(fleet, record)
+    await asyncio.sleep(frozen_at + FREEZE_S - time.monotonic())
+    frozen.send_signal(signal.SIGCONT)
+    woken_at = time.monotonic()
+    record.add(f"{frozen.name} goes on")
+    late = await watch(
+        fleet,
+        frozen,
+        woken_at + STABILITY_S,
+        acknowledged_at + APPLY_S,
+        record,
+    )
+    for line in frozen.log().splitlines():
+        if "Configuration in force" in line or "resumed" in line:
+            record.add(f"log: {line}")
+    record.add(f"{len(late)} requests run by the old service too late")
+    return bool(late)
 
 
 standins.run_case(play, pathlib.Path(__file__).resolve().parent)
