--- a/review/4/case.py
+++ b/review/4/case.py
@@ -146,6 +146,10 @@
             )
             is_in_touch = node is not away or sent_at >= in_touch_at
             if not by_old:
+                record.add(
+                    f"{attempt} at {node.name}: {result.status}"
+                    f" {result.body.decode()!r}"
+                )
                 continue
             is_late = is_in_touch and sent_at > due_at
             record.add(
