--- a/src/fireflyspur/gateway/callers/caller_connection.py
+++ b/src/fireflyspur/gateway/callers/caller_connection.py
@@ -50,6 +50,7 @@
         self._raw_head = b""
         self._is_close_delimited = False
         self._is_receiving = False
+        self._awaits_request = False
         # Once this process was held up: clock time until which the current
         # head or body may take, if that is later than its time limit.
         self._extended_to_s: float | None = None
@@ -67,6 +68,14 @@
         """Whether a part of the next request has arrived."""
         return self._is_receiving
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for a request of which no byte came.
+
+        What the stream has read counts before this connection has seen it.
+        """
+        return self._awaits_request and self._stream.reading()
+
     @property
     def can_respond(self) -> bool:
         """Whether a complete response can still be sent."""
@@ -209,6 +218,7 @@
         started_at_s = clock.now_s()
         limit_s = self._limits().idle_timeout_s
         reading = asyncio.ensure_future(self._receive())
+        self._awaits_request = True
         try:
             while not reading.done():
                 remaining_s = started_at_s + limit_s - clock.now_s()
@@ -218,6 +228,7 @@
                 limit_s = max(limit_s, self._limits().idle_timeout_s)
             return reading.result()
         finally:
+            self._awaits_request = False
             reading.cancel()
 
     async def _read_body(self) -> bytes:
--- a/src/fireflyspur/gateway/callers/caller_server.py
+++ b/src/fireflyspur/gateway/callers/caller_server.py
@@ -19,6 +19,8 @@
 
 # Only the end of a traceback is logged, as it names the failing line.
 _TRACE_CHARACTERS = 2_000
+# A request whose connection closes is cancelled, which waits for nobody.
+_CLOSE_TIMEOUT_S = 0.1
 
 _log = logs.log_for("callers")
 
@@ -54,7 +56,7 @@
         self._handle_error = handle_error
         self._limits = limits
         self._in_progress = 0
-        self._streams: set[iostream.IOStream] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._connections: set[caller_connection.CallerConnection] = set()
 
     @property
@@ -63,12 +65,17 @@
         receiving = sum(c.is_receiving for c in self._connections)
         return self._in_progress + receiving
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are served."""
+        return len(self._tasks)
+
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[str, int]
     ) -> None:
         """Serve a connection until it closes."""
         task = asyncio.current_task()
-        self._streams.add(stream)
+        self._tasks.add(task)
         try:
             socket_options.apply(stream)
             stream.set_close_callback(task.cancel)
@@ -86,14 +93,31 @@
                 trace=traceback.format_exc()[-_TRACE_CHARACTERS:],
             )
         finally:
-            self._streams.discard(stream)
+            self._tasks.discard(task)
             stream.set_close_callback(None)
             stream.close()
 
+    def close_idle(self) -> int:
+        """Close the connections that have sent no part of a request.
+
+        :returns: number of connections that were closed
+        """
+        idle = [c for c in self._connections if c.is_idle]
+        for connection in idle:
+            connection.close()
+        return len(idle)
+
     def close_connections(self) -> None:
-        """Close all connections immediately."""
-        for stream in list(self._streams):
-            stream.close()
+        """Close all connections; unfinished responses look incomplete."""
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def close(self) -> None:
+        """Stop, close all connections and let their requests end."""
+        self.stop()
+        self.close_connections()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=_CLOSE_TIMEOUT_S)
 
     async def _serve_connection(self, stream: iostream.IOStream) -> None:
         connection = caller_connection.CallerConnection(stream, self._limits)
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -231,18 +231,6 @@
         )
 
     def _start(self) -> None:
-        settings = self._settings
-        for server, address in (
-            (self._caller_server, settings.callers),
-            (self._handover_server.server, settings.peers),
-            (self._health_server, settings.health),
-            (self._metrics_server, settings.metrics),
-        ):
-            if address is None:
-                continue
-            server.listen(address.port, address.host, backlog=1024)
-            self._exit_stack.callback(server.close_connections)
-            self._exit_stack.callback(server.stop)
         self._exit_stack.push_async_callback(self._memory_reserver.close)
         self._exit_stack.push_async_callback(self._reachability.close)
         self._exit_stack.push_async_callback(self._endpoint_monitor.close)
@@ -255,7 +243,22 @@
             task = asyncio.ensure_future(coroutine)
             task.add_done_callback(self._on_task_done)
             self._exit_stack.push_async_callback(_cancel, task)
-        _log.info("Started", settings=dataclasses.asdict(settings))
+        self._listen()
+        _log.info("Started", settings=dataclasses.asdict(self._settings))
+
+    def _listen(self) -> None:
+        """Start the servers, which close before all that requests use."""
+        settings = self._settings
+        for server, address in (
+            (self._metrics_server, settings.metrics),
+            (self._health_server, settings.health),
+            (self._handover_server.server, settings.peers),
+            (self._caller_server, settings.callers),
+        ):
+            if address is None:
+                continue
+            server.listen(address.port, address.host, backlog=1024)
+            self._exit_stack.push_async_callback(server.close)
 
     async def _watch_settings(self) -> None:
         """Reload the settings at an interval, without a signal."""
--- a/src/fireflyspur/gateway/node/node_drain.py
+++ b/src/fireflyspur/gateway/node/node_drain.py
@@ -71,20 +71,42 @@
             min(_BALANCER_DETECTION_S, deadline_s - clock.now_s())
         )
         await _wait_until_idle(servers, deadline_s)
+        await _close_connections(servers, deadline_s)
         ended = self._timeouts.end_all()
         _log.info(
             "Stop goes on", in_progress=_in_progress(servers), ended=ended
         )
-        # What has arrived is answered before the connections close.
+        await _close_connections(servers, deadline_s + _LAST_ANSWERS_S)
+        _log.info("Requests no longer served", cut=_in_progress(servers))
         for server in servers:
-            server.stop()
-        await _wait_until_idle(servers, deadline_s + _LAST_ANSWERS_S)
+            await server.close()
 
 
 def _in_progress(servers: Sequence[caller_server.CallerServer]) -> int:
     return sum(server.in_progress for server in servers)
 
 
+async def _close_connections(
+    servers: Sequence[caller_server.CallerServer], deadline_s: float
+) -> None:
+    """Close each connection once no request is in progress on it.
+
+    What has arrived is answered before its connection closes, and nothing is
+    awaited between the check of a connection and its close: a request that
+    was read in between would be cut.
+    """
+    for server in servers:
+        server.stop()
+    closed = 0
+    while True:
+        closed += sum(server.close_idle() for server in servers)
+        is_open = any(server.open_connections for server in servers)
+        if not is_open or clock.now_s() >= deadline_s:
+            break
+        await asyncio.sleep(_POLL_S)
+    _log.info("Connections closed", idle=closed)
+
+
 async def _wait_until_idle(
     servers: Sequence[caller_server.CallerServer], deadline_s: float
 ) -> None:
--- a/src/fireflyspur/node/drain_controller.py
+++ b/src/fireflyspur/node/drain_controller.py
@@ -67,6 +67,8 @@
     async def drain(self) -> None:
         """Serve for the drain time, then until no request is in progress."""
         await asyncio.sleep(self._drain_s)
-        await self._idle.wait()
+        # A request may begin between the end of the wait and this task's turn.
+        while self._in_progress:
+            await self._idle.wait()
         self._refusing = True
         _log.info("No request in progress")
--- a/tests/gateway/callers/test_caller_server.py
+++ b/tests/gateway/callers/test_caller_server.py
@@ -1,6 +1,8 @@
 """Connections of callers."""
 
+import asyncio
 import socket
+import time
 
 import testtools
 from tornado import iostream
@@ -9,6 +11,8 @@
 from fireflyspur.gateway.configuration import routing_config
 from tests.support import async_tests
 from tests.support import captured_logs
+from tests.support import gateway_fleet
+from tests.support import loopback
 
 
 class CallerServerTest(testtools.TestCase):
@@ -26,3 +30,68 @@
         with captured_logs.capture() as records:
             await server.handle_stream(stream, ("127.0.0.1", 1))
         self.assertEqual([], records)
+
+    # What a stop cut off at its end looked complete to callers that know no
+    # chunks.
+    @async_tests.in_loop
+    async def test_response_that_a_close_cuts_off_looks_incomplete(self):
+        is_held = asyncio.Event()
+
+        async def hold(connection, request):
+            await connection.send_head(200, [], None)
+            await connection.send_body(b"the first part")
+            is_held.set()
+            await asyncio.sleep(10)
+
+        server = caller_server.CallerServer(
+            hold, None, lambda: routing_config.CallerLimits()
+        )
+        address = loopback.listen(server)
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        data = gateway_fleet.request_bytes("/once/")
+        writer.write(data.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        await is_held.wait()
+        server.stop()
+        server.close_connections()
+        with testtools.ExpectedException(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+    # A request that was read as its connection was closed was lost.
+    @async_tests.in_loop
+    async def test_only_connections_without_any_byte_are_idle(self):
+        async def respond(connection, request):
+            await connection.send_response(200, [], request.body)
+
+        server = caller_server.CallerServer(
+            respond, None, lambda: routing_config.CallerLimits()
+        )
+        address = loopback.listen(server)
+        opened = [
+            await asyncio.open_connection(address.host, address.port)
+            for _ in range(3)
+        ]
+        data = gateway_fleet.request_bytes("/safe/", body=b"whole")
+        for reader, writer in opened:
+            writer.write(data)
+            await gateway_fleet.read_response(reader)
+        await asyncio.sleep(0.05)
+        (whole, first), (part, second), (none, third) = opened
+        first.write(data)
+        second.write(data[:9])
+        time.sleep(0.02)
+        # The loop has read the bytes then; their tasks have not yet run.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertEqual(1, server.close_idle())
+        second.write(data[9:])
+        replies = [
+            (await gateway_fleet.read_response(reader)).body
+            for reader in (whole, part, none)
+        ]
+        self.assertEqual([b"whole", b"whole", b""], replies)
+        for _, writer in opened:
+            writer.close()
+        await server.close()
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -1,6 +1,7 @@
 """Responses to callers while a node stops."""
 
 import asyncio
+import json
 import os
 import signal
 
@@ -17,6 +18,62 @@
     await fake_endpoint.respond_plain(worker, arrival, stream)
 
 
+# Longer than the memory of one engine.
+_LONG_PROMPT = ["X-Fireflyspur-Token-Count: 600000,100"]
+_LONG_PROMPT_ROUTE = gateway_fleet.route(
+    "chat",
+    "streaming",
+    "models",
+    stream_resume=True,
+    gap_aim_ms=200,
+    target_latency_ms=4_000,
+    timeout_ms=10_000,
+)
+
+
+async def respond_soon(worker, arrival, stream):
+    """Answer after some work."""
+    await asyncio.sleep(0.3)
+    await fake_endpoint.respond_plain(worker, arrival, stream)
+
+
+async def release_late(worker, arrival, stream):
+    """Be silent for a second when memory is released."""
+    is_order = arrival.target == "/api/order"
+    if not is_order:
+        await fake_endpoint.respond_events(8, 0.45)(worker, arrival, stream)
+        return
+    if json.loads(arrival.body)["operation"] == "release":
+        await asyncio.sleep(1.2)
+    await fake_endpoint.respond_status("200 OK", body=b"{}")(
+        worker, arrival, stream
+    )
+
+
+class KeptConnection:
+    """A connection that a caller reuses for many requests."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @property
+    def is_closed(self):
+        return self._reader.at_eof()
+
+    async def request(self, path, **options):
+        """Return the status of a response; 0 if there is none."""
+        try:
+            self._writer.write(gateway_fleet.request_bytes(path, **options))
+            await self._writer.drain()
+            return (await gateway_fleet.read_response(self._reader)).status
+        except ConnectionError:
+            return 0
+
+    def close(self):
+        self._writer.close()
+
+
 class StopTest(testtools.TestCase):
     """Guards against requests that are interrupted by a planned stop."""
 
@@ -120,6 +177,95 @@
         )
         self.assertEqual((200, True, 1), result)
 
+    # While a stopping node waited for memory to be released, it still passed
+    # requests on, and closed their connections when it was released.
+    @async_tests.in_loop
+    async def test_no_request_is_cut_while_memory_is_released(self):
+        async with gateway_fleet.GatewayFleet(engines=4) as fleet:
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.default_behaviour = release_late
+            for desk in fleet.desks:
+                desk.default_behaviour = respond_soon
+            fleet.publish(
+                gateway_fleet.config(
+                    version=2,
+                    routes=[
+                        _LONG_PROMPT_ROUTE,
+                        gateway_fleet.route("unsafe", "unsafe", "desk"),
+                    ],
+                    limits={
+                        "max_header_bytes": 4_096,
+                        "max_body_bytes": 100_000,
+                        "header_timeout_ms": 400,
+                        "idle_timeout_ms": 15_000,
+                    },
+                )
+            )
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 2
+            )
+            kept = [KeptConnection(*await node.connect()) for _ in range(12)]
+            statuses = await asyncio.gather(
+                *(c.request("/unsafe/", attempt_id="before") for c in kept)
+            )
+            self.assertEqual([200] * 12, statuses)
+            prompt = asyncio.ensure_future(
+                node.request("/chat/", extra=_LONG_PROMPT, deadline_ms=9_000)
+            )
+            await asyncio.sleep(0.2)
+            os.kill(os.getpid(), signal.SIGTERM)
+            self.assertEqual(200, (await prompt).status)
+            # Callers are quiet for a moment, so that nothing is in progress.
+            await asyncio.sleep(0.4)
+            tasks = {}
+            for number, connection in enumerate(kept):
+                if not connection.is_closed:
+                    tasks[f"late-{number}"] = asyncio.ensure_future(
+                        connection.request(
+                            "/unsafe/", attempt_id=f"late-{number}"
+                        )
+                    )
+                await asyncio.sleep(0.1)
+            await node.task
+            unanswered = {
+                attempt_id
+                for attempt_id, task in tasks.items()
+                if await task != 200
+            }
+            passed_on = {a.attempt_id for a in fleet.arrivals}
+            for connection in kept:
+                connection.close()
+        self.assertEqual(set(), unanswered & passed_on)
+
+    # A request that arrives as a stopping node closes kept connections is
+    # answered, and the grace lasts as long for it as for the others.
+    @async_tests.in_loop
+    async def test_request_that_meets_the_close_is_answered(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            for desk in fleet.desks:
+                desk.default_behaviour = respond_soon
+            kept = [KeptConnection(*await node.connect()) for _ in range(40)]
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(2.9)
+            tasks = {}
+            for number, connection in enumerate(kept):
+                if not connection.is_closed:
+                    tasks[f"late-{number}"] = asyncio.ensure_future(
+                        connection.request(
+                            "/unsafe/", attempt_id=f"late-{number}"
+                        )
+                    )
+                await asyncio.sleep(0.007)
+            await node.task
+            results = {name: await task for name, task in tasks.items()}
+            passed_on = {a.attempt_id for a in fleet.arrivals}
+            for connection in kept:
+                connection.close()
+        cut = {n for n, status in results.items() if status != 200}
+        self.assertEqual(set(), cut & passed_on)
+
     @async_tests.in_loop
     async def test_lost_responses_do_not_count_as_crashes(self):
         async with gateway_fleet.GatewayFleet(desks=4) as fleet:
