--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -66,6 +66,8 @@
         self._on_head = on_head
         self._on_response_start = on_response_start
         self._watch_silence = watch_silence
+        # Progress of the relay when the request was sent.
+        self._sent_at_progress = 0
 
     async def run(
         self, placement: placements.Placement
@@ -150,6 +152,7 @@
         plan = self._plan
         tickets = {r.endpoint.instance: r.ticket for r in reservations}
         last_event_id = self._relay.last_event_id or plan.resumed_after_id
+        self._sent_at_progress = self._relay.progress
         info = messages.ForwardInfo(
             remaining_s=max(0.0, plan.deadline_s - clock.now_s()),
             instance=placement.primary.instance,
@@ -203,6 +206,9 @@
             raise exceptions.BrokenResponseError(
                 "the response is not sealed, or is encoded"
             )
+        if self._relay.progress != self._sent_at_progress:
+            # This response repeats what another one has added meanwhile.
+            return attempt_result.Overtaken()
         self._on_response_start()
         if self._plan.route.kind is routing_config.RouteKind.STREAMING:
             await self._relay.relay_events(exchange, head)
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -168,6 +168,25 @@
                 placement.primary, lambda: self._record_crash(crash)
             )
 
+    def report_silent(
+        self, silent: placements.Placement, other: placements.Placement
+    ) -> None:
+        """Report that another endpoint is tried beside a silent one."""
+        _log.info(
+            "Other endpoint tried beside a silent one",
+            request=self._attempt_id,
+            instance=silent.primary.instance,
+            other=other.primary.instance,
+        )
+
+    def report_overtaken(self, placement: placements.Placement) -> None:
+        """Report an attempt that was not needed, as the silent one goes on."""
+        _log.info(
+            "Silent endpoint goes on",
+            request=self._attempt_id,
+            other=placement.primary.instance,
+        )
+
     def _record_crash(self, crash: part_quarantine.PartCrash) -> None:
         self._deps.crashes.record_crash(
             quarantine.RequestCrash(
--- a/src/fireflyspur/gateway/requests/attempt_result.py
+++ b/src/fireflyspur/gateway/requests/attempt_result.py
@@ -72,4 +72,9 @@
     body: bytes
 
 
-AttemptResult = Delivered | NotSent | NotRun | Broken | Rejected
+@dataclasses.dataclass(frozen=True)
+class Overtaken:
+    """Another attempt went on, so that the response was not used."""
+
+
+AttemptResult = Delivered | NotSent | NotRun | Broken | Rejected | Overtaken
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -1,5 +1,8 @@
 """Running of one request through attempts at endpoints."""
 
+from collections.abc import Callable
+import contextlib
+
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway.common import clock
@@ -8,6 +11,7 @@
 from fireflyspur.gateway.handover import exceptions as handover_exceptions
 from fireflyspur.gateway.handover import handover_run
 from fireflyspur.gateway.requests import attempt as attempts
+from fireflyspur.gateway.requests import attempt_race
 from fireflyspur.gateway.requests import attempt_reporter
 from fireflyspur.gateway.requests import attempt_result
 from fireflyspur.gateway.requests import attempt_tracking
@@ -53,8 +57,6 @@
         self._reporter = attempt_reporter.AttemptReporter(deps, plan)
         # When to return if the rates of all endpoints are used up.
         self._limited_retry_s: float | None = None
-        # Clock time of the start of the last attempt.
-        self._attempted_at_s = 0.0
         handover = plan.handover
         self._tried = list(handover.tried) if handover else []
         self._excluded: list[str] = []
@@ -64,7 +66,9 @@
         self._is_counted = False
         self._handover: handover_run.HandoverRun | None = None
         self._reason = _NONE_READY
-        self._may_have_run = False
+        self._attempts = attempt_race.AttemptRace()
+        # Whether an attempt that has ended may have run.
+        self._has_run = False
         self._response_start_s: float | None = None
         self._placement: placements.Placement | None = None
         self._rejected: attempt_result.Rejected | None = None
@@ -94,6 +98,10 @@
                 "no endpoint accepted the request in time"
             ) from error
 
+    @property
+    def _may_have_run(self) -> bool:
+        return self._has_run or self._attempts.is_running
+
     def log_end(
         self, status: int, error: base_exceptions.FireflyspurError | None
     ) -> None:
@@ -134,11 +142,59 @@
             placement = self._place()
             if placement is None or not self._acquire_retry():
                 break
-            result = await self._attempt(placement)
-            if await self._handle_result(placement, result):
+            if await self._run_beside_silent(placement):
                 return True
         return False
 
+    async def _run_beside_silent(
+        self, placement: placements.Placement
+    ) -> bool:
+        """Run an attempt, and others while it is silent.
+
+        :returns: whether one responded
+        :raises FireflyspurError: if the caller gets no complete response
+        """
+        async with self._attempts as running:
+            self._start(placement)
+            while running.is_running:
+                match await running.wait():
+                    case attempt_race.Silent(silent):
+                        self._try_beside(silent)
+                    case attempt_race.Ended() as ended:
+                        if await self._handle_result(ended):
+                            return True
+        return False
+
+    def _start(self, placement: placements.Placement) -> None:
+        started = attempt_race.Started(placement)
+        self._tried.append(placement.primary.instance)
+        self._placement = placement
+        remaining_s = self._plan.deadline_s - clock.now_s()
+        with contextlib.ExitStack() as stack:
+            # Tracked from now on, as other requests are placed next.
+            end_prefill = stack.enter_context(
+                attempt_tracking.track(
+                    self._deps.in_flight,
+                    placement,
+                    self._demand(),
+                    remaining_s,
+                )
+            )
+            tracking = stack.pop_all()
+        self._attempts.start(
+            started, self._attempt(started, tracking, end_prefill), tracking
+        )
+
+    def _try_beside(self, silent: attempt_race.Started) -> None:
+        """Start another attempt if there is room, and keep the silent one."""
+        if self._reporter.find_crash_reason() is not None:
+            return
+        placement = self._place() if self._may_move() else None
+        if placement is None or not self._acquire_retry():
+            return
+        self._reporter.report_silent(silent.placement, placement)
+        self._start(placement)
+
     def _must_count(self) -> bool:
         """Return whether the request counts for the budget of this node.
 
@@ -253,17 +309,15 @@
             )
         return placement
 
-    async def _handle_result(
-        self,
-        placement: placements.Placement,
-        result: attempt_result.AttemptResult,
-    ) -> bool:
+    async def _handle_result(self, ended: attempt_race.Ended) -> bool:
         """Handle the result of an attempt.
 
         :returns: whether the request is complete; False to try another
-            endpoint
+            endpoint, or to wait for another attempt
         :raises FireflyspurError: if no other endpoint may be tried
         """
+        placement, result = ended.started.placement, ended.result
+        self._deps.metrics.count_attempt(type(result).__name__)
         match result:
             case attempt_result.Delivered(status, is_confirmed):
                 self._reporter.report_delivered(placement, is_confirmed)
@@ -272,7 +326,7 @@
             case attempt_result.NotSent(reason, instance):
                 self._reason = reason
                 self._excluded.append(instance)
-                self._tried.pop()
+                self._tried.remove(placement.primary.instance)
                 self._reporter.report_not_sent(result)
             case attempt_result.NotRun(reason):
                 self._reason = reason
@@ -282,11 +336,12 @@
                 if failed_member is not None:
                     self._excluded.append(failed_member)
             case attempt_result.Broken(reason):
+                self._has_run = True
                 self._reason = reason
                 self._reporter.report_broken(
                     placement,
                     result,
-                    self._attempted_at_s,
+                    ended.started.started_at_s,
                     self._relay.last_event_id,
                 )
                 if result.failed_member is not None:
@@ -294,12 +349,15 @@
                 if not self._plan.route.may_repeat:
                     raise exceptions.BrokenResponseError(reason)
             case attempt_result.Rejected(head):
+                self._has_run = True
                 self._reason = f"status {head.status}"
-                self._may_have_run = True
                 self._rejected = result
-                if not self._may_retry(head):
+                if not (self._attempts.is_running or self._may_retry(head)):
                     await self._send_failure(result)
                     return True
+            case attempt_result.Overtaken():
+                self._has_run = True
+                self._reporter.report_overtaken(placement)
         return False
 
     def _demand(self) -> placement_cost.Demand:
@@ -314,18 +372,20 @@
         )
 
     async def _attempt(
-        self, placement: placements.Placement
+        self,
+        started: attempt_race.Started,
+        tracking: contextlib.ExitStack,
+        end_prefill: Callable[[], None],
     ) -> attempt_result.AttemptResult:
-        self._tried.append(placement.primary.instance)
-        self._placement = placement
-        self._attempted_at_s = clock.now_s()
-        remaining_s = self._plan.deadline_s - clock.now_s()
-        with attempt_tracking.track(
-            self._deps.in_flight, placement, self._demand(), remaining_s
-        ) as end_prefill:
+        placement = started.placement
+        with tracking:
 
             def record_response_start() -> None:
                 self._record_response_start()
+                self._attempts.report_response(
+                    started,
+                    f"silent, {placement.primary.instance} responds",
+                )
                 end_prefill()
 
             attempt = attempts.Attempt(
@@ -338,21 +398,14 @@
                     placement.primary, head, info
                 ),
                 record_response_start,
-                self._stall_detector,
+                lambda _: self._stall_detector(started),
             )
-            may_have_run = self._may_have_run
-            # Assumed until the attempt ends, as a timeout may cancel it.
-            self._may_have_run = True
-            result = await attempt.run(placement)
-            self._deps.metrics.count_attempt(type(result).__name__)
-            match result:
-                case attempt_result.NotRun() | attempt_result.NotSent():
-                    self._may_have_run = may_have_run
-            return result
+            return await attempt.run(placement)
 
     def _stall_detector(
-        self, placement: placements.Placement
+        self, started: attempt_race.Started
     ) -> http_exchange.SilenceCallback:
+        placement = started.placement
         engine = self._plan.service.engine
         members = [placement.primary, *(h.endpoint for h in placement.helpers)]
         return stall_detector.StallDetector(
@@ -360,11 +413,22 @@
             members,
             engine,
             self._may_move,
+            self._lacks_paths,
+            lambda: self._attempts.report_silence(started),
+            lambda: self._attempts.report_progress(started),
             self._may_meet_target,
         )
 
+    async def _lacks_paths(self) -> bool:
+        """Return whether another node should try the request.
+
+        An endpoint that accepts no connection may have shown lost paths.
+        """
+        await self._deps.reachable.settle()
+        return self._must_hand_over()
+
     def _may_move(self) -> bool:
-        """Return whether the request could be run elsewhere now."""
+        """Return whether the request may be sent elsewhere now."""
         route, service = self._plan.route, self._plan.service.name
         if not route.may_repeat or len(self._tried) >= route.max_attempts:
             return False
--- a/src/fireflyspur/gateway/requests/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -38,6 +38,7 @@
         self._longest_gap_s = 0.0
         # Bytes of all endpoints' responses to this request.
         self._size = 0
+        self._progress = 0
 
     @property
     def longest_gap_s(self) -> float:
@@ -49,6 +50,11 @@
         """Whether a part of the response has been sent to the caller."""
         return self._is_started
 
+    @property
+    def progress(self) -> int:
+        """Changes with each part that is relayed, comments aside."""
+        return self._progress
+
     @property
     def last_event_id(self) -> str | None:
         """ID of the last event that was relayed, or None."""
@@ -68,6 +74,7 @@
             buffered += part
             if len(buffered) > _MAX_BUFFERED_BYTES:
                 return await self._relay_long(exchange, head, bytes(buffered))
+        self._progress += 1
         self._is_started = True
         await self._connection.send_response(
             head.status, head.headers, bytes(buffered), is_last=self._is_last()
@@ -94,11 +101,13 @@
                 continue
             if event_splitter.has_content(events):
                 has_events = True
+                self._progress += 1
                 exchange.record_progress()
                 self._record_event()
             await self._send_head_once(head)
             await self._connection.send_body(events)
         self._check_end(exchange, has_events)
+        self._progress += 1
         await self._send_head_once(head)
         if self._splitter.tail:
             # Blank lines, which end the body that the endpoint sent.
@@ -109,6 +118,7 @@
         self, head: messages.ResponseHead, body: bytes
     ) -> None:
         """Relay an error response of an endpoint."""
+        self._progress += 1
         self._is_started = True
         await self._connection.send_response(
             head.status, head.headers, body, is_last=self._is_last()
@@ -165,6 +175,7 @@
         head: messages.ResponseHead,
         buffered: bytes,
     ) -> int:
+        self._progress += 1
         await self._send_head_once(head)
         await self._connection.send_body(buffered)
         size = len(buffered)
