--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -162,8 +162,10 @@
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
             # All nodes have received the announcement of this version.
-            self._requested_version = self._link.announced_version
+            announced = self._link.announced_version
             read = await self._registry.wait_config(0)
+            # Asked for only now, as a call that failed has found nothing.
+            self._requested_version = announced
             self._apply_config(read)
             self._log_missing(read)
             await asyncio.sleep(_CHANGE_PAUSE_S)
--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -60,7 +60,7 @@
 class NewestRecords:
     """The newest record of each key of a topic.
 
-    :param end: offset of the next record to be appended
+    :param end: offset before which all records have been regarded
     :param epoch: epoch of the store; offsets are valid within one epoch
     """
 
@@ -81,12 +81,15 @@
 class LogPage:
     """Consecutive records of a topic.
 
+    :param next: offset after the last of the records; lower than the end if
+        the page holds only a part of them
     :param end: offset of the next record to be appended
     :param is_expired: whether the requested records are not there
     :param epoch: epoch of the store; offsets are valid within one epoch
     """
 
     records: tuple[KeyedRecord, ...]
+    next: int
     end: int
     is_expired: bool = False
     epoch: int = 0
@@ -120,6 +123,7 @@
         records: list[NewestRecord] = []
         after = None
         first_epoch = None
+        end = None
         while True:
             query = {"topic": topic, "part": "0"}
             if after is not None:
@@ -137,8 +141,14 @@
                 raise exceptions.StoreUnavailableError(
                     f"the store's response is invalid: {error}"
                 ) from error
-            if not page.has_more or not page.items:
-                return NewestRecords(tuple(records), page.end, first_epoch)
+            # A record may be replaced after the page that held it.
+            end = page.end if end is None else min(end, page.end)
+            if not page.has_more:
+                return NewestRecords(tuple(records), end, first_epoch)
+            if not page.items:
+                raise exceptions.StoreUnavailableError(
+                    "the store sent a page without records before the last"
+                )
             after = page.items[-1].key
 
     async def read_log(
@@ -163,8 +173,10 @@
             accepted=(_STATUS_GONE,),
         )
         if answer.status == _STATUS_GONE:
-            return LogPage((), offset, is_expired=True, epoch=answer.epoch)
-        return _parse_log_page(answer)
+            return LogPage(
+                (), offset, offset, is_expired=True, epoch=answer.epoch
+            )
+        return _parse_log_page(answer, offset)
 
     async def append(self, topic: str, record: KeyedRecord) -> int:
         """Append a record to a keyed topic.
@@ -251,20 +263,30 @@
     return b""
 
 
-def _parse_log_page(answer: _Answer) -> LogPage:
+def _parse_log_page(answer: _Answer, offset: int) -> LogPage:
+    """Return the records of a page.
+
+    :param offset: offset of the first record
+    :raises StoreUnavailableError: if the page is incomplete
+    """
     body = answer.body
     end = int.from_bytes(body[:_OFFSET_BYTES])
     # Skips the offset of the oldest retained record, which comes second.
     position = 2 * _OFFSET_BYTES
+    if len(body) < position:
+        raise exceptions.StoreUnavailableError("the store's page is too short")
     records = []
     while position + _LENGTH_BYTES <= len(body):
         length = int.from_bytes(body[position : position + _LENGTH_BYTES])
         position += _LENGTH_BYTES
         content = body[position : position + length]
+        if len(content) < length:
+            break
         position += length
+        offset += 1
         if not content:
             continue
         key_end = 1 + content[0]
         key = content[1:key_end].decode("utf-8", "replace")
         records.append(KeyedRecord(key, content[key_end:]))
-    return LogPage(tuple(records), end, epoch=answer.epoch)
+    return LogPage(tuple(records), offset, end, epoch=answer.epoch)
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -56,7 +56,16 @@
         if read.is_expired or is_other_log:
             # After a restore, newer records may have lower offsets.
             return await self.read_config()
-        self._config_offset += len(read.records)
+        if read.next < read.end:
+            # The rest may hold a newer configuration.
+            _log.info(
+                "Newest configuration read, as the log came in part",
+                position=position,
+                next=read.next,
+                end=read.end,
+            )
+            return await self.read_config()
+        self._config_offset = read.next
         values = [r.value for r in read.records if r.key == _CONFIG_KEY]
         if not values:
             # The store responds without a record only after the full wait.
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -136,6 +136,47 @@
         self.assertEqual(1, len(found))
         self.assertEqual(99, found[0]["extra"]["announced"])
 
+    async def start_behind(self, fleet, count=20):
+        """Let the node miss configurations of over 1 MB."""
+        self.set_rank(9)
+        fleet.publish(gateway_fleet.config())
+        self.follower._registry = store_registry.StoreRegistry(
+            store_client.StoreClient(fleet.store.address)
+        )
+        await self.follow(0.2, reader_interval_s=0.1)
+        self.assertEqual(1, self.holder.version)
+        large = [
+            gateway_fleet.route(f"idle-{n}-{'r' * 200}", "safe", "desk")
+            for n in range(200)
+        ]
+        for version in range(2, count + 2):
+            routes = [*large, gateway_fleet.route("safe", "safe", "desk")]
+            fleet.publish(gateway_fleet.config(version=version, routes=routes))
+        self.link.announced_version = count + 1
+
+    # A node that missed over 1 MB of configurations took each part of the log
+    # for all, and kept an old version seconds beyond its bound.
+    @async_tests.in_loop
+    async def test_node_that_missed_much_gets_the_newest_at_once(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            await self.start_behind(fleet)
+            size = sum(map(len, fleet.store.partition("keyed.op").records))
+            self.assertGreater(size, 2 * 1024 * 1024)
+            await self.follow(0.4, reader_interval_s=0.1)
+        self.assertEqual(21, self.holder.version)
+
+    # A call that failed counted as if the version had been asked for.
+    @async_tests.in_loop
+    async def test_version_is_asked_for_again_if_a_call_fails(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            await self.start_behind(fleet, count=1)
+            fleet.store.fault = "many"
+            asyncio.get_running_loop().call_later(
+                0.1, lambda: setattr(fleet.store, "fault", None)
+            )
+            await self.follow(0.6, reader_interval_s=0.1)
+        self.assertEqual(2, self.holder.version)
+
     @async_tests.in_loop
     async def test_reader_tells_the_others(self):
         self.set_rank(0)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -46,6 +46,61 @@
         self.assertRegex(reason, "^/api/log-newest: the connection ")
 
 
+class PartTest(testtools.TestCase):
+    """Guards against a part of the records that is taken for all."""
+
+    def start(self):
+        self.store = platform_store.PlatformStore()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        return store_client.StoreClient(self.store.address)
+
+    @async_tests.in_loop
+    async def test_page_tells_where_to_go_on(self):
+        client = self.start()
+        for _ in range(9):
+            self.store.put("keyed.op", "config", b"c" * 200_000)
+        page = await client.read_log("keyed.op", 0, 0)
+        self.assertEqual((5, 5, 9), (len(page.records), page.next, page.end))
+        page = await client.read_log("keyed.op", page.next, 0)
+        self.assertEqual((4, 9, 9), (len(page.records), page.next, page.end))
+
+    @async_tests.in_loop
+    async def test_records_without_content_are_counted(self):
+        client = self.start()
+        self.store.partition("keyed.op").append([b"", b""], is_keyed=False)
+        self.store.put("keyed.op", "config", b"c")
+        page = await client.read_log("keyed.op", 0, 0)
+        self.assertEqual((1, 3), (len(page.records), page.next))
+
+    # A record that was replaced between two pages was never read again.
+    @async_tests.in_loop
+    async def test_end_of_newest_records_is_that_of_the_first_page(self):
+        client = self.start()
+        for number in range(501):
+            self.store.put("keyed.op", f"e{number:03}", b"{}")
+        call = client._call
+
+        async def replace_after_call(*args):
+            answer = await call(*args)
+            self.store.put("keyed.op", "e000", b"new")
+            return answer
+
+        client._call = replace_after_call
+        newest = await client.read_newest("keyed.op")
+        self.assertEqual(501, newest.end)
+
+    @async_tests.in_loop
+    async def test_page_without_records_before_the_last_is_an_error(self):
+        client = self.start()
+        page = platform_store.Response(
+            200, b'{"items":[],"has_more":true,"end":3}'
+        )
+        self.store._newest = lambda query: page
+        with testtools.ExpectedException(exceptions.StoreUnavailableError):
+            await client.read_newest("keyed.op")
+
+
 class EpochTest(testtools.TestCase):
     """Guards against positions of a log that a restore has replaced."""
 
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -221,7 +221,11 @@
         if begin < partition.first:
             return _json(410, first=partition.first)
         body = partition.end.to_bytes(8) + partition.first.to_bytes(8)
+        left = int(query.get("max_kb", 1_024)) * 1_024
         for record in partition.records[begin - partition.first :]:
+            left -= 4 + len(record)
+            if left < 0:
+                break
             body += len(record).to_bytes(4) + record
         return Response(200, body)
 
