--- a/src/fireflyspur/clients/engine_client.py
+++ b/src/fireflyspur/clients/engine_client.py
@@ -19,6 +19,8 @@
 # An engine generates faster than a slow caller reads. The node buffers about
 # 1,000 tokens of a stream, then stops reading from the engine.
 _MAX_UNREAD_BYTES = 128 * 1024
+# A line holds one token, or the end with its figures.
+_MAX_LINE_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True)
@@ -279,6 +281,10 @@
                 *lines, remainder = (remainder + chunk).split(b"\n")
                 for raw in lines:
                     yield _decode_line(raw)
+                if len(remainder) > _MAX_LINE_BYTES:
+                    raise exceptions.EngineConnectionLostError(
+                        f"a line is longer than {_MAX_LINE_BYTES} bytes"
+                    )
             if not fetch.done():
                 raise exceptions.EngineConnectionLostError(
                     "the node interrupted the stream"
--- a/src/fireflyspur/gateway/callers/caller_connection.py
+++ b/src/fireflyspur/gateway/callers/caller_connection.py
@@ -10,10 +10,12 @@
 from tornado import iostream
 
 from fireflyspur.gateway.callers import hop_headers
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import io_wait
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.common import part_buffer
 from fireflyspur.gateway.configuration import routing_config
 
 # A read takes up to the usual size of a socket buffer.
@@ -35,15 +37,22 @@
 
     :param stream: the accepted stream
     :param limits: returns the current limits
+    :param holding: counts the bytes of the request that is read or served;
+        None if they are not limited
     """
 
     def __init__(
         self,
         stream: iostream.IOStream,
         limits: Callable[[], routing_config.CallerLimits],
+        holding: byte_budget.Holding | None = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
+        self._holding = holding or byte_budget.Holding(lambda _: None)
+        # Why the body that is being read is given up, or None.
+        self._given_up_reason: str | None = None
+        self._reading: asyncio.Future[bool] | None = None
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
         )
@@ -126,6 +135,7 @@
         if self._connection.their_state is not h11.DONE:
             return False
         self._connection.start_next_cycle()
+        self._holding.set(0, None)
         self._raw_head = self._connection.trailing_data[0]
         self._is_receiving = bool(self._raw_head)
         return True
@@ -158,7 +168,13 @@
 
     async def send_body(self, data: bytes) -> None:
         """Send a chunk of the body and wait until it is written."""
-        await self._write(self._connection.send(h11.Data(data=data)))
+        event = h11.Data(data=data)
+        if len(data) <= _READ_BYTES:
+            await self._write(self._connection.send(event))
+            return
+        # Written in pieces, as the sum would be a second copy.
+        pieces = self._connection.send_with_data_passthrough(event)
+        await asyncio.gather(*(self._stream.write(p) for p in pieces))
 
     async def finish(self) -> None:
         """End the response."""
@@ -236,7 +252,7 @@
         if self._connection.they_are_waiting_for_100_continue:
             response = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._connection.send(response))
-        body = bytearray()
+        body = part_buffer.PartBuffer()
         self._extended_to_s = None
         started_at_s = clock.now_s()
         while True:
@@ -247,8 +263,11 @@
                 limits.idle_timeout_s, started_at_s + allowed_s
             )
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            body += event.data
+                # The response is owed from now on.
+                self._holding.set(len(body), None)
+                return body.pop_all()
+            body.append(event.data)
+            self._holding.set(len(body), self._give_up_body)
             if len(body) > limits.max_body_bytes:
                 raise exceptions.MalformedRequestError(
                     f"the body is larger than {limits.max_body_bytes} bytes",
@@ -295,9 +314,13 @@
         remaining_s = deadline_s - clock.now_s()
         if remaining_s <= 0 and self._extended_to_s is not None:
             raise TimeoutError
-        reading = asyncio.ensure_future(self._receive())
+        if self._given_up_reason is not None:
+            raise exceptions.NodeFullError(self._given_up_reason)
+        reading = self._reading = asyncio.ensure_future(self._receive())
         try:
             await io_wait.wait_for_input(reading, remaining_s)
+            if self._given_up_reason is not None:
+                raise exceptions.NodeFullError(self._given_up_reason)
             if not reading.done():
                 raise TimeoutError
             now = clock.now_s()
@@ -308,6 +331,11 @@
         finally:
             reading.cancel()
 
+    def _give_up_body(self, reason: str) -> None:
+        self._given_up_reason = reason
+        if self._reading is not None:
+            self._reading.cancel()
+
     async def _receive(self) -> bool:
         """Read more bytes; False if the caller has disconnected."""
         try:
--- a/src/fireflyspur/gateway/callers/caller_server.py
+++ b/src/fireflyspur/gateway/callers/caller_server.py
@@ -11,6 +11,7 @@
 from tornado import tcpserver
 
 from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.common import socket_options
@@ -43,6 +44,7 @@
     :param handle_request: responds to a request
     :param handle_error: responds to a malformed request
     :param limits: returns the current limits
+    :param bytes_held: limits the bytes that are held for requests
     """
 
     def __init__(
@@ -50,8 +52,10 @@
         handle_request: RequestHandler,
         handle_error: ErrorHandler,
         limits: Callable[[], routing_config.CallerLimits],
+        bytes_held: byte_budget.ByteBudget | None = None,
     ) -> None:
         super().__init__()
+        self._bytes_held = bytes_held or byte_budget.ByteBudget.unlimited()
         self._handle_request = handle_request
         self._handle_error = handle_error
         self._limits = limits
@@ -120,9 +124,12 @@
             await asyncio.wait(self._tasks, timeout=_CLOSE_TIMEOUT_S)
 
     async def _serve_connection(self, stream: iostream.IOStream) -> None:
-        connection = caller_connection.CallerConnection(stream, self._limits)
-        with self._registered(connection):
-            await self._serve_requests(connection)
+        with self._bytes_held.open() as holding:
+            connection = caller_connection.CallerConnection(
+                stream, self._limits, holding
+            )
+            with self._registered(connection):
+                await self._serve_requests(connection)
 
     @contextlib.contextmanager
     def _registered(
--- a/src/fireflyspur/gateway/common/exceptions.py
+++ b/src/fireflyspur/gateway/common/exceptions.py
@@ -137,6 +137,21 @@
         self.http_status = http_status
 
 
+class NodeFullError(MalformedRequestError):
+    """The node holds too many bytes to read the rest of the request.
+
+    The request has not run; it may be sent again, when there is room.
+    """
+
+    code = "node_full"
+    _RETRY_AFTER_S = 1.0
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, 503)
+        self.verdict = verdicts.Verdict.NOT_RUN
+        self.retry_after_s = self._RETRY_AFTER_S
+
+
 class StoreUnavailableError(exceptions.FireflyspurError):
     """The platform's store did not respond, or refused the request."""
 
--- a/src/fireflyspur/gateway/handover/handover_server.py
+++ b/src/fireflyspur/gateway/handover/handover_server.py
@@ -7,6 +7,7 @@
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway.callers import caller_connection
 from fireflyspur.gateway.callers import caller_server
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.fleet import peer_table
@@ -39,6 +40,7 @@
     :param serve: responds to a request
     :param send_error: sends an error
     :param limits: returns the current limits for callers
+    :param bytes_held: limits the bytes that are held for requests
     """
 
     def __init__(
@@ -47,13 +49,14 @@
         serve: Serve,
         send_error: SendError,
         limits: Callable[[], routing_config.CallerLimits],
+        bytes_held: byte_budget.ByteBudget,
     ) -> None:
         self._peers = peers
         self._serve = serve
         self._send_error = send_error
         self._limits = limits
         self._server = caller_server.CallerServer(
-            self._handle_request, send_error, self._node_limits
+            self._handle_request, send_error, self._node_limits, bytes_held
         )
 
     @property
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -8,6 +8,7 @@
 
 from fireflyspur.gateway.callers import caller_connection
 from fireflyspur.gateway.callers import caller_server
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.common import registry as registries
@@ -73,6 +74,9 @@
         in_flight = in_flight_table.InFlightTable()
         detector = suspension.SuspensionDetector(fleet_link.HEARTBEAT_S)
         self._timeouts = request_timeouts.RequestTimeouts()
+        self._bytes_held = byte_budget.ByteBudget(
+            lambda: self._settings.max_held_bytes
+        )
         self._drain = node_drain.NodeDrain(self._timeouts)
         self._link = fleet_link.FleetLink(
             settings.node_name,
@@ -193,6 +197,7 @@
                 parts=self._link.parts,
                 notices=self._link.notices,
                 memory=self._memory_reserver,
+                bytes_held=self._bytes_held,
                 reachable=self._reachability,
                 is_draining=lambda: self._drain.is_begun,
                 is_removed=lambda: self._drain.is_removed,
@@ -210,6 +215,7 @@
             self._forwarder.serve,
             self._forwarder.send_handover_error,
             lambda: self._config_holder.limits,
+            self._bytes_held,
         )
 
     def _build_metrics(self) -> gateway_metrics.GatewayMetrics:
@@ -219,6 +225,8 @@
             endpoints_age_s=self._directory.age_s,
             limited_endpoints=lambda: self._link.limits.count,
             lacks_paths=lambda: not self._reachability.has_good_paths,
+            held_bytes=lambda: self._bytes_held.held_bytes,
+            holdings_ended=lambda: self._bytes_held.ended,
         )
 
     def _build_server(
@@ -228,6 +236,7 @@
             handle_request,
             self._forwarder.send_error,
             lambda: self._config_holder.limits,
+            self._bytes_held,
         )
 
     def _start(self) -> None:
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -24,6 +24,8 @@
     :param endpoints_age_s: returns the age of the list of endpoints
     :param limited_endpoints: returns the number of endpoints that name a rate
     :param lacks_paths: returns whether the node reaches few endpoints or none
+    :param held_bytes: returns the bytes held for all connections
+    :param holdings_ended: returns how many of them were given up
     """
 
     def __init__(
@@ -33,8 +35,42 @@
         endpoints_age_s: Callable[[], float],
         limited_endpoints: Callable[[], float],
         lacks_paths: Callable[[], bool],
+        held_bytes: Callable[[], float],
+        holdings_ended: Callable[[], float],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
+        self._add_counters()
+        self._gauge(
+            "requests_in_progress", in_progress, "Requests in progress."
+        )
+        self._gauge(
+            "config_age_seconds", config_age_s, "Age of the configuration."
+        )
+        self._gauge(
+            "endpoints_age_seconds",
+            endpoints_age_s,
+            "Age of the list of endpoints.",
+        )
+        self._gauge(
+            "limited_endpoints",
+            limited_endpoints,
+            "Endpoints whose named rate limit is in force.",
+        )
+        self._gauge(
+            "lacks_paths",
+            lacks_paths,
+            "1 while few endpoints or none are reached.",
+        )
+        self._gauge(
+            "held_bytes", held_bytes, "Bytes held for requests and responses."
+        )
+        self._gauge(
+            "holdings_given_up",
+            holdings_ended,
+            "Requests and responses given up as too much was held.",
+        )
+
+    def _add_counters(self) -> None:
         self._requests = self._counter(
             "requests",
             "Finished requests by kind of route and status; 0 if the caller"
@@ -62,29 +98,6 @@
             "Longest pause between the events of a stream.",
             ("prompt",),
         )
-        for name, get_value, help_text in (
-            ("requests_in_progress", in_progress, "Requests in progress."),
-            ("config_age_seconds", config_age_s, "Age of the configuration."),
-            (
-                "endpoints_age_seconds",
-                endpoints_age_s,
-                "Age of the list of endpoints.",
-            ),
-            (
-                "limited_endpoints",
-                limited_endpoints,
-                "Endpoints whose named rate limit is in force.",
-            ),
-            (
-                "lacks_paths",
-                lacks_paths,
-                "1 while few endpoints or none are reached.",
-            ),
-        ):
-            gauge = prometheus_client.Gauge(
-                f"{_PREFIX}_{name}", help_text, registry=self._registry
-            )
-            gauge.set_function(get_value)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -130,6 +143,14 @@
             f"{_PREFIX}_{name}", help_text, labels, registry=self._registry
         )
 
+    def _gauge(
+        self, name: str, get_value: Callable[[], float], help_text: str
+    ) -> None:
+        gauge = prometheus_client.Gauge(
+            f"{_PREFIX}_{name}", help_text, registry=self._registry
+        )
+        gauge.set_function(get_value)
+
     def _histogram(
         self, name: str, help_text: str, labels: tuple[str, ...]
     ) -> prometheus_client.Histogram:
--- a/src/fireflyspur/gateway/node/settings.py
+++ b/src/fireflyspur/gateway/node/settings.py
@@ -6,6 +6,9 @@
 from fireflyspur.gateway.requests import retry_budget
 from fireflyspur.gateway.scheduling import memory_reserver
 
+# What is held is copied on its way, and the program itself needs the rest.
+_HELD_SHARE = 0.2
+
 
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
@@ -20,6 +23,8 @@
     :param drain_s: time for which a leaving endpoint still accepts requests
         after it has announced that it leaves
     :param heartbeat_s: interval at which endpoints report
+    :param memory_bytes: memory that the process may use, or None if it is
+        not limited
     """
 
     node_name: str
@@ -35,3 +40,11 @@
     heartbeat_s: float
     retries: retry_budget.RetryLimits
     memory: memory_reserver.MemoryLimits
+    memory_bytes: int | None = None
+
+    @property
+    def max_held_bytes(self) -> float:
+        """Bytes that may be held for requests and responses."""
+        if self.memory_bytes is None:
+            return float("inf")
+        return _HELD_SHARE * self.memory_bytes
--- a/src/fireflyspur/gateway/requests/event_splitter.py
+++ b/src/fireflyspur/gateway/requests/event_splitter.py
@@ -2,7 +2,10 @@
 
 import re
 
+from fireflyspur.gateway.common import part_buffer
+
 _ENDS_OF_EVENT = (b"\r\n\r\n", b"\n\n", b"\r\r")
+_MAX_PART_OF_SEPARATOR = 3
 _EVENT_ID = re.compile(rb"[\r\n]?id: ?([^\r\n]*)")
 # A line that is neither empty nor a comment.
 _FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
@@ -16,7 +19,7 @@
     """
 
     def __init__(self) -> None:
-        self._tail = bytearray()
+        self._tail = part_buffer.PartBuffer()
         self._last_event_id: str | None = None
 
     @property
@@ -27,7 +30,7 @@
     @property
     def tail(self) -> bytes:
         """Bytes after the last complete event."""
-        return bytes(self._tail)
+        return self._tail.join()
 
     @property
     def tail_size(self) -> int:
@@ -39,15 +42,14 @@
 
         Bytes of an incomplete event are kept for the next call.
         """
-        # The tail has no complete separator, but may end with up to 3 bytes
-        # of one.
-        start = max(0, len(self._tail) - 3)
-        self._tail += data
-        end = _end_of_last_event(self._tail, start)
-        if not end:
+        # The tail has no complete separator, but may end with a part of one.
+        edge = self._tail.end(_MAX_PART_OF_SEPARATOR)
+        end = _end_of_last_event(edge + data) - len(edge)
+        if end <= 0:
+            self._tail.append(data)
             return b""
-        events = bytes(self._tail[:end])
-        del self._tail[:end]
+        events = self._tail.pop_all() + data[:end]
+        self._tail.append(data[end:])
         event_id = _last_id(events)
         if event_id is not None:
             self._last_event_id = event_id
@@ -58,7 +60,7 @@
         self._tail.clear()
 
 
-def _end_of_last_event(data: bytearray, start: int) -> int:
+def _end_of_last_event(data: bytes) -> int:
     """Return the end of the last complete event; 0 if there is none.
 
     The search runs backwards, as a flood has thousands of events in a part.
@@ -66,7 +68,7 @@
     ends = (
         position + len(separator)
         for separator in _ENDS_OF_EVENT
-        if (position := data.rfind(separator, start)) >= 0
+        if (position := data.rfind(separator)) >= 0
     )
     return max(ends, default=0)
 
--- a/src/fireflyspur/gateway/requests/forwarder.py
+++ b/src/fireflyspur/gateway/requests/forwarder.py
@@ -48,9 +48,19 @@
 
         :param handover: what the node says that handed it over, if any
         """
-        relay = response_relay.ResponseRelay(
-            connection, self._deps.is_draining
-        )
+        with self._deps.bytes_held.open() as holding:
+            relay = response_relay.ResponseRelay(
+                connection, self._deps.is_draining, holding
+            )
+            await self._serve(connection, request, handover, relay)
+
+    async def _serve(
+        self,
+        connection: caller_connection.CallerConnection,
+        request: messages.CallerRequest,
+        handover: handover_codec.HandoverInfo | None,
+        relay: response_relay.ResponseRelay,
+    ) -> None:
         await self._deps.wait_until_current()
         try:
             plan = self._plan(request, handover)
--- a/src/fireflyspur/gateway/requests/http_exchange.py
+++ b/src/fireflyspur/gateway/requests/http_exchange.py
@@ -19,8 +19,9 @@
 # the next call, or raises BrokenResponseError to end the wait.
 SilenceCallback = Callable[[float], Awaitable[float]]
 
-# A read takes up to the usual size of a socket buffer.
-_READ_BYTES = 65_536
+# Most responses fit into one read. Larger reads would be held for each
+# connection whose caller is slow.
+_READ_BYTES = 16_384
 # Response heads are a few hundred bytes; a longer one is invalid.
 _MAX_HEAD_BYTES = 65_536
 # Servers send one or two interim responses, if any, before the final one.
@@ -56,6 +57,7 @@
         # Time spent waiting for data since the last progress.
         self._waited_s = 0.0
         self._ends_with_connection = False
+        self._abandoned_reason: str | None = None
         self._uninterrupted_bytes = 0
         self._uninterrupted_parts = 0
 
@@ -75,7 +77,9 @@
 
         :raises EndpointUnreachableError: if it cannot connect in time
         """
-        stream = iostream.IOStream(socket.socket())
+        stream = iostream.IOStream(
+            socket.socket(), read_chunk_size=_READ_BYTES
+        )
         try:
             connecting = stream.connect((address.host, address.port))
             await io_wait.wait_for_input(connecting, timeout_s)
@@ -97,6 +101,11 @@
         """Close the connection; the server then cancels the request."""
         self._stream.close()
 
+    def abandon(self, reason: str) -> None:
+        """Close the connection, so that a read of the response fails."""
+        self._abandoned_reason = reason
+        self._stream.close()
+
     def send(
         self,
         method: bytes,
@@ -107,9 +116,15 @@
         """Send the request without waiting until it is written."""
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._connection.send(request)
-        if body:
+        if len(body) > _READ_BYTES:
+            # Written apart, as the sum would be a second copy.
+            self._write(data)
+            data = self._connection.send(h11.Data(data=body))
+        elif body:
             data += self._connection.send(h11.Data(data=body))
-        data += self._connection.send(h11.EndOfMessage())
+        self._write(data + self._connection.send(h11.EndOfMessage()))
+
+    def _write(self, data: bytes) -> None:
         written = self._stream.write(data)
         # If the write fails, the read of the response fails too.
         written.add_done_callback(lambda future: future.exception())
@@ -178,6 +193,8 @@
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
+            if self._abandoned_reason is not None:
+                raise exceptions.BrokenResponseError(self._abandoned_reason)
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
@@ -193,7 +210,8 @@
                 return event
             data = await self._read()
             self._uninterrupted_bytes += len(data)
-            self._connection.receive_data(data)
+            if self._abandoned_reason is None:
+                self._connection.receive_data(data)
 
     async def _let_others_run(self) -> None:
         """Let other tasks run if much has been read without waiting."""
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
@@ -29,6 +30,7 @@
     :param peers: chooses nodes that requests are handed over to
     :param is_draining: returns whether the node is stopping
     :param reachable: tells whether this node reaches endpoints
+    :param bytes_held: limits the bytes that are held for responses
     :param timeouts: limits the time of each request
     :param is_removed: returns whether the node is stopping and callers
         should reach others
@@ -50,6 +52,7 @@
     parts: part_quarantine.PartQuarantine
     notices: endpoint_notices.EndpointNotices
     memory: memory_reserver.MemoryReserver
+    bytes_held: byte_budget.ByteBudget
     reachable: reachability.Reachability
     is_draining: Callable[[], bool]
     is_removed: Callable[[], bool]
--- a/src/fireflyspur/gateway/requests/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 
 from fireflyspur.gateway.callers import caller_connection
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.common import part_buffer
 from fireflyspur.gateway.requests import event_splitter
 from fireflyspur.gateway.requests import http_exchange
 
@@ -16,6 +18,8 @@
 _MAX_EVENT_BYTES = 1_048_576
 # A response of a million tokens has a few megabytes.
 _MAX_RESPONSE_BYTES = 64 * 1_048_576
+# What a connection to an endpoint has read ahead, at most.
+_READ_AHEAD_BYTES = 65_536
 
 
 class ResponseRelay:
@@ -23,15 +27,18 @@
 
     :param connection: the caller's connection
     :param is_last: returns whether to close the connection after the response
+    :param holding: counts the bytes that are held for the response
     """
 
     def __init__(
         self,
         connection: caller_connection.CallerConnection,
         is_last: Callable[[], bool],
+        holding: byte_budget.Holding,
     ) -> None:
         self._connection = connection
         self._is_last = is_last
+        self._holding = holding
         self._splitter = event_splitter.EventSplitter()
         self._is_started = False
         self._last_event_s: float | None = None
@@ -68,18 +75,21 @@
         :returns: size of the body in bytes
         :raises BrokenResponseError: if the response breaks off or is too long
         """
-        buffered = bytearray()
+        buffered = part_buffer.PartBuffer()
         while (part := await self._read_part(exchange)) is not None:
             exchange.record_progress()
-            buffered += part
+            buffered.append(part)
+            self._hold(len(buffered), exchange.abandon)
             if len(buffered) > _MAX_BUFFERED_BYTES:
-                return await self._relay_long(exchange, head, bytes(buffered))
+                return await self._relay_long(exchange, head, buffered)
         self._progress += 1
         self._is_started = True
+        self._hold(len(buffered), self._abort)
+        body = buffered.pop_all()
         await self._connection.send_response(
-            head.status, head.headers, bytes(buffered), is_last=self._is_last()
+            head.status, head.headers, body, is_last=self._is_last()
         )
-        return len(buffered)
+        return len(body)
 
     async def relay_events(
         self, exchange: http_exchange.HttpExchange, head: messages.ResponseHead
@@ -97,6 +107,7 @@
                 raise exceptions.BrokenResponseError(
                     f"an event is longer than {_MAX_EVENT_BYTES} bytes"
                 )
+            self._hold(self._splitter.tail_size, exchange.abandon)
             if not events:
                 continue
             if event_splitter.has_content(events):
@@ -105,7 +116,7 @@
                 exchange.record_progress()
                 self._record_event()
             await self._send_head_once(head)
-            await self._connection.send_body(events)
+            await self._send(events, self._splitter.tail_size)
         self._check_end(exchange, has_events)
         self._progress += 1
         await self._send_head_once(head)
@@ -119,6 +130,7 @@
     ) -> None:
         """Relay an error response of an endpoint."""
         self._progress += 1
+        self._hold(len(body), self._abort)
         self._is_started = True
         await self._connection.send_response(
             head.status, head.headers, body, is_last=self._is_last()
@@ -135,6 +147,25 @@
             )
         return part
 
+    def _hold(self, size: int, end: byte_budget.End) -> None:
+        """Count the bytes that are held, and what was read ahead of them."""
+        read_ahead = min(self._size, _READ_AHEAD_BYTES)
+        self._holding.set(size + read_ahead, end)
+
+    def _abort(self, reason: str) -> None:
+        """End the response of a caller that does not read it."""
+        self._connection.abort()
+
+    async def _send(self, data: bytes, held: int) -> None:
+        """Send a part of the body.
+
+        :param held: bytes that are held beside it
+        """
+        self._hold(held + len(data), self._abort)
+        await self._connection.send_body(data)
+        self._hold(held, self._abort)
+        self._holding.record_progress()
+
     def _check_end(
         self, exchange: http_exchange.HttpExchange, has_events: bool
     ) -> None:
@@ -173,15 +204,16 @@
         self,
         exchange: http_exchange.HttpExchange,
         head: messages.ResponseHead,
-        buffered: bytes,
+        buffered: part_buffer.PartBuffer,
     ) -> int:
         self._progress += 1
         await self._send_head_once(head)
-        await self._connection.send_body(buffered)
         size = len(buffered)
+        while part := buffered.pop_block():
+            await self._send(part, len(buffered))
         while (part := await self._read_part(exchange)) is not None:
             exchange.record_progress()
-            await self._connection.send_body(part)
+            await self._send(part, 0)
             size += len(part)
         await self._connection.finish()
         return size
--- a/src/fireflyspur/platform/order_client.py
+++ b/src/fireflyspur/platform/order_client.py
@@ -17,7 +17,7 @@
 # first order.
 _RESPONSE_TIMEOUT_S = 0.5
 # Responses have a few hundred bytes; a longer one is an error.
-_MAX_RESPONSE_BYTES = 65_536
+_MAX_RESPONSE_BYTES = 8_192
 # The engine carries out the order, or the requested state already holds.
 _SUCCESS_STATUSES = (200, 202)
 
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -12,6 +12,7 @@
 from fireflyspur.gateway.requests import retry_budget
 from fireflyspur.gateway.scheduling import memory_reserver
 
+_MEGABYTE = 1_048_576
 _ENVIRONMENT_VARIABLE = "FIREFLYSPUR_SETTINGS"
 
 
@@ -35,6 +36,10 @@
     hold_max_ms: float = 20_000
 
 
+class _Limits(msgspec.Struct):
+    memory_mb: float | None = None
+
+
 class _Platform(msgspec.Struct):
     address: str
 
@@ -48,6 +53,7 @@
     listen: _Listen
     bounds: _Bounds
     platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def path() -> pathlib.Path:
@@ -85,7 +91,7 @@
 def _convert(
     wire: _Settings, metrics_port: int | None
 ) -> gateway_settings.GatewaySettings:
-    bounds = wire.bounds
+    bounds, memory_mb = wire.bounds, wire.limits.memory_mb
     return gateway_settings.GatewaySettings(
         node_name=wire.node_name,
         failure_domain=wire.zone,
@@ -109,4 +115,7 @@
             free_s=bounds.free_ms / 1000,
             hold_max_s=bounds.hold_max_ms / 1000,
         ),
+        memory_bytes=(
+            None if memory_mb is None else int(memory_mb * _MEGABYTE)
+        ),
     )
--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -22,6 +22,8 @@
 _CALL_TIMEOUT_S = 1.0
 # A page of newest records has at most 1 MB, a read of the log usually less.
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Pages of newest records of one topic, of up to 1 MB each.
+_MAX_PAGES = 32
 _LENGTH_BYTES = 4
 _OFFSET_BYTES = 8
 _STATUS_GONE = 410
@@ -124,7 +126,7 @@
         after = None
         first_epoch = None
         end = None
-        while True:
+        for _ in range(_MAX_PAGES):
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
@@ -150,6 +152,9 @@
                     "the store sent a page without records before the last"
                 )
             after = page.items[-1].key
+        raise exceptions.StoreUnavailableError(
+            f"{topic} has more than {_MAX_PAGES} pages"
+        )
 
     async def read_log(
         self, topic: str, offset: int, wait_s: float
--- a/tests/clients/test_engine_client.py
+++ b/tests/clients/test_engine_client.py
@@ -77,3 +77,21 @@
             exceptions.EngineConnectionLostError, asyncio.run, run()
         )
         self.assertEqual(["/engine/v1/streams"], paths)
+
+    def test_a_line_without_end_is_not_kept(self):
+        """Guards against a faulty engine that uses up a node's memory."""
+
+        def respond(handler):
+            handler.write(b"x" * 300_000)
+
+        async def run():
+            async with engine(respond) as lines:
+                async for _ in lines:
+                    pass
+
+        self.assertRaisesRegex(
+            exceptions.EngineConnectionLostError,
+            "longer than 65536",
+            asyncio.run,
+            run(),
+        )
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -100,6 +100,20 @@
         with testtools.ExpectedException(exceptions.StoreUnavailableError):
             await client.read_newest("keyed.op")
 
+    # Pages without end were all kept.
+    @async_tests.in_loop
+    async def test_pages_without_end_are_an_error(self):
+        client = self.start()
+        item = b'{"key":"a","value":"","offset":0}'
+        page = platform_store.Response(
+            200, b'{"items":[' + item + b'],"has_more":true,"end":3}'
+        )
+        self.store._newest = lambda query: page
+        with testtools.ExpectedException(
+            exceptions.StoreUnavailableError, ".*more than 32 pages"
+        ):
+            await client.read_newest("keyed.op")
+
 
 class EpochTest(testtools.TestCase):
     """Guards against positions of a log that a restore has replaced."""
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -29,6 +29,9 @@
 retry_budget_extra = 100
 budget_window_s = 10
 
+[limits]
+memory_mb = 300
+
 [platform]
 address = "{settings.store}"
 """
