--- a/src/fireflyspur/gateway/handover/handover_run.py
+++ b/src/fireflyspur/gateway/handover/handover_run.py
@@ -129,6 +129,8 @@
                     self._tried.append(self._instance or peer.name)
                     if not self._plan.route.may_repeat:
                         break
+                    if not self._relay.can_continue:
+                        break
         if self._may_have_run:
             raise gateway_exceptions.BrokenResponseError(reason)
         raise exceptions.NodeIsolatedError(
--- a/src/fireflyspur/gateway/requests/event_splitter.py
+++ b/src/fireflyspur/gateway/requests/event_splitter.py
@@ -21,6 +21,12 @@
     def __init__(self) -> None:
         self._tail = part_buffer.PartBuffer()
         self._last_event_id: str | None = None
+        self._is_resumable = True
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether the last complete event, if any, can be told by its id."""
+        return self._is_resumable
 
     @property
     def last_event_id(self) -> str | None:
@@ -50,9 +56,11 @@
             return b""
         events = self._tail.pop_all() + data[:end]
         self._tail.append(data[end:])
-        event_id = _last_id(events)
+        event_id, rest = _last_id(events)
         if event_id is not None:
             self._last_event_id = event_id
+        if has_content(events):
+            self._is_resumable = bool(event_id) and not has_content(rest)
         return events
 
     def drop_tail(self) -> None:
@@ -73,10 +81,19 @@
     return max(ends, default=0)
 
 
-def _last_id(events: bytes) -> str | None:
+def _last_id(events: bytes) -> tuple[str | None, bytes]:
+    """Return the last id, and the events after the one that has it."""
     position = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"), 0)
     match = _EVENT_ID.match(events, position)
-    return match.group(1).decode("latin-1") if match else None
+    if match is None:
+        return None, events
+    ends = (
+        found + len(separator)
+        for separator in _ENDS_OF_EVENT
+        if (found := events.find(separator, match.end())) >= 0
+    )
+    rest = events[min(ends, default=len(events)) :]
+    return match.group(1).decode("latin-1"), rest
 
 
 def has_content(events: bytes) -> bool:
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -102,6 +102,11 @@
     def _may_have_run(self) -> bool:
         return self._has_run or self._attempts.is_running
 
+    @property
+    def _may_repeat(self) -> bool:
+        """Whether the request may run again, for the rest of its response."""
+        return self._plan.route.may_repeat and self._relay.can_continue
+
     def log_end(
         self, status: int, error: base_exceptions.FireflyspurError | None
     ) -> None:
@@ -346,7 +351,7 @@
                 )
                 if result.failed_member is not None:
                     self._excluded.append(result.failed_member)
-                if not self._plan.route.may_repeat:
+                if not self._may_repeat:
                     raise exceptions.BrokenResponseError(reason)
             case attempt_result.Rejected(head):
                 self._has_run = True
@@ -430,7 +435,7 @@
     def _may_move(self) -> bool:
         """Return whether the request may be sent elsewhere now."""
         route, service = self._plan.route, self._plan.service.name
-        if not route.may_repeat or len(self._tried) >= route.max_attempts:
+        if not self._may_repeat or len(self._tried) >= route.max_attempts:
             return False
         if not self._deps.retries.is_available(service):
             return False
@@ -449,7 +454,7 @@
         return self._response_start_s is None and elapsed_s < target_s
 
     def _may_retry(self, head: messages.ResponseHead) -> bool:
-        if head.status < _SERVER_ERROR or not self._plan.route.may_repeat:
+        if head.status < _SERVER_ERROR or not self._may_repeat:
             return False
         return len(self._tried) < self._plan.route.max_attempts
 
--- a/src/fireflyspur/gateway/requests/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -41,6 +41,7 @@
         self._holding = holding
         self._splitter = event_splitter.EventSplitter()
         self._is_started = False
+        self._is_body_sent = False
         self._last_event_s: float | None = None
         self._longest_gap_s = 0.0
         # Bytes of all endpoints' responses to this request.
@@ -62,6 +63,15 @@
         """Changes with each part that is relayed, comments aside."""
         return self._progress
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether the response of another endpoint may follow.
+
+        Only a stream can go on after what the caller has; anything else
+        would begin once more in the middle.
+        """
+        return not self._is_body_sent and self._splitter.is_resumable
+
     @property
     def last_event_id(self) -> str | None:
         """ID of the last event that was relayed, or None."""
@@ -83,7 +93,7 @@
             if len(buffered) > _MAX_BUFFERED_BYTES:
                 return await self._relay_long(exchange, head, buffered)
         self._progress += 1
-        self._is_started = True
+        self._is_started = self._is_body_sent = True
         self._hold(len(buffered), self._abort)
         body = buffered.pop_all()
         await self._connection.send_response(
@@ -207,6 +217,7 @@
         buffered: part_buffer.PartBuffer,
     ) -> int:
         self._progress += 1
+        self._is_body_sent = True
         await self._send_head_once(head)
         size = len(buffered)
         while part := buffered.pop_block():
