--- a/src/fireflyspur/gateway/common/messages.py
+++ b/src/fireflyspur/gateway/common/messages.py
@@ -49,6 +49,8 @@
     :param last_event_id: event after which to resume the stream
     :param shared_parts: names of the parts of the prompt that other prompts
         may share, in order
+    :param expects_version: whether the caller accepts only endpoints whose
+        weights have a certain version
     """
 
     attempt_id: str
@@ -58,6 +60,7 @@
     api_key: str | None
     last_event_id: str | None
     shared_parts: tuple[str, ...] = ()
+    expects_version: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -24,6 +24,8 @@
 # only if the endpoint itself guarantees that.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OTHER_INSTANCE = 421
+# Statuses of refusals that the state of the endpoint or the request explains.
+_NO_FAULT_STATUSES = frozenset((421, 429, 503))
 # An error response is buffered whole before it is relayed; error messages are
 # some kilobytes.
 _MAX_FAILURE_BYTES = 262_144
@@ -194,9 +196,9 @@
                 )
             return attempt_result.NotRun(
                 f"status {head.status}",
-                is_full=head.status in (429, 503),
-                is_replaced=head.status == _OTHER_INSTANCE,
-                failed_member=info.failed_member,
+                is_fault=head.status not in _NO_FAULT_STATUSES,
+                is_replaced=self._is_replaced(head, info, instance),
+                failed_member=self._find_failed_member(head, info),
             )
         if self._plan.handover is not None:
             head = handover_codec.mark_endpoint(head, instance)
@@ -218,6 +220,34 @@
             head.status, is_confirmed=not exchange.ends_with_connection
         )
 
+    def _find_failed_member(
+        self, head: messages.ResponseHead, info: messages.ResponseInfo
+    ) -> str | None:
+        """Return the group member that failed, or None.
+
+        One that only has other weights than the caller expects is sound.
+        """
+        if head.status == _OTHER_INSTANCE and self._plan.info.expects_version:
+            return None
+        return info.failed_member
+
+    def _is_replaced(
+        self,
+        head: messages.ResponseHead,
+        info: messages.ResponseInfo,
+        instance: str,
+    ) -> bool:
+        """Return whether another instance is now at the address.
+
+        An endpoint also refuses a request that expects other weights, which
+        says nothing about the requests of others.
+        """
+        if head.status != _OTHER_INSTANCE:
+            return False
+        if instance in (info.instance, info.failed_member):
+            return False
+        return info.instance is not None or not self._plan.info.expects_version
+
     async def _read_failure(
         self, exchange: http_exchange.HttpExchange, head: messages.ResponseHead
     ) -> attempt_result.AttemptResult:
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -130,7 +130,7 @@
             return failed_member.instance
         if result.is_replaced:
             self._deps.monitor.mark_left(instance, result.reason)
-        elif not result.is_full:
+        elif result.is_fault:
             self._deps.directory.record_fault(instance, result.reason)
         return None
 
--- a/src/fireflyspur/gateway/requests/attempt_result.py
+++ b/src/fireflyspur/gateway/requests/attempt_result.py
@@ -35,14 +35,14 @@
 class NotRun:
     """The endpoint has not run the request and never will.
 
-    :param is_full: whether it had no capacity, which is no fault
+    :param is_fault: whether the refusal is a fault of the endpoint
     :param is_replaced: whether another instance is now at the address
     :param failed_member: instance or address of the other group member that
         made the request fail, or None
     """
 
     reason: str
-    is_full: bool = False
+    is_fault: bool = False
     is_replaced: bool = False
     failed_member: str | None = None
 
--- a/src/fireflyspur/platform/header_codec.py
+++ b/src/fireflyspur/platform/header_codec.py
@@ -53,6 +53,7 @@
             shared_parts=_parse_shared_parts(
                 values.get(header_names.PROMPT_PREFIX.lower(), "")
             ),
+            expects_version=header_names.EXPECT_VERSION.lower() in values,
         )
 
     def encode_request(
--- a/src/fireflyspur/platform/headers.py
+++ b/src/fireflyspur/platform/headers.py
@@ -11,6 +11,7 @@
 # Name of the client account; the API key is not sent to the endpoint.
 TENANT = b"X-Fireflyspur-Tenant"
 EXPECT_INSTANCE = b"X-Fireflyspur-Expect-Instance"
+EXPECT_VERSION = b"X-Fireflyspur-Expect-Version"
 INSTANCE_ID = b"X-Fireflyspur-Instance-Id"
 NOT_EXECUTED = b"X-Fireflyspur-Not-Executed"
 PRIORITY = b"X-Fireflyspur-Request-Priority"
