--- a/src/fireflyspur/gateway/requests/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -86,10 +86,15 @@
         :raises BrokenResponseError: if the response breaks off or is too long
         """
         buffered = part_buffer.PartBuffer()
+
+        def give_up(reason: str) -> None:
+            buffered.clear()
+            exchange.abandon(reason)
+
         while (part := await self._read_part(exchange)) is not None:
             exchange.record_progress()
             buffered.append(part)
-            self._hold(len(buffered), exchange.abandon)
+            self._hold(len(buffered), give_up)
             if len(buffered) > _MAX_BUFFERED_BYTES:
                 return await self._relay_long(exchange, head, buffered)
         self._progress += 1
@@ -111,13 +116,18 @@
         """
         self._splitter.drop_tail()
         has_events = False
+
+        def give_up(reason: str) -> None:
+            self._splitter.drop_tail()
+            exchange.abandon(reason)
+
         while (part := await self._read_part(exchange)) is not None:
             events = self._splitter.feed(part)
             if self._splitter.tail_size > _MAX_EVENT_BYTES:
                 raise exceptions.BrokenResponseError(
                     f"an event is longer than {_MAX_EVENT_BYTES} bytes"
                 )
-            self._hold(self._splitter.tail_size, exchange.abandon)
+            self._hold(self._splitter.tail_size, give_up)
             if not events:
                 continue
             if event_splitter.has_content(events):
