--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -1,8 +1,5 @@
 """Running of one request through attempts at endpoints."""
 
-from collections.abc import Callable
-import contextlib
-
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway.common import clock
@@ -10,19 +7,15 @@
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.handover import exceptions as handover_exceptions
 from fireflyspur.gateway.handover import handover_run
-from fireflyspur.gateway.requests import attempt as attempts
+from fireflyspur.gateway.requests import attempt_launcher
 from fireflyspur.gateway.requests import attempt_race
 from fireflyspur.gateway.requests import attempt_reporter
 from fireflyspur.gateway.requests import attempt_result
-from fireflyspur.gateway.requests import attempt_tracking
-from fireflyspur.gateway.requests import http_exchange
 from fireflyspur.gateway.requests import request_dependencies
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_report
 from fireflyspur.gateway.requests import response_relay
-from fireflyspur.gateway.requests import stall_detector
 from fireflyspur.gateway.scheduling import placement as placements
-from fireflyspur.gateway.scheduling import placement_cost
 
 # An endpoint stops processing at the deadline and reports it; this is the
 # time for that response to arrive.
@@ -67,6 +60,17 @@
         self._handover: handover_run.HandoverRun | None = None
         self._reason = _NONE_READY
         self._attempts = attempt_race.AttemptRace()
+        self._launcher = attempt_launcher.AttemptLauncher(
+            deps,
+            plan,
+            relay,
+            self._reporter,
+            self._attempts,
+            attempt_launcher.Outlook(
+                self._may_move, self._must_hand_over, self._may_meet_target
+            ),
+            self._record_response_start,
+        )
         # Whether an attempt that has ended may have run.
         self._has_run = False
         self._response_start_s: float | None = None
@@ -171,24 +175,9 @@
         return False
 
     def _start(self, placement: placements.Placement) -> None:
-        started = attempt_race.Started(placement)
         self._tried.append(placement.primary.instance)
         self._placement = placement
-        remaining_s = self._plan.deadline_s - clock.now_s()
-        with contextlib.ExitStack() as stack:
-            # Tracked from now on, as other requests are placed next.
-            end_prefill = stack.enter_context(
-                attempt_tracking.track(
-                    self._deps.in_flight,
-                    placement,
-                    self._demand(),
-                    remaining_s,
-                )
-            )
-            tracking = stack.pop_all()
-        self._attempts.start(
-            started, self._attempt(started, tracking, end_prefill), tracking
-        )
+        self._launcher.start(placement)
 
     def _try_beside(self, silent: attempt_race.Started) -> None:
         """Start another attempt if there is room, and keep the silent one."""
@@ -303,7 +292,7 @@
             )
         else:
             placement = self._deps.placer.choose_engine(
-                plan.service, self._demand(), excluded
+                plan.service, attempt_launcher.demand_of(plan), excluded
             )
         if placement is None and len(excluded) == self._first_choice:
             any_ready = self._deps.directory.ready(plan.service.name)
@@ -365,73 +354,6 @@
                 self._reporter.report_overtaken(placement)
         return False
 
-    def _demand(self) -> placement_cost.Demand:
-        info, route = self._plan.info, self._plan.route
-        elapsed_s = clock.now_s() - self._plan.request.received_at_s
-        return placement_cost.Demand(
-            prompt_tokens=info.prompt_tokens,
-            output_tokens=info.max_output_tokens,
-            target_s=max(0.01, route.target_latency_s - elapsed_s),
-            max_gap_s=route.max_gap_s or route.target_latency_s,
-            weight=placement_cost.prompt_weight(info.prompt_tokens),
-        )
-
-    async def _attempt(
-        self,
-        started: attempt_race.Started,
-        tracking: contextlib.ExitStack,
-        end_prefill: Callable[[], None],
-    ) -> attempt_result.AttemptResult:
-        placement = started.placement
-        with tracking:
-
-            def record_response_start() -> None:
-                self._record_response_start()
-                self._attempts.report_response(
-                    started,
-                    f"silent, {placement.primary.instance} responds",
-                )
-                end_prefill()
-
-            attempt = attempts.Attempt(
-                self._plan,
-                self._deps.codec,
-                self._relay,
-                self._deps.memory,
-                self._deps.reachable,
-                lambda head, info: self._reporter.report_notice(
-                    placement.primary, head, info
-                ),
-                record_response_start,
-                lambda _: self._stall_detector(started),
-            )
-            return await attempt.run(placement)
-
-    def _stall_detector(
-        self, started: attempt_race.Started
-    ) -> http_exchange.SilenceCallback:
-        placement = started.placement
-        engine = self._plan.service.engine
-        members = [placement.primary, *(h.endpoint for h in placement.helpers)]
-        return stall_detector.StallDetector(
-            self._deps.monitor,
-            members,
-            engine,
-            self._may_move,
-            self._lacks_paths,
-            lambda: self._attempts.report_silence(started),
-            lambda: self._attempts.report_progress(started),
-            self._may_meet_target,
-        )
-
-    async def _lacks_paths(self) -> bool:
-        """Return whether another node should try the request.
-
-        An endpoint that accepts no connection may have shown lost paths.
-        """
-        await self._deps.reachable.settle()
-        return self._must_hand_over()
-
     def _may_move(self) -> bool:
         """Return whether the request may be sent elsewhere now."""
         route, service = self._plan.route, self._plan.service.name
