--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -340,7 +340,8 @@
                 )
                 if result.failed_member is not None:
                     self._excluded.append(result.failed_member)
-                if not self._may_repeat:
+                # Another attempt may have sent what can't be continued.
+                if not (self._attempts.is_running or self._may_repeat):
                     raise exceptions.BrokenResponseError(reason)
             case attempt_result.Rejected(head):
                 self._has_run = True
--- a/tests/gateway/test_silent_endpoints.py
+++ b/tests/gateway/test_silent_endpoints.py
@@ -17,10 +17,10 @@
 _NOT_RUN = "X-Fireflyspur-Not-Executed: full"
 
 
-def _config(slots, max_attempts=2):
+def _config(slots, max_attempts=2, version=1, kind="streaming"):
     route = gateway_fleet.route(
         "chat",
-        "streaming",
+        kind,
         "models",
         stream_resume=True,
         gap_aim_ms=200,
@@ -29,7 +29,7 @@
     )
     engine = {**gateway_fleet.ENGINE, "slots": slots}
     service = {"name": "models", "health_check": "/health", "engine": engine}
-    return gateway_fleet.config(routes=[route], services=[service])
+    return gateway_fleet.config(version, [route], services=[service])
 
 
 def _silent_at(number, silent_s=_SILENT_S):
@@ -179,6 +179,30 @@
         self.assertEqual(_whole(), response.body)
         self.assertEqual("4", second.headers["last-event-id"])
 
+    # The end of the silent attempt ended the one that had just responded.
+    @async_tests.in_loop
+    async def test_answer_that_cannot_be_continued_replaces_a_silent_one(self):
+        # Longer than what is kept until an answer is complete.
+        parts = (b"data: one\n\n" + b"x" * 300_000, b"data: two\n\n")
+
+        async def other(worker, arrival, stream):
+            length = f"Content-Length: {sum(map(len, parts))}"
+            head = fake_endpoint.response_head(arrival, worker, length)
+            await stream.write(head + parts[0])
+            await asyncio.sleep(0.1)
+            await stream.write(parts[1])
+
+        for kind in ("safe", "streaming"):
+            async with _Fleet() as started:
+                started.fleet.publish(_config(8, version=2, kind=kind))
+                await gateway_fleet.wait_until(
+                    lambda: started.node.gateway.config_version == 2
+                )
+                started.answer(_silent_at(1, 60.0), other)
+                response = await started.request()
+            self.assertTrue(response.is_complete, kind)
+            self.assertEqual(b"".join(parts), response.body)
+
     @async_tests.in_loop
     async def test_silent_engine_that_goes_on_ends_the_other_attempt(self):
         async def start_late(worker, arrival, stream):
