--- a/src/fireflyspur/gateway/callers/caller_connection.py
+++ b/src/fireflyspur/gateway/callers/caller_connection.py
@@ -265,6 +265,7 @@
             if isinstance(event, h11.EndOfMessage):
                 # The response is owed from now on.
                 self._holding.set(len(body), None)
+                self._given_up_reason = None
                 return body.pop_all()
             body.append(event.data)
             self._holding.set(len(body), self._give_up_body)
--- a/src/fireflyspur/gateway/common/exceptions.py
+++ b/src/fireflyspur/gateway/common/exceptions.py
@@ -132,8 +132,13 @@
 
     code = "malformed_request"
 
-    def __init__(self, message: str, http_status: int = 400) -> None:
-        super().__init__(message)
+    def __init__(
+        self,
+        message: str,
+        http_status: int = 400,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message, retry_after_s=retry_after_s)
         self.http_status = http_status
 
 
@@ -147,9 +152,7 @@
     _RETRY_AFTER_S = 1.0
 
     def __init__(self, message: str) -> None:
-        super().__init__(message, 503)
-        self.verdict = verdicts.Verdict.NOT_RUN
-        self.retry_after_s = self._RETRY_AFTER_S
+        super().__init__(message, 503, self._RETRY_AFTER_S)
 
 
 class StoreUnavailableError(exceptions.FireflyspurError):
--- a/tests/gateway/callers/test_caller_server.py
+++ b/tests/gateway/callers/test_caller_server.py
@@ -7,7 +7,9 @@
 import testtools
 from tornado import iostream
 
+from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway.callers import caller_server
+from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.configuration import routing_config
 from tests.support import async_tests
 from tests.support import captured_logs
@@ -31,6 +33,43 @@
             await server.handle_stream(stream, ("127.0.0.1", 1))
         self.assertEqual([], records)
 
+    # A body that was given up in its last part is whole nevertheless.
+    @async_tests.in_loop
+    async def test_body_that_is_given_up_when_it_is_whole_is_served(self):
+        async def respond(connection, request):
+            await connection.send_response(200, [], request.body)
+
+        async def refuse(connection, error):
+            refused.append(error)
+            await connection.send_response(error.http_status, [], b"")
+
+        refused = []
+        budget = byte_budget.ByteBudget(lambda: 10)
+        server = caller_server.CallerServer(
+            respond, refuse, lambda: routing_config.CallerLimits(), budget
+        )
+        address = loopback.listen(server)
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        data = gateway_fleet.request_bytes("/safe/", body=b"b" * 50)
+        for _ in range(2):
+            writer.write(data)
+            response = await gateway_fleet.read_response(reader)
+            self.assertEqual(
+                (200, b"b" * 50), (response.status, response.body)
+            )
+        self.assertEqual(2, budget.ended)
+        writer.write(data[:-1])
+        response = await gateway_fleet.read_response(reader)
+        self.assertEqual(503, response.status)
+        (error,) = refused
+        self.assertEqual(verdicts.Verdict.NOT_RUN, error.verdict)
+        self.assertEqual(1.0, error.retry_after_s)
+        writer.close()
+        await server.close()
+        self.assertEqual(0, budget.held_bytes)
+
     # What a stop cut off at its end looked complete to callers that know no
     # chunks.
     @async_tests.in_loop
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -83,9 +83,14 @@
 
     async def wait_until_ready(self):
         """Wait until the balancer would send requests."""
-        async with asyncio.timeout(_START_TIMEOUT_S):
-            while await self.health_or_none() != 200:
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(_START_TIMEOUT_S):
+                while await self.health_or_none() != 200:
+                    if self.process.returncode is not None:
+                        raise AssertionError(f"ended: {self.log()}")
+                    await asyncio.sleep(0.05)
+        except TimeoutError as error:
+            raise AssertionError(f"not ready: {self.log()}") from error
 
     async def health_or_none(self):
         """Return the status that the balancer gets, or None without one."""
