--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -74,6 +74,21 @@
         self._writer.close()
 
 
+async def send_on_open(kept, pause_s):
+    """Send a request on each connection that is open, one after the other.
+
+    :returns: tasks that return the statuses, by the attempts' ids
+    """
+    tasks = {}
+    for number, connection in enumerate(kept):
+        if not connection.is_closed:
+            tasks[f"late-{number}"] = asyncio.ensure_future(
+                connection.request("/unsafe/", attempt_id=f"late-{number}")
+            )
+        await asyncio.sleep(pause_s)
+    return tasks
+
+
 class StopTest(testtools.TestCase):
     """Guards against requests that are interrupted by a planned stop."""
 
@@ -218,15 +233,7 @@
             self.assertEqual(200, (await prompt).status)
             # Callers are quiet for a moment, so that nothing is in progress.
             await asyncio.sleep(0.4)
-            tasks = {}
-            for number, connection in enumerate(kept):
-                if not connection.is_closed:
-                    tasks[f"late-{number}"] = asyncio.ensure_future(
-                        connection.request(
-                            "/unsafe/", attempt_id=f"late-{number}"
-                        )
-                    )
-                await asyncio.sleep(0.1)
+            tasks = await send_on_open(kept, pause_s=0.1)
             await node.task
             unanswered = {
                 attempt_id
@@ -249,15 +256,7 @@
             kept = [KeptConnection(*await node.connect()) for _ in range(40)]
             os.kill(os.getpid(), signal.SIGTERM)
             await asyncio.sleep(2.9)
-            tasks = {}
-            for number, connection in enumerate(kept):
-                if not connection.is_closed:
-                    tasks[f"late-{number}"] = asyncio.ensure_future(
-                        connection.request(
-                            "/unsafe/", attempt_id=f"late-{number}"
-                        )
-                    )
-                await asyncio.sleep(0.007)
+            tasks = await send_on_open(kept, pause_s=0.007)
             await node.task
             results = {name: await task for name, task in tasks.items()}
             passed_on = {a.attempt_id for a in fleet.arrivals}
