--- a/tests/gateway_soak/faults.py
+++ b/tests/gateway_soak/faults.py
@@ -1,12 +1,10 @@
 """Faults of a soak, in series and overlapping."""
 
 import asyncio
-import contextlib
 import random
 import signal
 
 from tests.gateway_soak import endpoints
-from tests.gateway_soak import record as records
 from tests.support import gateway_fleet
 
 _STORE_FAULTS = ("busy", "many", "silent", "reset", "slow")
@@ -53,17 +51,6 @@
             await strike()
             await asyncio.sleep(self._random.uniform(0, 2 * pause_s))
 
-    @contextlib.contextmanager
-    def _disruption(self, target, kind):
-        begin_s = self._soak.now()
-        self._soak.log(f"{target}: {kind}")
-        try:
-            yield
-        finally:
-            self._soak.record.disruptions.append(
-                records.Disruption(target, kind, begin_s, self._soak.now())
-            )
-
     async def _strike_node(self):
         free = sorted(set(self._soak.nodes) - self._soak.struck)
         if not free:
@@ -73,21 +60,16 @@
         self._soak.struck.add(name)
         match self._random.choice(("kill", "stop", "freeze", "reload")):
             case "kill":
-                with self._disruption(name, "kill"):
+                with self._soak.disruption(name, "kill"):
                     node.process.kill()
                     await node.process.wait()
                     await asyncio.sleep(self._random.uniform(0, 1.0))
                     await node.start()
                     await node.wait_until_ready()
             case "stop":
-                with self._disruption(name, "stop"):
-                    node.send_signal(signal.SIGTERM)
-                    code = await node.wait_until_ended()
-                    self._soak.record.exits.append((name, code))
-                    await node.start()
-                    await node.wait_until_ready()
+                await self._soak.restart_node(name)
             case "freeze":
-                with self._disruption(name, "freeze"):
+                with self._soak.disruption(name, "freeze"):
                     node.send_signal(signal.SIGSTOP)
                     await asyncio.sleep(self._random.uniform(0.2, 4.0))
                     node.send_signal(signal.SIGCONT)
@@ -106,24 +88,24 @@
         match self._random.choice(("fault", "crash", "leave", "rate")):
             case "fault":
                 kind = self._random.choice(endpoints.FAULTS)
-                with self._disruption(endpoint.instance, kind):
+                with self._soak.disruption(endpoint.instance, kind):
                     endpoint.fault = kind
                     await asyncio.sleep(self._random.uniform(0.5, 3.0))
                     endpoint.fault = None
             case "crash":
-                with self._disruption(endpoint.instance, "crash"):
+                with self._soak.disruption(endpoint.instance, "crash"):
                     endpoint.close()
                     await asyncio.sleep(self._random.uniform(0, 1.0))
                     soak.replace(service, endpoint)
             case "leave":
-                with self._disruption(endpoint.instance, "leave"):
+                with self._soak.disruption(endpoint.instance, "leave"):
                     soak.list_leaving(service, endpoint)
                     await asyncio.sleep(4.0)
                     soak.replace(service, endpoint)
                     endpoint.close()
             case _:
                 rate = self._random.choice(_RATES_PER_S)
-                with self._disruption(endpoint.instance, f"rate {rate}"):
+                with self._soak.disruption(endpoint.instance, f"rate {rate}"):
                     soak.record.limits[endpoint.instance] = rate, soak.now()
                     endpoint.rate = rate
                     await asyncio.sleep(self._random.uniform(6.0, 9.0))
@@ -135,7 +117,7 @@
     async def _strike_store(self):
         store = self._soak.store
         kind = self._random.choice(_STORE_FAULTS)
-        with self._disruption("store", kind):
+        with self._soak.disruption("store", kind):
             if kind == "slow":
                 store.delay_s = _SLOW_STORE_S
             else:
@@ -156,7 +138,7 @@
             await asyncio.sleep(self._restore_random.uniform(1.0, 8.0))
             if self._soak.now() >= end_s:
                 return
-            with self._disruption("store", "restore"):
+            with self._soak.disruption("store", "restore"):
                 age_s = round(self._soak.now() - copy_s, 1)
                 self._soak.log(f"store: restore, copy {age_s} s old")
                 written = {
--- a/tests/gateway_soak/soak.py
+++ b/tests/gateway_soak/soak.py
@@ -4,8 +4,10 @@
 import collections
 import contextlib
 import random
+import signal
 import tempfile
 
+from tests.gateway_soak import build_replacement
 from tests.gateway_soak import callers
 from tests.gateway_soak import checks
 from tests.gateway_soak import endpoints
@@ -34,9 +36,11 @@
     :param seed: seed of all that is drawn
     :param nodes: number of nodes, each a process
     :param engines: number of engines
+    :param older_source: sources of an older build from which all nodes start;
+        they are replaced one by one by the current build, and back
     """
 
-    def __init__(self, seed, nodes=4, engines=4):
+    def __init__(self, seed, nodes=4, engines=4, older_source=None):
         self.seed = seed
         self.record = records.Record()
         self.events = []
@@ -48,6 +52,7 @@
         self._random = random.Random(seed)
         self._node_count = nodes
         self._engine_count = engines
+        self._older_source = older_source
         self._numbers = collections.Counter()
         self._version = 0
         self._keys = [f"key-{n}" for n in range(_KEYS)]
@@ -90,7 +95,10 @@
             tasks.append(asyncio.ensure_future(self._watch_stalls()))
             drawn = faults.Faults(self, random.Random(self._random.random()))
             try:
-                await drawn.run(seconds)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(drawn.run(seconds))
+                    if self._older_source is not None:
+                        group.create_task(self._replace_builds())
                 await asyncio.sleep(_RECOVERY_S)
                 unserved = await self._find_unserved()
             finally:
@@ -148,6 +156,28 @@
         self.record.drained.setdefault(endpoint.instance, self.now())
         self._add_endpoint(service)
 
+    @contextlib.contextmanager
+    def disruption(self, target, kind):
+        """Record a fault, which excuses what it strikes while it lasts."""
+        begin_s = self.now()
+        self.log(f"{target}: {kind}")
+        try:
+            yield
+        finally:
+            self.record.disruptions.append(
+                records.Disruption(target, kind, begin_s, self.now())
+            )
+
+    async def restart_node(self, name):
+        """Stop a node as planned, and start it again."""
+        node = self.nodes[name]
+        with self.disruption(name, "stop"):
+            node.send_signal(signal.SIGTERM)
+            code = await node.wait_until_ended()
+            self.record.exits.append((name, code))
+            await node.start()
+            await node.wait_until_ready()
+
     def _add_endpoint(self, service):
         self._numbers[service] += 1
         endpoint = endpoints.SoakEndpoint(
@@ -164,7 +194,9 @@
         waiting = []
         for number in range(self._node_count):
             name = f"node-{number}"
-            node = platform_process.PlatformProcess(self._fleet, folder, name)
+            node = platform_process.PlatformProcess(
+                self._fleet, folder, name, source=self._older_source
+            )
             self.nodes[name] = await stack.enter_async_context(node)
             waiting.append(node)
             if len(waiting) == _START_BATCH:
@@ -175,6 +207,12 @@
         while waiting:
             await waiting.pop().wait_until_ready()
 
+    async def _replace_builds(self):
+        replacement = build_replacement.BuildReplacement(
+            self, random.Random(f"builds-{self.seed}")
+        )
+        await replacement.run([None, self._older_source])
+
     async def _watch_stalls(self):
         """Record when this process was held up, until cancelled."""
         while True:
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -42,10 +42,14 @@
 
     :param fleet: holds the store and the endpoints
     :param folder: folder for the settings file and the log
+
+    ``source`` is the folder that the program is imported from at the next
+    start; None stands for the current build.
     """
 
-    def __init__(self, fleet, folder, name="node-1", grace_s=8.0):
+    def __init__(self, fleet, folder, name="node-1", grace_s=8.0, source=None):
         super().__init__(fleet.settings(name, grace_s=grace_s))
+        self.source = source
         self._name = name
         self._settings_path = os.path.join(folder, f"{name}.toml")
         self._log_path = os.path.join(folder, f"{name}.log")
@@ -73,14 +77,20 @@
                 "-m",
                 "fireflyspur",
                 "platform",
-                env={
-                    **os.environ,
-                    "FIREFLYSPUR_SETTINGS": self._settings_path,
-                },
+                env=self._environment(),
                 stdout=log,
                 stderr=log,
             )
 
+    def _environment(self):
+        environment = {
+            **os.environ,
+            "FIREFLYSPUR_SETTINGS": self._settings_path,
+        }
+        if self.source is not None:
+            environment["PYTHONPATH"] = str(self.source)
+        return environment
+
     async def wait_until_ready(self):
         """Wait until the balancer would send requests."""
         try:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,17 +5,21 @@
 failed is run again with ``--seed N --runs 1``; ``--print`` shows its text
 only. ``--gateway`` runs nodes of the users' platform instead, ``--nodes`` of
 them; there, what meets what also depends on the speed of the machine, so the
-logs of a run that failed are kept in ``--logs``.
+logs of a run that failed are kept in ``--logs``. ``--older COMMIT`` starts
+them from the build of that commit and replaces them one by one, and back.
 """
 
 import argparse
 import asyncio
+import contextlib
 import pathlib
 import signal
 import sys
+import tempfile
 import time
 
 from tests.gateway_soak import soak as gateway_soak
+from tests.support import older_builds
 from tests.support import scenario_parser
 from tests.support import scenario_runner
 from tests.support import schedules
@@ -55,6 +59,7 @@
     parser.add_argument("--minutes", type=float, default=5.0)
     parser.add_argument("--print", action="store_true")
     parser.add_argument("--gateway", action="store_true")
+    parser.add_argument("--older", metavar="COMMIT")
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--engines", type=int, default=4)
     parser.add_argument(
@@ -86,12 +91,19 @@
 
 def _run_gateway(seed: int, arguments: argparse.Namespace) -> bool:
     """Run nodes of the platform; returns whether all promises were kept."""
-    run = gateway_soak.GatewaySoak(seed, arguments.nodes, arguments.engines)
-    started = time.monotonic()
-    try:
-        violations = asyncio.run(run.run(arguments.seconds))
-    except Exception as error:
-        violations = [f"run: {type(error).__name__}: {error}"]
+    with contextlib.ExitStack() as stack:
+        older_source = None
+        if arguments.older:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            older_source = older_builds.extract(arguments.older, folder)
+        run = gateway_soak.GatewaySoak(
+            seed, arguments.nodes, arguments.engines, older_source
+        )
+        started = time.monotonic()
+        try:
+            violations = asyncio.run(run.run(arguments.seconds))
+        except Exception as error:
+            violations = [f"run: {type(error).__name__}: {error}"]
     events = run.record.results + run.record.disruptions
     _report(seed, len(events), started, violations)
     if violations:
