Evacuate failure domains that operators name in the store

Operators had no way to keep requests from a failure domain: an endpoint got work as long as it was listed and answered.

Records evacuate/ZONE are read with the configuration, in the same calls, and held with epoch, position and time of the read. Nodes tell one another; a node whose state is older than a share of evacuate_ms reads the store itself, also if the configuration's version was confirmed. After a suspension, that check waits for a read of the store. Without evacuate_ms in the settings nothing of this is in force.

Times are sent by the sender's clock, not as ages: an age would be wrong if the sender was suspended between writing and sending it.

--- a/src/fireflyspur/gateway/common/registry.py
+++ b/src/fireflyspur/gateway/common/registry.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.configuration import evacuations as states
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 
@@ -16,12 +18,17 @@
     :param read_at_s: clock of this node when the read started
     :param position: position in the store's log from which it was read
     :param end: position that the next record will have, as the store says
+    :param evacuations: evacuations in force at that time, or None if they
+        were not read
+    :param error: why the newest configuration cannot be used, or None
     """
 
     config: routing_config.RoutingConfig | None
     read_at_s: float
     position: int = 0
     end: int = 0
+    evacuations: states.EvacuationState | None = None
+    error: exceptions.RecordInvalidError | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,7 +50,6 @@
         """Read the newest configuration.
 
         :raises StoreUnavailableError: if the store does not respond
-        :raises RecordInvalidError: if the configuration cannot be used
         """
 
     @abc.abstractmethod
@@ -52,7 +58,6 @@
 
         :param wait_s: seconds after which the store responds in any case
         :raises StoreUnavailableError: if the store does not respond
-        :raises RecordInvalidError: if the configuration cannot be used
         """
 
     @abc.abstractmethod
--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -120,6 +120,13 @@
                 endpoints_age_s=round(self._directory.age_s(), 1),
             )
 
+    async def read_evacuations(self) -> None:
+        """Read the operators' records now.
+
+        :raises StoreUnavailableError: if the store does not respond
+        """
+        self._apply_config(await self._registry.wait_config(0))
+
     async def run(self) -> None:
         """Read the store when needed until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -170,11 +177,15 @@
             self._log_missing(read)
             await asyncio.sleep(_CHANGE_PAUSE_S)
         elif self._holder.table is None or self._rank("config") == 0:
-            wait_s = min(CONFIG_WAIT_S, _WAIT_SHARE * self._config_bound_s)
+            wait_s = min(
+                CONFIG_WAIT_S,
+                _WAIT_SHARE * self._config_bound_s,
+                self._link.evacuations.wait_s(),
+            )
             read = await self._registry.wait_config(wait_s)
             self._apply_config(read)
             self._announce_config()
-            if read.config is not None:
+            if read.config is not None or read.position < read.end:
                 await asyncio.sleep(_CHANGE_PAUSE_S)
         elif (remaining_s := self._remaining_s("config")) > 0:
             await self._pause("config", remaining_s)
@@ -201,22 +212,42 @@
         self._log_recovery("endpoints")
 
     def _apply_config(self, read: registries.ConfigRead) -> None:
+        """Apply what was read.
+
+        :raises RecordInvalidError: if the configuration cannot be used
+        """
+        # First of all, as requests may be sent as soon as there are routes.
+        self._apply_evacuations(read)
+        if read.error is not None:
+            raise read.error
         self._is_config_read = True
         if read.config is not None:
             self._holder.apply(read.config)
         self._holder.confirm(read.read_at_s)
         self._log_recovery("config")
 
+    def _apply_evacuations(self, read: registries.ConfigRead) -> None:
+        if read.evacuations is None:
+            return
+        if self._link.evacuations.update_from_store(
+            read.evacuations, read.read_at_s
+        ):
+            self._link.announce_evacuations()
+
     def _announce_config(self) -> None:
         if self._holder.table is not None:
             self._link.announce_config()
+            self._link.announce_evacuations()
 
     def _remaining_s(self, topic: str) -> float:
         """Return the time until this node must read the store itself."""
         delay = _RANK_SHARE * self._rank(topic)
         if topic == "config":
             share = min(_CONFIG_SHARE + delay, _LAST_SHARE)
-            return share * self._config_bound_s - self._holder.age_s()
+            return min(
+                share * self._config_bound_s - self._holder.age_s(),
+                self._link.evacuations.remaining_s(self._rank(topic)),
+            )
         share = min(_ENDPOINTS_SHARE + delay, _LAST_SHARE)
         return share * self._endpoints_bound_s - self._directory.age_s()
 
--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -50,6 +50,7 @@
         # Start of each instance that said that it leaves, in Unix ms. It is
         # kept after the instance is gone, as it may be listed again.
         self._leaving: dict[str, int | None] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._read_at_s: float | None = None
         self._recovered_at_s: float | None = None
         self._epoch = 0
@@ -131,6 +132,23 @@
         self._read_at_s = max(self._read_at_s, read_at_s)
         return True
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Exclude the endpoints of some failure domains.
+
+        Their entries are kept, as the domains may be used again.
+        """
+        self._evacuated = domains
+        self._index()
+
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether ready endpoints of a service are evacuated."""
+        return any(
+            endpoint.service == service
+            and endpoint.failure_domain in self._evacuated
+            and endpoint.state is endpoints.EndpointState.READY
+            for endpoint in self._endpoints.values()
+        )
+
     def mark_leaving(self, instance: str, reason: str) -> bool:
         """Exclude an endpoint that reported that it is leaving or gone.
 
@@ -188,14 +206,11 @@
         return faults is not None and faults.paused_until_s > clock.now_s()
 
     def is_available(self, instance: str) -> bool:
-        """Whether an endpoint is ready, not leaving and not paused."""
+        """Whether an endpoint may get new requests and is not paused."""
         endpoint = self._endpoints.get(instance)
-        if (
-            endpoint is None
-            or endpoint.state is not endpoints.EndpointState.READY
-        ):
+        if endpoint is None or not self._is_usable(endpoint):
             return False
-        return instance not in self._leaving and not self.is_paused(instance)
+        return not self.is_paused(instance)
 
     def fault_count(self, instance: str) -> int:
         """Return the number of faults since the last success."""
@@ -207,12 +222,15 @@
         return self._by_service.get(service, ())
 
     def usable(self) -> Iterable[endpoints.Endpoint]:
-        """Return the endpoints that are ready and not leaving."""
-        for endpoint in self._endpoints.values():
-            if endpoint.state is not endpoints.EndpointState.READY:
-                continue
-            if endpoint.instance not in self._leaving:
-                yield endpoint
+        """Return the endpoints that are ready, not leaving, not evacuated."""
+        return filter(self._is_usable, self._endpoints.values())
+
+    def _is_usable(self, endpoint: endpoints.Endpoint) -> bool:
+        return (
+            endpoint.state is endpoints.EndpointState.READY
+            and endpoint.instance not in self._leaving
+            and endpoint.failure_domain not in self._evacuated
+        )
 
     def _had_outage(self, read_at_s: float) -> bool:
         previous = self._read_at_s
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -7,6 +7,8 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import evacuation_sync
+from fireflyspur.gateway.configuration import evacuations
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
@@ -75,6 +77,10 @@
             lambda: directory.epoch,
         )
         self._sync = endpoint_sync.EndpointSync(directory)
+        self._evacuations = evacuations.Evacuations(directory.set_evacuated)
+        self._evacuation_sync = evacuation_sync.EvacuationSync(
+            self._evacuations
+        )
         self._limits = rate_limits.RateLimits(
             lambda: self._channel.fleet_draft,
             directory.find_named,
@@ -143,6 +149,11 @@
         """Synchronization of the list of endpoints."""
         return self._sync
 
+    @property
+    def evacuations(self) -> evacuations.Evacuations:
+        """Failure domains that operators have evacuated."""
+        return self._evacuations
+
     @property
     def idle(self) -> idle_engines.IdleEngines:
         """Idle engines of other pools."""
@@ -177,6 +188,10 @@
         """Announce the version of the configuration in force."""
         self._channel.fleet_draft.config.CopyFrom(self._config_seen())
 
+    def announce_evacuations(self) -> None:
+        """Announce the evacuations that this node knows to all nodes."""
+        self._add_evacuations(self._channel.fleet_draft)
+
     def announce_endpoints(self, seen: peer_updates.EndpointsSeen) -> None:
         """Announce an update of the list of endpoints."""
         self._channel.fleet_draft.endpoints.CopyFrom(seen)
@@ -223,6 +238,7 @@
             self._detector.tick()
             self._in_flight_table.expire(clock.now_s())
             self._notices.keep_only(self._directory.instances)
+            self._evacuations.refresh()
             self._peers.log_silent_peers()
             self._send_heartbeat()
             self._idle_reporter.report()
@@ -240,10 +256,16 @@
             update.quarantined_parts.extend(self._parts.describe())
         if not update.limits:
             update.limits.extend(self._limits.describe())
+        self._add_evacuations(update)
         seen = self._sync.describe()
         if seen is not None and not update.HasField("endpoints"):
             update.endpoints.CopyFrom(seen)
 
+    def _add_evacuations(self, update: peer_updates.PeerUpdate) -> None:
+        seen = self._evacuation_sync.describe()
+        if seen is not None:
+            update.evacuations.CopyFrom(seen)
+
     def _config_seen(self) -> peer_updates.ConfigSeen:
         age_ms = min(self._holder.age_s() * 1000, _MAX_AGE_MS)
         return peer_updates.ConfigSeen(
@@ -277,6 +299,11 @@
         self._handle_reports(update)
         self._idle.add(update.idle.instances)
         self._add_delay(update, contact.delay_s)
+        if update.HasField("evacuations"):
+            # A later state counts also in a datagram that was overtaken.
+            self._evacuation_sync.update_from_peer(
+                update.evacuations, contact.clock_offset_s
+            )
         if update.is_for_pool:
             self._forward(update)
         if contact.is_stale:
@@ -324,6 +351,8 @@
         draft.tried_parts.extend(update.tried_parts)
         draft.reports.extend(update.reports)
         draft.idle.MergeFrom(update.idle)
+        if update.HasField("evacuations"):
+            self._add_evacuations(draft)
         if update.HasField("config"):
             draft.config.CopyFrom(update.config)
         if update.HasField("endpoints"):
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -77,11 +77,15 @@
     :param is_restarted: whether the sender runs as a new process
     :param delay_s: how much longer the datagram was under way than others, as
         when this process was suspended meanwhile
+    :param clock_offset_s: clock of this node less that of the sender, as the
+        fastest datagrams show; None for the first datagram of a process, as
+        it may have been under way for long
     """
 
     is_stale: bool = False
     is_restarted: bool = False
     delay_s: float = 0.0
+    clock_offset_s: float | None = None
 
 
 class PeerTable:
@@ -143,11 +147,13 @@
             return Contact(is_stale=True)
         was_live = peer is not None and self._is_live(peer, now)
         offset_s = delay_s = 0.0
+        known_offset_s = None
         if sent_at_s is not None:
             offset_s = now - sent_at_s
         if is_same_process and peer.clock_offset_s is not None:
             delay_s = peer.transit_s(offset_s, now)
             offset_s = min(offset_s, peer.fastest_s(now))
+            known_offset_s = offset_s
         self._peers[name] = Peer(
             name=name,
             address=address,
@@ -166,6 +172,7 @@
         return Contact(
             is_restarted=peer is not None and not is_same_process,
             delay_s=delay_s,
+            clock_offset_s=known_offset_s,
         )
 
     def log_silent_peers(self) -> None:
--- a/src/fireflyspur/gateway/fleet/update_channel.py
+++ b/src/fireflyspur/gateway/fleet/update_channel.py
@@ -116,6 +116,9 @@
         pools = self._peers.pools
         if fleet_draft.ByteSize():
             own = drafts.setdefault(pools.own, peer_updates.PeerUpdate())
+            if fleet_draft.HasField("evacuations"):
+                # Two states must not be merged into one.
+                own.ClearField("evacuations")
             own.MergeFrom(fleet_draft)
         for pool, draft in drafts.items():
             self._send_to_all(draft, self._peers.recipients(pool))
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -13,6 +13,7 @@
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import evacuation_check
 from fireflyspur.gateway.configuration import store_follower
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
@@ -89,6 +90,7 @@
             detector,
         )
         self._store_follower = self._build_follower(registry, detector)
+        self._evacuation_check = self._build_evacuation_check(detector)
         self._retry_budget = retry_budget.RetryBudget(
             settings.retries, self._link.peers.fleet_size
         )
@@ -139,6 +141,7 @@
             not self._drain.is_begun
             and self._config_holder.table is not None
             and self._directory.is_read
+            and self._link.evacuations.is_read
         )
 
     async def run(self) -> None:
@@ -173,6 +176,15 @@
             endpoints_bound_s=self._settings.drain_s,
         )
 
+    def _build_evacuation_check(
+        self, detector: suspension.SuspensionDetector
+    ) -> evacuation_check.EvacuationCheck:
+        known = self._link.evacuations
+        known.set_bounds(self._settings.evacuate_s, self._settings.outer_s)
+        return evacuation_check.EvacuationCheck(
+            known, detector, self._store_follower.read_evacuations
+        )
+
     def _build_forwarder(
         self, codec: messages.Codec, in_flight: in_flight_table.InFlightTable
     ) -> forwarder.Forwarder:
@@ -204,6 +216,7 @@
                 exits_at_s=lambda: self._drain.deadline_s,
                 timeouts=self._timeouts,
                 wait_until_current=self._store_follower.wait_until_current,
+                evacuation_check=self._evacuation_check,
                 monitor=self._endpoint_monitor,
                 metrics=self._metrics,
             )
@@ -227,6 +240,8 @@
             lacks_paths=lambda: not self._reachability.has_good_paths,
             held_bytes=lambda: self._bytes_held.held_bytes,
             holdings_ended=lambda: self._bytes_held.ended,
+            evacuated_domains=lambda: len(self._link.evacuations.in_force),
+            evacuations_age_s=self._link.evacuations.age_s,
         )
 
     def _build_server(
@@ -289,6 +304,9 @@
         self._store_follower.set_bounds(
             settings.config_apply_s, settings.drain_s
         )
+        self._link.evacuations.set_bounds(
+            settings.evacuate_s, settings.outer_s
+        )
         _log.info("Settings in force", settings=dataclasses.asdict(settings))
 
     def _on_task_done(self, task: "asyncio.Future[None]") -> None:
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -26,6 +26,8 @@
     :param lacks_paths: returns whether the node reaches few endpoints or none
     :param held_bytes: returns the bytes held for all connections
     :param holdings_ended: returns how many of them were given up
+    :param evacuated_domains: returns the number of evacuated failure domains
+    :param evacuations_age_s: returns the age of what is known of them
     """
 
     def __init__(
@@ -37,6 +39,8 @@
         lacks_paths: Callable[[], bool],
         held_bytes: Callable[[], float],
         holdings_ended: Callable[[], float],
+        evacuated_domains: Callable[[], float],
+        evacuations_age_s: Callable[[], float],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._add_counters()
@@ -69,6 +73,16 @@
             holdings_ended,
             "Requests and responses given up as too much was held.",
         )
+        self._gauge(
+            "evacuated_domains",
+            evacuated_domains,
+            "Failure domains that are evacuated.",
+        )
+        self._gauge(
+            "evacuations_age_seconds",
+            evacuations_age_s,
+            "Age of what is known of evacuations.",
+        )
 
     def _add_counters(self) -> None:
         self._requests = self._counter(
--- a/src/fireflyspur/gateway/node/settings.py
+++ b/src/fireflyspur/gateway/node/settings.py
@@ -25,6 +25,9 @@
     :param heartbeat_s: interval at which endpoints report
     :param memory_bytes: memory that the process may use, or None if it is
         not limited
+    :param evacuate_s: time within which the evacuation of a failure domain
+        is in force, or None if evacuations are not used
+    :param outer_s: additional time for nodes that the store refuses
     """
 
     node_name: str
@@ -41,6 +44,8 @@
     retries: retry_budget.RetryLimits
     memory: memory_reserver.MemoryLimits
     memory_bytes: int | None = None
+    evacuate_s: float | None = None
+    outer_s: float = 6.0
 
     @property
     def max_held_bytes(self) -> float:
--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -7,6 +7,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.configuration import evacuation_check
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.handover import handover_codec
@@ -39,6 +40,7 @@
     :param relay: relays the response to the caller
     :param memory: reserves memory on helpers
     :param reachable: opens connections to endpoints
+    :param check: finds endpoints to which nothing may be sent
     :param on_head: called with the head of a response and what it says
     :param on_response_start: called when a successful response starts
     :param watch_silence: returns the callback that decides how long to wait
@@ -52,6 +54,7 @@
         relay: response_relay.ResponseRelay,
         memory: memory_reserver.MemoryReserver,
         reachable: reachability.Reachability,
+        check: evacuation_check.EvacuationCheck,
         on_head: Callable[
             [messages.ResponseHead, messages.ResponseInfo], None
         ],
@@ -65,6 +68,7 @@
         self._relay = relay
         self._memory = memory
         self._reachable = reachable
+        self._check = check
         self._on_head = on_head
         self._on_response_start = on_response_start
         self._watch_silence = watch_silence
@@ -86,7 +90,9 @@
         if not requested:
             return await self._exchange(placement, ())
         try:
-            async with self._memory.reserve(requested) as reservations:
+            async with self._memory.reserve(
+                requested, self._check.find_evacuated
+            ) as reservations:
                 return await self._exchange(placement, reservations)
         except exceptions.MemoryRefusedError as error:
             return attempt_result.NotSent(
@@ -110,9 +116,10 @@
             )
         with contextlib.closing(exchange):
             # The process may have been suspended while it waited.
-            expired = self._find_expired(placement, reservations)
-            if expired is not None:
-                return expired
+            not_sent = await self._find_evacuated(placement)
+            not_sent = not_sent or self._find_expired(placement, reservations)
+            if not_sent is not None:
+                return not_sent
             self._send(exchange, placement, reservations)
             try:
                 return await self._receive(
@@ -123,6 +130,23 @@
                     str(error), error.is_connection_lost, error.failed_member
                 )
 
+    async def _find_evacuated(
+        self, placement: placements.Placement
+    ) -> attempt_result.NotSent | None:
+        """Return why the request must not be sent to a member, or None."""
+        members = [
+            placement.primary,
+            *(helper.endpoint for helper in placement.helpers),
+        ]
+        evacuated = await self._check.find_evacuated(members)
+        if evacuated is None:
+            return None
+        return attempt_result.NotSent(
+            f"failure domain {evacuated.failure_domain} is evacuated",
+            evacuated.instance,
+            is_unreachable=False,
+        )
+
     def _find_expired(
         self,
         placement: placements.Placement,
--- a/src/fireflyspur/gateway/requests/attempt_launcher.py
+++ b/src/fireflyspur/gateway/requests/attempt_launcher.py
@@ -102,6 +102,7 @@
                 self._relay,
                 self._deps.memory,
                 self._deps.reachable,
+                self._deps.evacuation_check,
                 lambda head, info: self._reporter.report_notice(
                     placement.primary, head, info
                 ),
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -6,6 +6,7 @@
 
 from fireflyspur.gateway.common import byte_budget
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.configuration import evacuation_check
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
 from fireflyspur.gateway.endpoints import endpoint_notices
@@ -38,6 +39,7 @@
         None until a stop begins
     :param wait_until_current: waits until the configuration and the endpoints
         are current again after this process was suspended
+    :param evacuation_check: finds endpoints to which nothing may be sent
     """
 
     node_name: str
@@ -59,5 +61,6 @@
     exits_at_s: Callable[[], float | None]
     timeouts: request_timeouts.RequestTimeouts
     wait_until_current: Callable[[], Awaitable[None]]
+    evacuation_check: evacuation_check.EvacuationCheck
     monitor: endpoint_monitor.EndpointMonitor
     metrics: gateway_metrics.GatewayMetrics
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -29,6 +29,7 @@
 _MAX_EXCLUDED = 5
 _NONE_READY = "no endpoint is ready"
 _NO_ROOM = "no endpoint has room"
+_ALL_EVACUATED = "all endpoints are in evacuated failure domains"
 
 
 class RequestRunner:
@@ -295,14 +296,21 @@
                 plan.service, attempt_launcher.demand_of(plan), excluded
             )
         if placement is None and len(excluded) == self._first_choice:
-            any_ready = self._deps.directory.ready(plan.service.name)
-            self._reason = _NO_ROOM if any_ready else _NONE_READY
+            self._reason = self._explain_none()
         if placement is None:
             self._limited_retry_s = self._deps.notices.retry_after_s(
                 self._deps.directory.ready(plan.service.name), plan.priority
             )
         return placement
 
+    def _explain_none(self) -> str:
+        service = self._plan.service.name
+        if self._deps.directory.ready(service):
+            return _NO_ROOM
+        if self._deps.directory.has_evacuated(service):
+            return _ALL_EVACUATED
+        return _NONE_READY
+
     async def _handle_result(self, ended: attempt_race.Ended) -> bool:
         """Handle the result of an attempt.
 
--- a/src/fireflyspur/gateway/scheduling/engine_orders.py
+++ b/src/fireflyspur/gateway/scheduling/engine_orders.py
@@ -1,6 +1,8 @@
 """Orders to engines about their memory."""
 
 import abc
+from collections.abc import Awaitable
+from collections.abc import Callable
 import enum
 
 from fireflyspur.gateway.common import address as addresses
@@ -28,11 +30,14 @@
         ticket: str,
         tokens: int,
         duration_s: float,
+        may_send: Callable[[], Awaitable[bool]] | None = None,
     ) -> OrderResult:
         """Reserve memory, or renew a reservation.
 
         :param ticket: identifies the reservation
         :param duration_s: time after which the reservation expires
+        :param may_send: asked immediately before the order is sent; None to
+            send it in any case
         """
 
     @abc.abstractmethod
--- a/src/fireflyspur/gateway/scheduling/memory_reserver.py
+++ b/src/fireflyspur/gateway/scheduling/memory_reserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
@@ -23,6 +24,11 @@
 # Maximum number of attempts to release memory while no response arrives.
 _MAX_RELEASE_ATTEMPTS = 3
 
+# Returns an endpoint to which nothing may be sent any more, or None.
+_Check = Callable[
+    [Sequence[endpoints.Endpoint]], Awaitable[endpoints.Endpoint | None]
+]
+
 _log = logs.log_for("memory")
 
 
@@ -76,7 +82,9 @@
 
     @contextlib.asynccontextmanager
     async def reserve(
-        self, requested: Sequence[tuple[endpoints.Endpoint, int]]
+        self,
+        requested: Sequence[tuple[endpoints.Endpoint, int]],
+        check: _Check | None = None,
     ) -> AsyncIterator[tuple[Reservation, ...]]:
         """Reserve memory on each of several engines within a context.
 
@@ -84,6 +92,7 @@
         response doesn't wait for it.
 
         :param requested: engines, and the tokens on each
+        :param check: returns one of them that must not get an order, or None
         :raises MemoryRefusedError: if one of them doesn't confirm it
         """
         # It lasts from the arrival of the order, which is later.
@@ -94,7 +103,7 @@
         )
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._release_all, reservations)
-            await self._reserve_all(reservations)
+            await self._reserve_all(reservations, check)
             renewal = asyncio.ensure_future(self._renew(reservations))
             stack.callback(renewal.cancel)
             yield reservations
@@ -104,10 +113,13 @@
         await asyncio.gather(*self._releases, return_exceptions=True)
 
     async def _reserve_all(
-        self, reservations: tuple[Reservation, ...]
+        self, reservations: tuple[Reservation, ...], check: _Check | None
     ) -> None:
         results = await asyncio.gather(
-            *(self._send_reserve(reservation) for reservation in reservations)
+            *(
+                self._send_reserve(reservation, check)
+                for reservation in reservations
+            )
         )
         for reservation, result in zip(reservations, results, strict=True):
             if result is not engine_orders.OrderResult.DONE:
@@ -121,13 +133,17 @@
         )
 
     async def _send_reserve(
-        self, reservation: Reservation
+        self, reservation: Reservation, check: _Check | None = None
     ) -> engine_orders.OrderResult:
+        async def may_send() -> bool:
+            return await check((reservation.endpoint,)) is None
+
         return await self._orders.reserve(
             reservation.endpoint.address,
             reservation.ticket,
             reservation.tokens,
             self._limits().reservation_s,
+            None if check is None else may_send,
         )
 
     async def _renew(self, reservations: tuple[Reservation, ...]) -> None:
--- a/src/fireflyspur/platform/order_client.py
+++ b/src/fireflyspur/platform/order_client.py
@@ -1,6 +1,8 @@
 """Client for the platform's protocol of orders to engines."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 
 import msgspec
@@ -41,10 +43,11 @@
         ticket: str,
         tokens: int,
         duration_s: float,
+        may_send: Callable[[], Awaitable[bool]] | None = None,
     ) -> engine_orders.OrderResult:
         """Reserve memory, or extend a reservation."""
         order = _ReserveOrder(ticket, tokens, round(duration_s * 1000))
-        return await self._send(address, order)
+        return await self._send(address, order, may_send)
 
     async def release(
         self, address: addresses.Address, ticket: str
@@ -53,7 +56,10 @@
         return await self._send(address, _ReleaseOrder(ticket))
 
     async def _send(
-        self, address: addresses.Address, order: _ReserveOrder | _ReleaseOrder
+        self,
+        address: addresses.Address,
+        order: _ReserveOrder | _ReleaseOrder,
+        may_send: Callable[[], Awaitable[bool]] | None = None,
     ) -> engine_orders.OrderResult:
         try:
             exchange = await http_exchange.HttpExchange.connect(
@@ -62,6 +68,8 @@
         except exceptions.EndpointUnreachableError:
             return engine_orders.OrderResult.REFUSED
         with contextlib.closing(exchange):
+            if may_send is not None and not await may_send():
+                return engine_orders.OrderResult.REFUSED
             body = msgspec.json.encode(order)
             headers = [
                 (b"Host", str(address).encode()),
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tomllib
+from typing import Annotated
 
 import msgspec
 
@@ -34,6 +35,10 @@
     free_ms: float = 4_000
     # Longest reservation that an engine accepts.
     hold_max_ms: float = 20_000
+    # Evacuations of failure domains are used only if this is given.
+    evacuate_ms: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    # Additional time for nodes that the store refuses.
+    outer_ms: float = 6_000
 
 
 class _Limits(msgspec.Struct):
@@ -118,4 +123,8 @@
         memory_bytes=(
             None if memory_mb is None else int(memory_mb * _MEGABYTE)
         ),
+        evacuate_s=(
+            None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1000
+        ),
+        outer_s=bounds.outer_ms / 1000,
     )
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -1,9 +1,13 @@
 """Registry of the gateway in the platform's store."""
 
+from collections.abc import Sequence
+import dataclasses
+
 from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import registry
+from fireflyspur.gateway.configuration import evacuations
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.observability import logs
 from fireflyspur.platform import config_codec
@@ -12,6 +16,8 @@
 
 _OPERATOR_TOPIC = "keyed.op"
 _CONFIG_KEY = "config"
+# The rest of the key names a failure domain.
+_EVACUATION_KEY_PREFIX = "evacuate/"
 _ENDPOINTS_TOPIC = "keyed.servers"
 _NODES_TOPIC = "keyed.status"
 _NODE_KEY_PREFIX = "node-"
@@ -27,32 +33,34 @@
 
     def __init__(self, store: store_client.StoreClient) -> None:
         self._store = store
-        self._config_offset = 0
-        self._config_epoch = 0
+        # Position up to which operators' records were read, with what they
+        # say of evacuations.
+        self._seen = evacuations.EvacuationState(0, 0)
         self._invalid_keys: set[str] = set()
 
     async def read_config(self) -> registry.ConfigRead:
         """Read the current configuration."""
         read_at_s = clock.now_s()
         newest = await self._store.read_newest(_OPERATOR_TOPIC)
-        self._config_offset = newest.end
-        self._config_epoch = newest.epoch
-        for record in newest.records:
-            if record.key == _CONFIG_KEY:
-                config = config_codec.decode(record.value)
-                return registry.ConfigRead(
-                    config, read_at_s, record.offset, newest.end
-                )
-        return registry.ConfigRead(None, read_at_s, end=newest.end)
+        records = [
+            store_client.KeyedRecord(record.key, record.value)
+            for record in newest.records
+        ]
+        self._seen = _apply_evacuations(
+            evacuations.EvacuationState(newest.epoch, newest.end), records
+        )
+        offsets = [r.offset for r in newest.records if r.key == _CONFIG_KEY]
+        position = offsets[-1] if offsets else 0
+        return _to_read(records, read_at_s, position, newest.end, self._seen)
 
     async def wait_config(self, wait_s: float) -> registry.ConfigRead:
         """Wait for a configuration newer than the last one read."""
         started_s = clock.now_s()
-        position = self._config_offset
+        # Another call may end while this one waits.
+        base = self._seen
+        position = base.position
         read = await self._store.read_log(_OPERATOR_TOPIC, position, wait_s)
-        is_other_log = (
-            read.epoch != self._config_epoch or read.end < self._config_offset
-        )
+        is_other_log = read.epoch != base.epoch or read.end < position
         if read.is_expired or is_other_log:
             # After a restore, newer records may have lower offsets.
             return await self.read_config()
@@ -65,14 +73,16 @@
                 end=read.end,
             )
             return await self.read_config()
-        self._config_offset = read.next
-        values = [r.value for r in read.records if r.key == _CONFIG_KEY]
-        if not values:
+        seen = _apply_evacuations(
+            dataclasses.replace(base, position=read.next), read.records
+        )
+        if seen.version >= self._seen.version:
+            self._seen = seen
+        read_at_s = started_s
+        if not read.records:
             # The store responds without a record only after the full wait.
             read_at_s = min(started_s + wait_s, clock.now_s())
-            return registry.ConfigRead(None, read_at_s, position, read.end)
-        config = config_codec.decode(values[-1])
-        return registry.ConfigRead(config, started_s, position, read.end)
+        return _to_read(read.records, read_at_s, position, read.end, seen)
 
     async def read_endpoints(self) -> endpoints.EndpointList:
         """Read the registered endpoints."""
@@ -118,3 +128,41 @@
 def _decode_node(value: str) -> registry.NodeEntry:
     address, _, failure_domain = value.partition(" ")
     return registry.NodeEntry(addresses.parse(address), failure_domain)
+
+
+def _apply_evacuations(
+    state: evacuations.EvacuationState,
+    records: Sequence[store_client.KeyedRecord],
+) -> evacuations.EvacuationState:
+    """Return a state after the operators' records that follow it."""
+    domains = set(state.domains)
+    for record in records:
+        domain = record.key.removeprefix(_EVACUATION_KEY_PREFIX)
+        if domain == record.key:
+            continue
+        if record.value:
+            domains.add(domain)
+        else:
+            domains.discard(domain)
+    return dataclasses.replace(state, domains=frozenset(domains))
+
+
+def _to_read(
+    records: Sequence[store_client.KeyedRecord],
+    read_at_s: float,
+    position: int,
+    end: int,
+    seen: evacuations.EvacuationState,
+) -> registry.ConfigRead:
+    """Return what operators' records say.
+
+    An invalid configuration must not hide the evacuations.
+    """
+    values = [r.value for r in records if r.key == _CONFIG_KEY]
+    config = error = None
+    if values:
+        try:
+            config = config_codec.decode(values[-1])
+        except exceptions.RecordInvalidError as invalid:
+            error = invalid
+    return registry.ConfigRead(config, read_at_s, position, end, seen, error)
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import registry
 from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import evacuations
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.configuration import store_follower
 from fireflyspur.gateway.endpoints import endpoint as endpoints
@@ -66,6 +67,9 @@
         link.announced_version = 0
         link.sync.is_behind = False
         link.sync.update_from_store = self.directory.replace
+        link.evacuations = evacuations.Evacuations(
+            self.directory.set_evacuated
+        )
         self.follower = store_follower.StoreFollower(
             "node-1",
             self.registry,
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -53,6 +53,19 @@
         self.assertEqual(2.0, settings.drain_s)
         self.assertEqual(4.0, settings.memory.free_s)
 
+    def test_evacuations_are_used_only_if_their_bound_is_given(self):
+        settings = self.load(_VALID)
+        self.assertIsNone(settings.evacuate_s)
+        bounds = "[bounds]\nevacuate_ms = 5000\nouter_ms = 4000\n"
+        settings = self.load(_VALID.replace("[bounds]\n", bounds))
+        self.assertEqual((5.0, 4.0), (settings.evacuate_s, settings.outer_s))
+        bounds = "[bounds]\nevacuate_ms = 0\n"
+        self.assertRaises(
+            exceptions.InvalidSettingsError,
+            self.load,
+            _VALID.replace("[bounds]\n", bounds),
+        )
+
     def test_error_names_missing_or_invalid_field(self):
         for before, after, expected in (
             ('zone = "zone-a"', "", "zone"),
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -216,6 +216,20 @@
         """Publish a configuration as the operators do."""
         self.store.put("keyed.op", "config", wanted)
 
+    def evacuate(self, domain):
+        """Evacuate a failure domain as the operators do."""
+        self.store.put("keyed.op", f"evacuate/{domain}", {})
+
+    def cancel_evacuation(self, domain):
+        """Take the evacuation of a failure domain back."""
+        self.store.put("keyed.op", f"evacuate/{domain}", b"")
+
+    def open_store(self):
+        """Return another front of the store, which fails on its own."""
+        view = self.store.open_view()
+        self._stack.callback(view.stop)
+        return view
+
 
 async def _end(task):
     task.cancel()
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -90,6 +90,13 @@
     def start(self):
         self.address = loopback.listen(self._server)
 
+    def open_view(self):
+        """Return another front of the same topics, with its own faults."""
+        view = PlatformStore()
+        view._partitions = self._partitions
+        view.start()
+        return view
+
     def stop(self):
         self._server.close_connections()
         self._server.stop()
