Compare engines of other pools by reported load

Engines of another pool were compared only when the own pool cost a tenth of a prompt's weight, and only idle ones; otherwise a random sample was tried, which could be full. A domain whose engines were down for 3 s refused 93 of 1,021 callers, the others none of 1,849.

Placement predicts their load from the report, what the own pool has sent since and a margin for age, and compares them with the own ones by the same cost. Engines that refuse for want of room count as full. The report names some idle engines for older builds as well.

--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -20,10 +20,11 @@
 from fireflyspur.gateway.fleet import update_channel
 from fireflyspur.gateway.node import suspension
 from fireflyspur.gateway.scheduling import engine_candidates
-from fireflyspur.gateway.scheduling import idle_engines
-from fireflyspur.gateway.scheduling import idle_reporter
 from fireflyspur.gateway.scheduling import in_flight_reporter
 from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import pool_load_report
+from fireflyspur.gateway.scheduling import pool_load_reporter
+from fireflyspur.gateway.scheduling import pool_loads
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
 # A node counts as silent after three missed heartbeats.
@@ -94,11 +95,15 @@
             lambda: self._channel.fleet_draft, self._trial_rank
         )
         self._announced_version = 0
-        self._idle = idle_engines.IdleEngines()
+        self._pool_loads = pool_loads.PoolLoads(table)
         self._candidates = engine_candidates.EngineCandidates(
-            directory, table, self._peers.pools, self._idle, self._notices
+            directory,
+            table,
+            self._peers.pools,
+            self._pool_loads,
+            self._notices,
         )
-        self._idle_reporter = idle_reporter.IdleReporter(
+        self._load_reporter = pool_load_reporter.PoolLoadReporter(
             name, holder, self._candidates, self._peers, self._channel
         )
         self._on_behind: Callable[[], None] = lambda: None
@@ -144,9 +149,9 @@
         return self._sync
 
     @property
-    def idle(self) -> idle_engines.IdleEngines:
-        """Idle engines of other pools."""
-        return self._idle
+    def pool_loads(self) -> pool_loads.PoolLoads:
+        """Load of the engines of other pools."""
+        return self._pool_loads
 
     @property
     def candidates(self) -> engine_candidates.EngineCandidates:
@@ -172,6 +177,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._registration.run(self._introduce))
             group.create_task(self._send_heartbeats())
+            group.create_task(self._load_reporter.run())
 
     def announce_config(self) -> None:
         """Announce the version of the configuration in force."""
@@ -225,7 +231,6 @@
             self._notices.keep_only(self._directory.instances)
             self._peers.log_silent_peers()
             self._send_heartbeat()
-            self._idle_reporter.report()
 
     def _send_heartbeat(self) -> None:
         draft = self._channel.draft
@@ -275,8 +280,12 @@
         self._handle_crashes(update, contact.delay_s)
         self._handle_parts(update)
         self._handle_reports(update)
-        self._idle.add(update.idle.instances)
+        if contact.is_stale:
+            # How long these were under way is not known.
+            update.ClearField("pool_load")
+            update.ClearField("idle")
         self._add_delay(update, contact.delay_s)
+        self._handle_loads(update)
         if update.is_for_pool:
             self._forward(update)
         if contact.is_stale:
@@ -313,6 +322,8 @@
             update.endpoints.age_ms = _add_ms(
                 update.endpoints.age_ms, delay_ms
             )
+        for report in update.pool_load:
+            report.age_ms = _add_ms(report.age_ms, delay_ms)
 
     def _forward(self, update: peer_updates.PeerUpdate) -> None:
         """Forward an update of another pool to the own pool."""
@@ -324,6 +335,7 @@
         draft.tried_parts.extend(update.tried_parts)
         draft.reports.extend(update.reports)
         draft.idle.MergeFrom(update.idle)
+        draft.pool_load.extend(update.pool_load)
         if update.HasField("config"):
             draft.config.CopyFrom(update.config)
         if update.HasField("endpoints"):
@@ -371,6 +383,13 @@
         for part in update.tried_parts:
             self._parts.postpone_trial(part)
 
+    def _handle_loads(self, update: peer_updates.PeerUpdate) -> None:
+        if update.pool_load:
+            self._pool_loads.add(pool_load_report.decode(update))
+        else:
+            # Nodes of older builds name only idle engines.
+            self._pool_loads.add_idle(update.idle.instances)
+
     def _handle_reports(self, update: peer_updates.PeerUpdate) -> None:
         for report in update.reports:
             reason = f"reported by {update.node}"
--- a/src/fireflyspur/gateway/fleet/update_channel.py
+++ b/src/fireflyspur/gateway/fleet/update_channel.py
@@ -205,7 +205,12 @@
     if update.ByteSize() <= _MAX_DATAGRAM_BYTES:
         return [update]
     parts = []
-    for field in (update.started, update.reports, update.crashes):
+    for field in (
+        update.started,
+        update.reports,
+        update.crashes,
+        update.pool_load,
+    ):
         for entry in field:
             part = peer_updates.PeerUpdate()
             match entry:
@@ -213,6 +218,8 @@
                     part.started.append(entry)
                 case peer_updates.EndpointReport():
                     part.reports.append(entry)
+                case peer_updates.PoolLoad():
+                    part.pool_load.append(entry)
                 case _:
                     part.crashes.append(entry)
             part.is_for_pool = update.is_for_pool
@@ -220,4 +227,5 @@
     update.ClearField("started")
     update.ClearField("reports")
     update.ClearField("crashes")
+    update.ClearField("pool_load")
     return [update, *parts]
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -88,6 +88,17 @@
             "Offers of requests to other nodes by their end.",
             ("result",),
         )
+        self._elsewhere = self._counter(
+            "other_pool_requests",
+            "Requests answered by an engine of another pool, by what was known"
+            " of its load: a report, or nothing (unknown).",
+            ("load",),
+        )
+        self._refusals_with_room = self._counter(
+            "refusals_with_room",
+            "Requests refused while another pool reported room.",
+            (),
+        )
         self._first_byte = self._histogram(
             "first_part_seconds",
             "Time from a request to the beginning of its answer.",
@@ -121,6 +132,14 @@
         """Count an offer of a request to another node."""
         self._handovers.labels(result).inc()
 
+    def count_elsewhere(self, load_source: str) -> None:
+        """Count a request that an engine of another pool answered."""
+        self._elsewhere.labels(load_source).inc()
+
+    def count_refusal_with_room(self) -> None:
+        """Count a refusal while another pool reported room."""
+        self._refusals_with_room.inc()
+
     def observe_first_byte(
         self,
         kind: routing_config.RouteKind,
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -31,6 +31,7 @@
     ) -> None:
         self._deps = deps
         self._attempt_id = plan.info.attempt_id
+        self._service = plan.service
         self._fingerprint = quarantine.fingerprint_of(
             plan.request, plan.account_name or plan.info.api_key or ""
         )
@@ -59,11 +60,10 @@
         if info.instance not in (None, endpoint.instance):
             return
         is_own_refusal = info.is_not_run and info.attempt_id is not None
-        self._deps.notices.record(
-            endpoint,
-            info.notice,
-            is_own_refusal and head.status in _BUSY_STATUSES,
-        )
+        is_busy = is_own_refusal and head.status in _BUSY_STATUSES
+        self._deps.notices.record(endpoint, info.notice, is_busy)
+        if is_busy:
+            self._deps.placer.record_full(self._service, endpoint.instance)
 
     def report_handed_over(
         self, head: messages.ResponseHead, instance: str
--- a/src/fireflyspur/gateway/requests/request_report.py
+++ b/src/fireflyspur/gateway/requests/request_report.py
@@ -85,6 +85,10 @@
         metrics.observe_first_byte(kind, tokens, latency_s)
     if relay.last_event_id is not None:
         metrics.observe_longest_gap(tokens, relay.longest_gap_s)
+    placement = outcome.placement
+    is_answered = outcome.response_start_s is not None
+    if placement is not None and is_answered and placement.is_elsewhere:
+        metrics.count_elsewhere(placement.load_source.value)
 
 
 def _describe_placement(outcome: RequestOutcome) -> dict[str, Any]:
@@ -97,6 +101,10 @@
         "helpers": [h.endpoint.instance for h in placement.helpers],
         "predicted_ms": None if predicted_s is None else _ms(predicted_s),
         "busy": placement.in_flight,
+        "load_from": placement.load_source.value,
+        "load_age_ms": None
+        if placement.load_age_s is None
+        else _ms(placement.load_age_s),
         "endpoints_age_ms": _ms(outcome.endpoints_age_s),
     }
 
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -395,6 +395,8 @@
                 "all endpoints take no more requests for now, as they said",
                 retry_after_s=self._limited_retry_s,
             )
+        if self._deps.placer.has_reported_room(self._plan.service):
+            self._deps.metrics.count_refusal_with_room()
         return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
 
     def _crashing_error(
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -2,21 +2,26 @@
 
 from collections.abc import Sequence
 import dataclasses
+import heapq
 import random
 from typing import TypeVar
 
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_notices
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.gateway.fleet import pool_map
-from fireflyspur.gateway.scheduling import idle_engines
 from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import pool_loads
 
 # Maximum number of engines to compare for one prompt. The best of a sample of
 # this size is nearly as good as the best of all, and the time per selection
 # stays bounded.
-_MAX_COMPARED = 32
+MAX_COMPARED = 32
+# Share of them that is left for engines of other pools.
+_COMPARED_ELSEWHERE = 8
 
 _T = TypeVar("_T")
 
@@ -46,7 +51,7 @@
     :param directory: the known endpoints
     :param table: in-flight requests on the engines of the own pool
     :param pools: pools of the fleet
-    :param idle: idle engines of other pools
+    :param loads: load of engines of other pools
     :param notices: what endpoints say of themselves
     """
 
@@ -55,13 +60,13 @@
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
         pools: pool_map.PoolMap,
-        idle: idle_engines.IdleEngines,
+        loads: pool_loads.PoolLoads,
         notices: endpoint_notices.EndpointNotices,
     ) -> None:
         self._directory = directory
         self._table = table
         self._pools = pools
-        self._idle = idle
+        self._loads = loads
         self._notices = notices
         self._own: dict[str, _OwnEngines] = {}
 
@@ -81,7 +86,7 @@
             directory,
             table,
             pools,
-            idle_engines.IdleEngines(),
+            pool_loads.PoolLoads(table),
             endpoint_notices.EndpointNotices(
                 limits or rate_limits.RateLimits.unlimited()
             ),
@@ -92,29 +97,61 @@
     ) -> list[endpoints.Endpoint]:
         """Return the engines of the own pool, or a sample of them."""
         available = self.available(self._own_engines(service), excluded)
-        return _sample(available, _MAX_COMPARED)
+        if not self._loads.has_any:
+            return _sample(available, MAX_COMPARED)
+        return _sample(available, MAX_COMPARED - _COMPARED_ELSEWHERE)
 
-    def idle_elsewhere(
-        self, service: str, excluded: frozenset[str]
-    ) -> list[endpoints.Endpoint]:
-        """Return idle engines of other pools, or a sample of them."""
-        if not self._pools.others:
-            return []
-        idle = self._idle.instances()
+    def reported(
+        self,
+        service: str,
+        engine: routing_config.EngineSpec,
+        excluded: frozenset[str],
+        count: int,
+    ) -> list[tuple[endpoints.Endpoint, pool_loads.RemoteLoad]]:
+        """Return engines of other pools that are likely to have room.
+
+        They are chosen at random, in proportion to their room: nodes that
+        know the same reports would all choose the best of them.
+
+        :param count: maximum number of engines
+        """
         found = [
-            endpoint
-            for endpoint in self._directory.ready(service)
-            if endpoint.instance in idle
-            and not self._table.count(endpoint.instance)
-            and not self._directory.is_paused(endpoint.instance)
-            and endpoint.instance not in excluded
+            (endpoint, load)
+            for endpoint, load in self._with_room(service, engine, excluded)
+            if load.likely_room > 0
         ]
-        return _sample(self._notices.allowed(found), _MAX_COMPARED)
+        return heapq.nlargest(
+            count,
+            found,
+            key=lambda i: random.random() ** (1 / i[1].likely_room),
+        )
 
-    def elsewhere(
-        self, service: str, excluded: frozenset[str]
+    def reported_earlier(
+        self,
+        service: str,
+        engine: routing_config.EngineSpec,
+        excluded: frozenset[str],
+        count: int,
+    ) -> list[tuple[endpoints.Endpoint, pool_loads.RemoteLoad]]:
+        """Return engines of other pools that had room, the likeliest first.
+
+        Requests that others sent since the reports may have filled them.
+        """
+        found = self._with_room(service, engine, excluded)
+        return heapq.nlargest(
+            count, found, key=lambda i: i[1].likely_room + random.random()
+        )
+
+    def unreported(
+        self,
+        service: str,
+        engine: routing_config.EngineSpec,
+        excluded: frozenset[str],
     ) -> list[endpoints.Endpoint]:
-        """Return engines of other pools, or a sample of them."""
+        """Return engines of other pools that may have room, or a sample.
+
+        Those that were just reported as full are left out.
+        """
         if not self._pools.others:
             return []
         own = {e.instance for e in self._own_engines(service)}
@@ -122,8 +159,42 @@
             endpoint
             for endpoint in self._directory.ready(service)
             if endpoint.instance not in own
+            and not self._loads.is_full(endpoint.instance, engine)
+        ]
+        return _sample(self.available(others, excluded), MAX_COMPARED)
+
+    def record_full(
+        self, instance: str, engine: routing_config.EngineSpec
+    ) -> None:
+        """Record that an engine of another pool refused for want of room."""
+        endpoint = self._directory.find_named(instance)
+        if endpoint is not None and not self.is_own(endpoint):
+            self._loads.record_full(instance, engine)
+
+    def is_own(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint belongs to the own pool."""
+        if not self._pools.others:
+            return True
+        return self._pools.pool_of_endpoint(endpoint) == self._pools.own
+
+    def own_loads(
+        self, service: str, engine: routing_config.EngineSpec
+    ) -> list[pool_loads.EngineLoad]:
+        """Return the load of the engines of the own pool, for a report.
+
+        An engine that takes no requests, or fewer than it could, is left out.
+        """
+        now = clock.now_s()
+        return [
+            pool_loads.describe(
+                endpoint.instance,
+                engine,
+                self._table.predict_load(endpoint.instance, engine, now),
+            )
+            for endpoint in self._own_engines(service)
+            if not self._directory.is_paused(endpoint.instance)
+            and not self._notices.is_restricted(endpoint)
         ]
-        return _sample(self.available(others, excluded), _MAX_COMPARED)
 
     def available(
         self, listed: Sequence[endpoints.Endpoint], excluded: frozenset[str]
@@ -142,16 +213,34 @@
         ]
         return usable or allowed
 
-    def find_idle(self, service: str, count: int) -> list[str]:
-        """Return some idle engines of the own pool."""
-        idle = [
-            endpoint.instance
-            for endpoint in self._own_engines(service)
-            if not self._table.count(endpoint.instance)
-            and not self._directory.is_paused(endpoint.instance)
-            and not self._notices.is_restricted(endpoint)
+    def _with_room(
+        self,
+        service: str,
+        engine: routing_config.EngineSpec,
+        excluded: frozenset[str],
+    ) -> list[tuple[endpoints.Endpoint, pool_loads.RemoteLoad]]:
+        """Return engines of other pools that were reported to have room."""
+        if not self._pools.others:
+            return []
+        listed = (
+            self._directory.find_named(instance)
+            for instance in _sample(self._loads.instances, 2 * MAX_COMPARED)
+        )
+        usable = [
+            endpoint
+            for endpoint in listed
+            if endpoint is not None
+            and endpoint.service == service
+            and endpoint.instance not in excluded
+            and self._directory.is_available(endpoint.instance)
+            and not self.is_own(endpoint)
         ]
-        return _sample(idle, count)
+        found = []
+        for endpoint in self._notices.allowed(usable):
+            load = self._loads.predict(endpoint.instance, engine)
+            if load is not None and load.room > 0:
+                found.append((endpoint, load))
+        return found
 
     def _own_engines(self, service: str) -> tuple[endpoints.Endpoint, ...]:
         ready = self._directory.ready(service)
--- a/src/fireflyspur/gateway/scheduling/in_flight_table.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_table.py
@@ -142,10 +142,21 @@
                     self.remove(key)
 
     def predict_load(
-        self, instance: str, engine: routing_config.EngineSpec, now: float
+        self,
+        instance: str,
+        engine: routing_config.EngineSpec,
+        now: float,
+        since_s: float = -math.inf,
     ) -> PredictedLoad:
-        """Return the load that a request would find if it were sent now."""
-        entries = self._entries.get(instance, {}).values()
+        """Return the load that a request would find if it were sent now.
+
+        :param since_s: clock time; earlier requests don't count
+        """
+        entries = [
+            entry
+            for entry in self._entries.get(instance, {}).values()
+            if entry.request.started_at_s >= since_s
+        ]
         streams = []
         waiting = []
         sequences = context = memory = chunks = 0
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import enum
 import random
 
 from fireflyspur.gateway.common import clock
@@ -13,21 +14,34 @@
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import latency_model
 from fireflyspur.gateway.scheduling import placement_cost
+from fireflyspur.gateway.scheduling import pool_loads
 
 # Cost of each fault of an endpoint since its last success, as a share of the
 # request's weight.
 _FAULT_COST = 0.3
 # Cost of an endpoint in another failure domain: latency and network traffic.
 _REMOTE_COST = 0.01
+# Added cost of an engine of another pool for each second of age of its report,
+# as a prediction from an old report is more often wrong.
+_AGE_COST_PER_S = 0.02
 # Numbers of engines that may prefill one prompt together.
 _GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
-# Cost of the best placement in the own pool, as a share of the prompt's
-# weight, from which idle engines of other pools are compared as well.
-_SPILL_COST = 0.1
+# Engines of other pools that are compared for a prompt that needs only one.
+# The best of a few drawn at random is nearly as good as the best of all, and
+# not all nodes choose the same.
+_SAMPLED_ELSEWHERE = 8
 # Splitting a prompt into parts shorter than this does not speed it up.
 _MIN_PART_TOKENS = 8_000
 
 
+class LoadSource(enum.StrEnum):
+    """Where a node knows the load of an endpoint from."""
+
+    OWN_POOL = "own_pool"
+    REPORT = "report"
+    UNKNOWN = "unknown"
+
+
 @dataclasses.dataclass(frozen=True)
 class Helper:
     """An endpoint that prefills a part of a prompt.
@@ -49,12 +63,21 @@
     :param first_event_s: predicted time to the first event; None for an
         endpoint without published figures
     :param in_flight: number of in-flight requests on the primary endpoint
+    :param load_source: where the load of the primary endpoint is known from
+    :param load_age_s: age of the report with its load; None without one
     """
 
     primary: endpoints.Endpoint
     helpers: tuple[Helper, ...] = ()
     first_event_s: float | None = None
     in_flight: int = 0
+    load_source: LoadSource = LoadSource.OWN_POOL
+    load_age_s: float | None = None
+
+    @property
+    def is_elsewhere(self) -> bool:
+        """Whether an engine of another pool responds."""
+        return self.load_source is not LoadSource.OWN_POOL
 
 
 class EndpointSelector:
@@ -118,34 +141,74 @@
         engine = service.engine
         if engine is None:
             return self.choose_plain(service.name, excluded)
-        best = self._best(
-            engine, demand, self._candidates.in_pool(service.name, excluded)
+        return self._choose_known(
+            service.name, engine, demand, excluded
+        ) or self._choose_last(service.name, engine, demand, excluded)
+
+    def record_full(
+        self, service: routing_config.Service, instance: str
+    ) -> None:
+        """Record that an engine refused a request as it has no room."""
+        if service.engine is not None:
+            self._candidates.record_full(instance, service.engine)
+
+    def has_reported_room(self, service: routing_config.Service) -> bool:
+        """Return whether another pool reported an engine with room."""
+        return service.engine is not None and bool(
+            self._candidates.reported(
+                service.name, service.engine, frozenset(), 1
+            )
         )
-        if best is not None and best[0] < _SPILL_COST * demand.weight:
-            return best[1]
-        spilled = self._best(
-            engine,
-            demand,
-            self._candidates.idle_elsewhere(service.name, excluded),
+
+    def _choose_known(
+        self,
+        service: str,
+        engine: routing_config.EngineSpec,
+        demand: placement_cost.Demand,
+        excluded: frozenset[str],
+    ) -> Placement | None:
+        """Choose among the engines whose load is known."""
+        own = self._own_candidates(
+            engine, self._candidates.in_pool(service, excluded)
+        )
+        count = min(
+            _count_elsewhere(demand), engine_candidates.MAX_COMPARED - len(own)
+        )
+        reported = self._candidates.reported(service, engine, excluded, count)
+        return self._best(
+            engine, demand, [*own, *map(self._remote_candidate, reported)]
         )
-        if best is None or (spilled is not None and spilled[0] < best[0]):
-            best = spilled
-        if best is None:
-            # How busy these engines are is not known; they may refuse.
-            best = self._best(
-                engine,
-                demand,
-                self._candidates.elsewhere(service.name, excluded),
-            )
-        return None if best is None else best[1]
 
-    def _best(
+    def _choose_last(
         self,
+        service: str,
         engine: routing_config.EngineSpec,
         demand: placement_cost.Demand,
+        excluded: frozenset[str],
+    ) -> Placement | None:
+        """Choose an engine of another pool that may turn out to be full."""
+        reported = self._candidates.reported_earlier(
+            service, engine, excluded, _count_elsewhere(demand)
+        )
+        placement = self._best(
+            engine, demand, [*map(self._remote_candidate, reported)]
+        )
+        if placement is not None:
+            return placement
+        unreported = self._own_candidates(
+            engine, self._candidates.unreported(service, engine, excluded)
+        )
+        placement = self._best(engine, demand, unreported)
+        if placement is None:
+            return None
+        return dataclasses.replace(placement, load_source=LoadSource.UNKNOWN)
+
+    def _own_candidates(
+        self,
+        engine: routing_config.EngineSpec,
         compared: Sequence[endpoints.Endpoint],
-    ) -> tuple[float, Placement] | None:
-        """Return the placement with the lowest cost, and its cost."""
+    ) -> list[placement_cost.Candidate]:
+        """Return the engines that have a slot, as far as the table tells."""
         now = clock.now_s()
         candidates = [
             placement_cost.Candidate(
@@ -155,9 +218,31 @@
             )
             for endpoint in compared
         ]
-        candidates = [c for c in candidates if _has_slot(engine, c)]
+        return [
+            candidate
+            for candidate in candidates
+            if pool_loads.busy_slots(candidate.load) < engine.slots
+        ]
+
+    def _remote_candidate(
+        self, reported: tuple[endpoints.Endpoint, pool_loads.RemoteLoad]
+    ) -> placement_cost.Candidate:
+        endpoint, load = reported
+        penalty = self._penalty(endpoint) + _AGE_COST_PER_S * load.age_s
+        return placement_cost.Candidate(
+            endpoint, load.predicted, penalty, load.age_s
+        )
+
+    def _best(
+        self,
+        engine: routing_config.EngineSpec,
+        demand: placement_cost.Demand,
+        candidates: Sequence[placement_cost.Candidate],
+    ) -> Placement | None:
+        """Return the placement with the lowest cost."""
         options = self._options(engine, demand, candidates)
-        return min(options, key=lambda option: option[0], default=None)
+        best = min(options, key=lambda option: option[0], default=None)
+        return None if best is None else best[1]
 
     def _options(
         self,
@@ -202,6 +287,10 @@
             tuple(Helper(c.endpoint, tokens) for c, tokens in helpers),
             cost.first_event_s,
             members[0].load.in_flight,
+            LoadSource.OWN_POOL
+            if members[0].report_age_s is None
+            else LoadSource.REPORT,
+            members[0].report_age_s,
         )
         return cost.total, placement
 
@@ -211,14 +300,8 @@
         return _FAULT_COST * faults + _REMOTE_COST * is_remote
 
 
-def _has_slot(
-    engine: routing_config.EngineSpec, candidate: placement_cost.Candidate
-) -> bool:
-    """Return whether an engine has a free slot for a prompt.
-
-    Prompts that it only helps to prefill are counted separately from those
-    that it responds to.
-    """
-    serving = len(candidate.load.streams)
-    helping = candidate.load.in_flight - serving
-    return max(serving, helping) < engine.slots
+def _count_elsewhere(demand: placement_cost.Demand) -> int:
+    """Return how many engines of other pools to compare for a prompt."""
+    if demand.prompt_tokens < 2 * _MIN_PART_TOKENS:
+        return _SAMPLED_ELSEWHERE
+    return engine_candidates.MAX_COMPARED
--- a/src/fireflyspur/gateway/scheduling/placement_cost.py
+++ b/src/fireflyspur/gateway/scheduling/placement_cost.py
@@ -53,11 +53,14 @@
 
     :param load: predicted load that the prompt would find there
     :param penalty: added cost, as a share of the prompt's weight
+    :param report_age_s: age of the report of another pool on which the load is
+        based; None if this node's pool knows it
     """
 
     endpoint: endpoints.Endpoint
     load: in_flight_table.PredictedLoad
     penalty: float
+    report_age_s: float | None = None
 
 
 def prompt_weight(prompt_tokens: int) -> float:
@@ -109,9 +112,15 @@
 
 
 def idle_engine_cost(demand: Demand, candidate: Candidate) -> float:
-    """Return the cost of a short prompt on an engine without streams."""
+    """Return the cost of a short prompt on an engine without streams.
+
+    Engines of other pools cost the same, so that a short prompt doesn't leave
+    its own idle pool for their streams.
+    """
     is_short = demand.prompt_tokens < _SHORT_TOKENS
-    return _IDLE_ENGINE_COST * (is_short and not candidate.load.streams)
+    is_reported = candidate.report_age_s is not None
+    is_idle = is_reported or not candidate.load.streams
+    return _IDLE_ENGINE_COST * (is_short and is_idle)
 
 
 def cost_to_others(
--- /dev/null
+++ b/src/fireflyspur/gateway/scheduling/pool_loads.py
@@ -0,0 +1,216 @@
+"""Load of the engines of other pools."""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import routing_config
+from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import latency_model
+
+# A pool reports about once a second. Another node takes over 3.2 s after the
+# reporting one has become silent.
+MAX_AGE_S = 4.5
+# Requests that an engine may have got from others since its report, for each
+# second of age. Its own pool fills few engines first, so one of them gets
+# several times the mean of 0.7 a second at the reference sizes.
+_UNSEEN_PER_S = 3.0
+# Memory that such requests may use, as an engine crashes without memory. One
+# prompt of medium length has 45,000 tokens.
+_UNSEEN_TOKENS_PER_S = 45_000
+# Requests that were sent this long before a report may not be counted in it:
+# updates are batched for 2 ms, and domains are some milliseconds apart.
+_TRANSIT_S = 0.05
+# At usual response lengths, an engine frees a slot several times a second, so
+# a report that it is full says little after this time.
+_FULL_S = 0.25
+_WEIGHT = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Load of an engine of another pool, as reported.
+
+    :param in_flight: requests that take up slots
+    :param pending_prefill_ms: prefill time left for the queued prompts
+    :param free_tokens: memory that its requests leave free, or None for all
+    :param min_gap_s: shortest target for a pause of its streams, or None
+    :param taken_at_s: clock time of this node when the figures were taken
+    """
+
+    instance: str
+    in_flight: int
+    pending_prefill_ms: float
+    free_tokens: int | None
+    min_gap_s: float | None
+    taken_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteLoad:
+    """Load that a request would find on an engine of another pool.
+
+    :param room: number of further requests that the engine has slots for
+    :param likely_room: the same less those that others may have sent since
+        the report
+    :param age_s: age of the report
+    """
+
+    predicted: in_flight_table.PredictedLoad
+    room: int
+    likely_room: int
+    age_s: float
+
+
+class PoolLoads:
+    """Holds what other pools reported of their engines.
+
+    Reports may be lost, arrive late or come from a pool with another view of
+    the engines. A prediction therefore adds what this node's pool has sent
+    since the report, and a margin that grows with its age.
+
+    :param table: in-flight requests that this node's pool knows of
+    """
+
+    def __init__(self, table: in_flight_table.InFlightTable) -> None:
+        self._table = table
+        self._loads: dict[str, EngineLoad] = {}
+
+    @property
+    def has_any(self) -> bool:
+        """Whether another pool has reported engines."""
+        return bool(self._loads)
+
+    @property
+    def instances(self) -> list[str]:
+        """Instances of the reported engines."""
+        return list(self._loads)
+
+    def add(self, loads: Iterable[EngineLoad]) -> None:
+        """Add reported loads, unless they are older than the known ones."""
+        oldest_s = clock.now_s() - MAX_AGE_S
+        self._loads = {
+            instance: load
+            for instance, load in self._loads.items()
+            if load.taken_at_s > oldest_s
+        }
+        for load in loads:
+            known = self._loads.get(load.instance)
+            if load.taken_at_s <= oldest_s:
+                continue
+            if known is None or known.taken_at_s <= load.taken_at_s:
+                self._loads[load.instance] = load
+
+    def add_idle(self, instances: Iterable[str]) -> None:
+        """Add engines that were just reported to have no requests."""
+        now = clock.now_s()
+        self.add(
+            EngineLoad(instance, 0, 0.0, None, None, now)
+            for instance in instances
+        )
+
+    def record_full(
+        self, instance: str, engine: routing_config.EngineSpec
+    ) -> None:
+        """Record that an engine refused a request as it has no room."""
+        self.add(
+            [EngineLoad(instance, engine.slots, 0.0, 0, None, clock.now_s())]
+        )
+
+    def predict(
+        self, instance: str, engine: routing_config.EngineSpec
+    ) -> RemoteLoad | None:
+        """Return the load of an engine, or None without a recent report."""
+        load, now = self._loads.get(instance), clock.now_s()
+        if load is None or now - load.taken_at_s >= MAX_AGE_S:
+            return None
+        age_s = max(0.0, now - load.taken_at_s)
+        unseen = round(_UNSEEN_PER_S * age_s)
+        known = self._table.predict_load(instance, engine, now)
+        sent = self._table.predict_load(
+            instance, engine, now, load.taken_at_s - _TRANSIT_S
+        )
+        unseen_tokens = round(_UNSEEN_TOKENS_PER_S * age_s)
+        predicted = _add(load, unseen, unseen_tokens, sent, engine)
+        # The report may have missed requests of this pool.
+        busy = max(predicted.in_flight - unseen, busy_slots(known))
+        room = engine.slots - busy
+        return RemoteLoad(predicted, room, room - unseen, age_s)
+
+    def is_full(
+        self, instance: str, engine: routing_config.EngineSpec
+    ) -> bool:
+        """Return whether a recent report leaves an engine no slot."""
+        load = self.predict(instance, engine)
+        return load is not None and load.room <= 0 and load.age_s < _FULL_S
+
+
+def describe(
+    instance: str,
+    engine: routing_config.EngineSpec,
+    load: in_flight_table.PredictedLoad,
+) -> EngineLoad:
+    """Return the load of an engine of the own pool for a report."""
+    return EngineLoad(
+        instance,
+        busy_slots(load),
+        load.state.pending_prefill_ms,
+        max(0, engine.kv_tokens - load.memory_tokens),
+        min((s.max_gap_s for s in load.streams), default=None),
+        clock.now_s(),
+    )
+
+
+def busy_slots(load: in_flight_table.PredictedLoad) -> int:
+    """Return the number of slots that are taken on an engine.
+
+    Prompts that it only helps to prefill are counted separately from those
+    that it responds to.
+    """
+    serving = len(load.streams)
+    return max(serving, load.in_flight - serving)
+
+
+def _add(
+    load: EngineLoad,
+    unseen: int,
+    unseen_tokens: int,
+    sent: in_flight_table.PredictedLoad,
+    engine: routing_config.EngineSpec,
+) -> in_flight_table.PredictedLoad:
+    """Return the sum of a report and of what followed it.
+
+    The pool goes on sending its own requests, so the reported prefills count
+    until a later report.
+    """
+    pending_ms = load.pending_prefill_ms
+    pending_tokens = pending_ms / 1000 * engine.prefill_tokens_per_s
+    used = engine.kv_tokens - _free_tokens(load, engine)
+    reported = load.in_flight + unseen
+    stream = in_flight_table.Stream(load.min_gap_s or math.inf, _WEIGHT)
+    # The targets of waiting prompts are not known. It is assumed that they
+    # are just met.
+    waiting_s = pending_ms / 1000
+    waiting = in_flight_table.WaitingPrompt(waiting_s, waiting_s, _WEIGHT)
+    state = latency_model.EngineState(
+        sequences=reported + sent.state.sequences,
+        context_tokens=used + sent.state.context_tokens,
+        pending_prefill_ms=pending_ms + sent.state.pending_prefill_ms,
+        urgent_prefill_ms=sent.state.urgent_prefill_ms,
+        pending_chunks=sent.state.pending_chunks
+        + latency_model.chunk_count(engine, math.ceil(pending_tokens)),
+    )
+    return in_flight_table.PredictedLoad(
+        state,
+        reported + busy_slots(sent),
+        used + unseen_tokens + sent.memory_tokens,
+        (stream,) * reported + sent.streams,
+        ((waiting,) if pending_ms else ()) + sent.waiting,
+    )
+
+
+def _free_tokens(load: EngineLoad, engine: routing_config.EngineSpec) -> int:
+    if load.free_tokens is None:
+        return engine.kv_tokens
+    return min(load.free_tokens, engine.kv_tokens)
