Limit the requests to cold endpoints over all nodes

An endpoint that is cold crashes if it gets well above the requests a second that it sustains, from all nodes together. Nothing limited them: nodes send to an idle endpoint first, and so to one that has just started.

ColdCeiling limits them where the configuration names cold_per_s and the settings name cold_over. Nodes of the endpoint's pool count one another's requests and share the rate; independently, each node keeps to a share of its own, so that the ceiling holds for nodes that hear nobody; of each other pool about two nodes may use an endpoint, at a part of the rate. An endpoint is cold after its start, and while its entry says so, which nodes pass on in EndpointEntry field 9. The digest of the list leaves it out, as older builds compare it. Warm endpoints of such a service are avoided above the ceiling while there are others, since an entry is up to a heartbeat old when one turns cold.

--- a/src/fireflyspur/gateway/configuration/config_holder.py
+++ b/src/fireflyspur/gateway/configuration/config_holder.py
@@ -32,6 +32,12 @@
             return routing_config.CallerLimits()
         return self._table.config.limits
 
+    def find_service(self, name: str) -> routing_config.Service | None:
+        """Return a service of the current configuration, or None."""
+        if self._table is None:
+            return None
+        return self._table.config.services.get(name)
+
     def age_s(self) -> float:
         """Return the seconds since the last confirmation of the version."""
         if self._confirmed_at_s is None:
--- a/src/fireflyspur/gateway/configuration/routing_config.py
+++ b/src/fireflyspur/gateway/configuration/routing_config.py
@@ -87,15 +87,29 @@
     stride_steps: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ColdSpec:
+    """What endpoints of a service take while they are cold.
+
+    :param start_s: time for which an endpoint is cold after its start
+    :param requests_per_s: rate that it can sustain while it is cold
+    """
+
+    start_s: float
+    requests_per_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """Service that endpoints provide.
 
     :param engine: figures of its engines, or None for a plain service
+    :param cold: limits of cold endpoints, or None if there are none
     """
 
     name: str
     engine: EngineSpec | None
+    cold: ColdSpec | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/endpoints/endpoint.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint.py
@@ -21,6 +21,8 @@
     :param slots: maximum number of concurrent requests
     :param sequence: number of reports since the start
     :param born_ms: Unix time of the start in ms, or None if not known
+    :param cold_ms: time for which it was still cold when it
+        reported; 0 if it was not cold
     """
 
     instance: str
@@ -31,6 +33,7 @@
     slots: int
     sequence: int
     born_ms: int | None
+    cold_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/endpoints/endpoint_notices.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_notices.py
@@ -6,6 +6,7 @@
 
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.endpoints import backoffs
+from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import rate_limits
 from fireflyspur.observability import logs
@@ -20,18 +21,21 @@
 
     A leaving endpoint gets no requests from any node, for good. A rate binds
     all nodes together until a response names none. A pause binds this node
-    until its end.
+    until its end. Cold endpoints take a limited rate from all nodes.
 
     :param limits: rates that endpoints name
     :param mark_left: marks an endpoint as leaving on all nodes
+    :param cold: limits the requests to cold endpoints; None for no limit
     """
 
     def __init__(
         self,
         limits: rate_limits.RateLimits,
         mark_left: Callable[[str, str], None] = lambda instance, reason: None,
+        cold: cold_ceiling.ColdCeiling | None = None,
     ) -> None:
         self._limits = limits
+        self._cold = cold or cold_ceiling.ColdCeiling.none()
         self._mark_left = mark_left
         self._backoffs = backoffs.Backoffs()
         # Endpoints whose invalid notice has been logged.
@@ -63,14 +67,21 @@
         elif notice.retry_after_s is not None:
             self._backoffs.record(endpoint, notice.retry_after_s)
 
-    def add_start(self, instance: str) -> None:
-        """Count a request that this node sends to an endpoint."""
+    def add_start(self, instance: str, *, is_part: bool = False) -> None:
+        """Count a request that this node sends to an endpoint.
+
+        :param is_part: whether another endpoint sends it a part of a prompt
+        """
         self._limits.add_start(instance)
         self._backoffs.add_start(instance)
+        if not is_part:
+            self._cold.add_start(instance, is_own=True)
 
-    def add_peer_start(self, instance: str) -> None:
+    def add_peer_start(self, instance: str, *, is_part: bool = False) -> None:
         """Count a request that another node sends to an endpoint."""
         self._limits.add_start(instance)
+        if not is_part:
+            self._cold.add_start(instance, is_own=False)
 
     def allowed(
         self, listed: list[endpoints.Endpoint]
@@ -81,13 +92,23 @@
             listed = [e for e in listed if self._limits.allows(e)]
         if self._backoffs.has_any:
             listed = [e for e in listed if self._backoffs.wait_s(e) <= 0]
-        return listed
+        return [e for e in listed if self._cold.wait_s(e) <= 0]
+
+    def preferred(
+        self, listed: list[endpoints.Endpoint]
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints that have not got many requests just now.
+
+        :param listed: endpoints to which a request may be sent
+        """
+        return self._cold.preferred(listed)
 
     def is_restricted(self, endpoint: endpoints.Endpoint) -> bool:
         """Return whether an endpoint takes fewer requests than it could."""
         return (
             self._limits.is_limited(endpoint)
             or self._backoffs.wait_s(endpoint) > 0
+            or self._cold.is_cold(endpoint)
         )
 
     def retry_after_s(
@@ -113,10 +134,13 @@
         self._invalid &= listed
         self._limits.keep_only(listed)
         self._backoffs.expire(listed)
+        self._cold.keep_only(listed)
 
     def _wait_s(self, endpoint: endpoints.Endpoint) -> float:
         return max(
-            self._limits.wait_s(endpoint), self._backoffs.wait_s(endpoint)
+            self._limits.wait_s(endpoint),
+            self._backoffs.wait_s(endpoint),
+            self._cold.wait_s(endpoint),
         )
 
     def _log_invalid(self, endpoint: endpoints.Endpoint) -> None:
--- a/src/fireflyspur/gateway/endpoints/endpoint_sync.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_sync.py
@@ -1,6 +1,8 @@
 """Synchronization of the list of endpoints between nodes."""
 
+from collections.abc import Callable
 import hashlib
+import random
 
 from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import clock
@@ -16,6 +18,8 @@
     whose list is not the base of these changes reads the store itself.
 
     :param directory: is updated with each newer list
+    :param on_cold: called with an endpoint that is cold, and the clock time
+        by which it said so
     """
 
     # Maximum number of changes in one datagram. After more changes each node
@@ -23,9 +27,14 @@
     _MAX_CHANGES = 8
 
     def __init__(
-        self, directory: endpoint_directory.EndpointDirectory
+        self,
+        directory: endpoint_directory.EndpointDirectory,
+        on_cold: Callable[[endpoints.Endpoint, float], None] = (
+            lambda endpoint, reported_at_s: None
+        ),
     ) -> None:
         self._directory = directory
+        self._on_cold = on_cold
         self._entries: dict[str, endpoints.Endpoint] = {}
         self._digest = 0
         self._epoch = 0
@@ -54,17 +63,47 @@
         removed = sorted(previous.keys() - self._entries.keys())
         if changed or removed:
             seen.base_digest = base
-        if len(changed) + len(removed) <= self._MAX_CHANGES:
-            seen.changed.extend(_to_entry(endpoint) for endpoint in changed)
+        cold = self._find_cold(previous)
+        for endpoint in cold:
+            self._on_cold(endpoint, clock.now_s())
+        room = self._MAX_CHANGES - len(changed) - len(removed)
+        if room >= 0:
+            others = [e for e in cold if e not in changed]
+            if len(others) > room:
+                others = random.sample(others, room)
+            seen.changed.extend(map(_to_entry, (*changed, *others)))
             seen.gone.extend(removed)
         return seen
 
+    def _find_cold(
+        self, previous: dict[str, endpoints.Endpoint]
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints that have reported anew that they are cold.
+
+        Old entries would make the time seem longer at each read.
+        """
+        return [
+            endpoint
+            for instance, endpoint in self._entries.items()
+            if endpoint.cold_ms and endpoint != previous.get(instance)
+        ]
+
+    def _apply_cold(self, seen: peer_updates.EndpointsSeen) -> None:
+        """Apply what changed entries say, whatever the age of the list.
+
+        The digest leaves it out, so that it only tells of identities.
+        """
+        for entry in seen.changed:
+            if entry.cold_remaining_ms:
+                self._on_cold(_from_entry(entry), clock.now_s())
+
     def describe(self) -> peer_updates.EndpointsSeen | None:
         """Return the version of the list, or None before the first list."""
         return self._version() if self._directory.is_read else None
 
     def update_from_peer(self, seen: peer_updates.EndpointsSeen) -> None:
         """Handle the update of another node."""
+        self._apply_cold(seen)
         read_at_s = clock.now_s() - seen.age_ms / 1000
         latest = self._directory.read_at_s
         if latest is not None and read_at_s <= latest:
@@ -149,6 +188,7 @@
         is_leaving=endpoint.state is endpoints.EndpointState.LEAVING,
         slots=endpoint.slots,
         born_ms=endpoint.born_ms or 0,
+        cold_remaining_ms=endpoint.cold_ms,
     )
 
 
@@ -165,4 +205,5 @@
         slots=entry.slots,
         sequence=0,
         born_ms=entry.born_ms or None,
+        cold_ms=entry.cold_remaining_ms,
     )
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_notices
@@ -44,6 +45,7 @@
     :param directory: endpoints that this node knows
     :param table: in-flight requests of all nodes
     :param detector: records at each heartbeat that this process runs
+    :param cold_bounds: returns the bounds of requests to cold endpoints
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         directory: endpoint_directory.EndpointDirectory,
         table: in_flight_table.InFlightTable,
         detector: suspension.SuspensionDetector,
+        cold_bounds: cold_ceiling.BoundsReader = cold_ceiling.ColdBounds,
     ) -> None:
         self._name = name
         self._failure_domain = failure_domain
@@ -74,15 +77,13 @@
             self._peers,
             lambda: directory.epoch,
         )
-        self._sync = endpoint_sync.EndpointSync(directory)
-        self._limits = rate_limits.RateLimits(
-            lambda: self._channel.fleet_draft,
-            directory.find_named,
-            self._is_own,
-            self._limit_share,
+        self._cold = self._build_ceiling(cold_bounds)
+        self._sync = endpoint_sync.EndpointSync(
+            directory, self._cold.record_entry
         )
+        self._limits = self._build_limits()
         self._notices = endpoint_notices.EndpointNotices(
-            self._limits, self.report_left
+            self._limits, self.report_left, self._cold
         )
         self._in_flight = in_flight_reporter.InFlightReporter(
             name, table, self._channel, self._notices
@@ -128,6 +129,11 @@
         """Rates that endpoints name for all nodes."""
         return self._limits
 
+    @property
+    def cold(self) -> cold_ceiling.ColdCeiling:
+        """Limits of the requests to cold endpoints."""
+        return self._cold
+
     @property
     def notices(self) -> endpoint_notices.EndpointNotices:
         """What endpoints say of themselves."""
@@ -162,6 +168,26 @@
         """Set the callback for when another node has newer data."""
         self._on_behind = callback
 
+    def _build_limits(self) -> rate_limits.RateLimits:
+        return rate_limits.RateLimits(
+            lambda: self._channel.fleet_draft,
+            self._directory.find_named,
+            self._is_own,
+            self._limit_share,
+        )
+
+    def _build_ceiling(
+        self, bounds: cold_ceiling.BoundsReader
+    ) -> cold_ceiling.ColdCeiling:
+        return cold_ceiling.ColdCeiling(
+            self._holder.find_service,
+            bounds,
+            self._directory.find_named,
+            self._is_own,
+            self._pool_size,
+            self._name,
+        )
+
     def close(self) -> None:
         """Close the channel."""
         self._channel.close()
@@ -264,6 +290,10 @@
         pools = 1 + len(self._peers.pools.others)
         return rate_limits.FleetShare(min(1.0, live / nodes), pools, live)
 
+    def _pool_size(self) -> cold_ceiling.PoolSize:
+        pools = 1 + len(self._peers.pools.others)
+        return cold_ceiling.PoolSize(self._peers.possible_size(), pools)
+
     def _trial_rank(self, part: int) -> int:
         return reader_rank.rank_of(
             self._name, self._peers.live_names(), f"part-{part}"
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -17,6 +17,10 @@
 # A silent node still gets all updates for this time, since it may only be
 # unable to send.
 _RECIPIENT_S = 12.0
+# A node that was heard may be running beyond a lost link for this time.
+_MAY_RUN_S = 600.0
+# Nodes of a pool before their list has been read; no pool has more.
+_ASSUMED_NODES = 48
 # Clocks of healthy machines drift apart by less than this share.
 _MAX_CLOCK_DRIFT = 0.0005
 # Nodes of each other pool that forward an update to their pool. The first may
@@ -96,6 +100,7 @@
         self._pools = pool_map.PoolMap(name, failure_domain)
         self._peers: dict[str, Peer] = {}
         self._silent: set[str] = set()
+        self._has_list = False
 
     @property
     def pools(self) -> pool_map.PoolMap:
@@ -104,6 +109,7 @@
 
     def add_nodes(self, nodes: Mapping[str, registry.NodeEntry]) -> None:
         """Add nodes that have registered, by name."""
+        self._has_list = True
         now = clock.now_s()
         others = {k: v for k, v in nodes.items() if k != self._name}
         for name, entry in others.items():
@@ -274,6 +280,23 @@
         )
         return len(self.recipients()) + 1 + others
 
+    def possible_size(self) -> int:
+        """Return the number of nodes of the own pool that may be running.
+
+        A node that hears no other one, or has not read their list, can't
+        tell which have ended and counts all of them.
+        """
+        now = clock.now_s()
+        peers = list(self._pool_peers(self._pools.own))
+        if not self._has_list:
+            return max(_ASSUMED_NODES, len(peers) + 1)
+        is_alone = not any(self._is_live(peer, now) for peer in peers)
+        return 1 + sum(
+            is_alone or _may_run(peer, now)
+            for peer in peers
+            if not peer.is_stopping
+        )
+
     def _pool_peers(self, pool: pool_map.Pool) -> Iterable[Peer]:
         names = self._pools.members(pool)
         return (self._peers[name] for name in names if name in self._peers)
@@ -285,6 +308,13 @@
         )
 
 
+def _may_run(peer: Peer, now: float) -> bool:
+    """Return whether a peer may be running, heard or not."""
+    if peer.last_seen_at_s is None:
+        return now - peer.added_at_s < _RECIPIENT_S
+    return now - peer.last_seen_at_s < _MAY_RUN_S
+
+
 def _previous_incarnation(
     peer: Peer | None, is_same_process: bool
 ) -> int | None:
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -87,6 +87,7 @@
             self._directory,
             in_flight,
             detector,
+            lambda: self._settings.cold,
         )
         self._store_follower = self._build_follower(registry, detector)
         self._retry_budget = retry_budget.RetryBudget(
@@ -224,6 +225,7 @@
             config_age_s=self._config_holder.age_s,
             endpoints_age_s=self._directory.age_s,
             limited_endpoints=lambda: self._link.limits.count,
+            cold_endpoints=lambda: self._link.cold.count,
             lacks_paths=lambda: not self._reachability.has_good_paths,
             held_bytes=lambda: self._bytes_held.held_bytes,
             holdings_ended=lambda: self._bytes_held.ended,
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -23,6 +23,7 @@
     :param config_age_s: returns the age of the configuration
     :param endpoints_age_s: returns the age of the list of endpoints
     :param limited_endpoints: returns the number of endpoints that name a rate
+    :param cold_endpoints: returns the number of endpoints that are cold
     :param lacks_paths: returns whether the node reaches few endpoints or none
     :param held_bytes: returns the bytes held for all connections
     :param holdings_ended: returns how many of them were given up
@@ -34,6 +35,7 @@
         config_age_s: Callable[[], float],
         endpoints_age_s: Callable[[], float],
         limited_endpoints: Callable[[], float],
+        cold_endpoints: Callable[[], float],
         lacks_paths: Callable[[], bool],
         held_bytes: Callable[[], float],
         holdings_ended: Callable[[], float],
@@ -56,6 +58,11 @@
             limited_endpoints,
             "Endpoints whose named rate limit is in force.",
         )
+        self._gauge(
+            "cold_endpoints",
+            cold_endpoints,
+            "Cold endpoints that take a limited rate.",
+        )
         self._gauge(
             "lacks_paths",
             lacks_paths,
--- a/src/fireflyspur/gateway/node/settings.py
+++ b/src/fireflyspur/gateway/node/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.requests import retry_budget
 from fireflyspur.gateway.scheduling import memory_reserver
 
@@ -25,6 +26,7 @@
     :param heartbeat_s: interval at which endpoints report
     :param memory_bytes: memory that the process may use, or None if it is
         not limited
+    :param cold: bounds of the requests to cold endpoints
     """
 
     node_name: str
@@ -41,6 +43,7 @@
     retries: retry_budget.RetryLimits
     memory: memory_reserver.MemoryLimits
     memory_bytes: int | None = None
+    cold: cold_ceiling.ColdBounds = cold_ceiling.ColdBounds()
 
     @property
     def max_held_bytes(self) -> float:
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -140,7 +140,7 @@
             for endpoint in allowed
             if not self._directory.is_paused(endpoint.instance)
         ]
-        return usable or allowed
+        return self._notices.preferred(usable or allowed)
 
     def find_idle(self, service: str, count: int) -> list[str]:
         """Return some idle engines of the own pool."""
--- a/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
@@ -107,7 +107,9 @@
         started.number = number
         self._endpoints[number] = endpoint
         self._table.add(to_in_flight(self._node_name, started))
-        self._notices.add_start(endpoint.instance)
+        self._notices.add_start(
+            endpoint.instance, is_part=not started.max_gap_ms
+        )
         for draft in self._outbox.drafts_for(endpoint):
             draft.started.append(started)
         try:
@@ -141,7 +143,9 @@
             self._table.remove_all(_key(update.node, ""))
         for started in update.started:
             self._table.add(to_in_flight(update.node, started))
-            self._notices.add_peer_start(started.instance)
+            self._notices.add_peer_start(
+                started.instance, is_part=not started.max_gap_ms
+            )
         for number in update.read:
             self._table.mark_prefilled(_key(update.node, number))
         for number in update.ended:
--- a/src/fireflyspur/platform/config_codec.py
+++ b/src/fireflyspur/platform/config_codec.py
@@ -45,6 +45,8 @@
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    cold_start_s: float | None = None
+    cold_per_s: float | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -127,6 +129,16 @@
     return routing_config.Service(
         name=wire.name,
         engine=_decode_engine(wire.engine) if wire.engine else None,
+        cold=_decode_cold(wire),
+    )
+
+
+def _decode_cold(wire: _Service) -> routing_config.ColdSpec | None:
+    requests_per_s = wire.cold_per_s or 0.0
+    if requests_per_s <= 0:
+        return None
+    return routing_config.ColdSpec(
+        max(0.0, wire.cold_start_s or 0.0), requests_per_s
     )
 
 
--- a/src/fireflyspur/platform/endpoint_codec.py
+++ b/src/fireflyspur/platform/endpoint_codec.py
@@ -19,6 +19,8 @@
 # Requests that an endpoint runs at a time; beyond any real one.
 _MAX_SLOTS = 65_536
 _MAX_COUNT = 2**63 - 1
+# Nodes pass it on in 32 bits.
+_MAX_COLD_MS = 2**32 - 1
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
@@ -34,6 +36,8 @@
     sequence: _Count = 0
     # Unix time in ms at which the process started.
     born: _Count | None = None
+    # Time for which it is still slow and takes few requests.
+    cold_remaining_ms: float | None = None
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -57,6 +61,9 @@
             slots=wire.slots,
             sequence=wire.sequence,
             born_ms=wire.born,
+            cold_ms=round(
+                min(max(0.0, wire.cold_remaining_ms or 0.0), _MAX_COLD_MS)
+            ),
         )
     except (
         msgspec.DecodeError,
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -3,11 +3,13 @@
 import os
 import pathlib
 import tomllib
+from typing import Annotated
 
 import msgspec
 
 from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.node import settings as gateway_settings
 from fireflyspur.gateway.requests import retry_budget
 from fireflyspur.gateway.scheduling import memory_reserver
@@ -34,6 +36,10 @@
     free_ms: float = 4_000
     # Longest reservation that an engine accepts.
     hold_max_ms: float = 20_000
+    # Requests to a cold server in a second: this factor of what it sustains,
+    # and some more. There is no bound if the factor is 0.
+    cold_over: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -115,6 +121,9 @@
             free_s=bounds.free_ms / 1000,
             hold_max_s=bounds.hold_max_ms / 1000,
         ),
+        cold=cold_ceiling.ColdBounds(
+            over=bounds.cold_over, slack=bounds.cold_slack
+        ),
         memory_bytes=(
             None if memory_mb is None else int(memory_mb * _MEGABYTE)
         ),
--- a/src/fireflyspur/rates/pacing.py
+++ b/src/fireflyspur/rates/pacing.py
@@ -15,13 +15,16 @@
 
     next_at_s: float = 0.0
 
-    def wait_s(self, requests_per_s: float, now: float) -> float:
+    def wait_s(
+        self, requests_per_s: float, now: float, burst_s: float = _BURST_S
+    ) -> float:
         """Return the time until a request may be sent; at most 0 for now.
 
         :param requests_per_s: the rate, above 0
         :param now: clock time in seconds
+        :param burst_s: requests of this time may be sent at once
         """
-        burst = max(1.0, _BURST_S * requests_per_s)
+        burst = max(1.0, burst_s * requests_per_s)
         return self.next_at_s - now - (burst - 1) / requests_per_s
 
     def add_request(self, requests_per_s: float, now: float) -> "Pacing":
--- a/tests/gateway/endpoints/test_endpoint_sync.py
+++ b/tests/gateway/endpoints/test_endpoint_sync.py
@@ -1,5 +1,7 @@
 """Synchronization of the list of endpoints between nodes."""
 
+import dataclasses
+
 import testtools
 
 from fireflyspur.experiment import example_engine
@@ -99,3 +101,70 @@
             )
         self.assertFalse(self.sync.is_behind)
         self.assertEqual(4, len(self.ready()))
+
+
+class ColdEndpointSyncTest(testtools.TestCase):
+    """Guards against nodes that do not hear that an endpoint turned cold."""
+
+    def make(self):
+        directory = endpoint_directory.EndpointDirectory(
+            _OUTAGE_S, _REREGISTER_S
+        )
+        cold = []
+        sync = endpoint_sync.EndpointSync(
+            directory,
+            lambda endpoint, _: cold.append(
+                (endpoint.instance, endpoint.cold_ms)
+            ),
+        )
+        return sync, cold
+
+    def read(self, sync, cold_ms, sequence, count=3):
+        listed = tuple(
+            dataclasses.replace(
+                example_engine.endpoint(number),
+                cold_ms=cold_ms * (number == 1),
+                sequence=sequence,
+            )
+            for number in range(count)
+        )
+        return sync.update_from_store(
+            endpoints.EndpointList(listed, clock.now_s())
+        )
+
+    def test_known_endpoint_turns_cold(self):
+        (sync, cold), (other, other_cold) = self.make(), self.make()
+        for link in (sync, other):
+            self.read(link, 0, 1)
+        digest = sync.describe().digest
+        seen = self.read(sync, 2_000, 2)
+        # Older builds leave it out of the digest.
+        self.assertEqual(digest, seen.digest)
+        seen.age_ms = 60_000
+        other.update_from_peer(seen)
+        self.assertEqual([("engine-1", 2_000)], cold)
+        self.assertEqual(cold, other_cold)
+        self.assertFalse(other.is_behind)
+
+    def test_old_report_does_not_count_again(self):
+        sync, cold = self.make()
+        for _ in range(3):
+            seen = self.read(sync, 2_000, 2)
+        self.assertEqual(1, len(cold))
+        self.assertEqual(0, len(seen.changed))
+
+    def test_changes_stay_few(self):
+        sync, _ = self.make()
+        self.read(sync, 0, 1, count=40)
+        listed = tuple(
+            dataclasses.replace(
+                example_engine.endpoint(number),
+                cold_ms=2_000,
+                sequence=2,
+            )
+            for number in range(40)
+        )
+        seen = sync.update_from_store(
+            endpoints.EndpointList(listed, clock.now_s())
+        )
+        self.assertEqual(8, len(seen.changed))
--- a/tests/gateway/fleet/test_peer_table.py
+++ b/tests/gateway/fleet/test_peer_table.py
@@ -56,6 +56,22 @@
         self.now += 20.0
         self.assertEqual([], self.table.recipients())
 
+    def test_nodes_beyond_a_lost_link_may_be_running(self):
+        # Else each side would use the whole rate of a cold endpoint.
+        self.assertGreaterEqual(self.table.possible_size(), 48)
+        names = ("node-1", "node-2", "node-3", "node-4")
+        entry = registry.NodeEntry(_ADDRESS, "zone-a")
+        self.table.add_nodes(dict.fromkeys(names, entry))
+        self.now += 60.0
+        self.assertEqual(4, self.table.possible_size())
+        self.receive(7, 1)
+        # The others ended long ago, as node-2 would hear of them.
+        self.assertEqual(2, self.table.possible_size())
+        self.now += 60.0
+        self.assertEqual(4, self.table.possible_size())
+        self.receive(7, 2, is_stopping=True)
+        self.assertEqual(1, self.table.possible_size())
+
     def test_time_that_a_datagram_waited_is_known(self):
         # The clocks of both nodes differ.
         for number in range(1, 5):
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+from unittest import mock
 
 import testtools
 
@@ -18,6 +19,7 @@
 from fireflyspur.gateway.fleet import fleet_link
 from fireflyspur.gateway.node import suspension
 from fireflyspur.gateway.scheduling import in_flight_table
+from fireflyspur.gateway.scheduling import placement
 from fireflyspur.gateway.scheduling import placement_cost
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import async_tests
@@ -114,6 +116,27 @@
         self.assertGreater(min(counts.values()), 0)
         self.assertLess(max(counts.values()), _MOST_RECIPIENTS)
 
+    @async_tests.in_loop
+    async def test_requests_to_a_cold_endpoint_are_counted_by_its_pool(self):
+        network = _Network(40)
+        endpoint = example_engine.endpoint(1)
+        counts = [
+            self.enterContext(mock.patch.object(link.cold, "add_start"))
+            for link in network.links
+        ]
+        link = network.links[0]
+        # A part that another endpoint sends is not a request of a node.
+        with link.in_flight.track_helper(
+            placement.Helper(endpoint, 0), _DEMAND, 2, 5.0
+        ):
+            await network.settle()
+        for count in counts:
+            count.assert_not_called()
+        with link.in_flight.track_primary(endpoint, _DEMAND, 1, 5.0):
+            await network.settle()
+        for number, count in enumerate(counts):
+            count.assert_called_once_with("engine-1", is_own=number == 0)
+
     @async_tests.in_loop
     async def test_stopping_node_stays_known_as_stopping(self):
         network = _Network(20)
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -45,6 +45,17 @@
             self.decode(state="draining").state,
         )
 
+    def test_time_for_which_it_is_cold(self):
+        for wire, expected in (
+            (None, 0),
+            (0, 0),
+            (-5, 0),
+            (1_500.4, 1_500),
+            (1e300, 2**32 - 1),
+        ):
+            endpoint = self.decode(cold_remaining_ms=wire)
+            self.assertEqual(expected, endpoint.cold_ms)
+
     def test_invalid_entries(self):
         for changes in (
             {"state": "sleeping"},
@@ -111,6 +122,22 @@
         del config["tenants"]
         self.assertFalse(self.decode(config).requires_api_key)
 
+    def test_limits_of_cold_endpoints(self):
+        for fields, expected in (
+            ({}, None),
+            ({"cold_start_s": 3.0}, None),
+            ({"cold_start_s": 3.0, "cold_per_s": 0}, None),
+            (
+                {"cold_start_s": 3.0, "cold_per_s": 14},
+                routing_config.ColdSpec(3.0, 14.0),
+            ),
+            ({"cold_per_s": 14}, routing_config.ColdSpec(0.0, 14.0)),
+        ):
+            config = gateway_fleet.config()
+            config["services"][0] = {"name": "desk", **fields}
+            service = self.decode(config).services["desk"]
+            self.assertEqual(expected, service.cold)
+
     def test_invalid_configurations(self):
         for change in (
             {"version": "seven"},
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -53,6 +53,12 @@
         self.assertEqual(2.0, settings.drain_s)
         self.assertEqual(4.0, settings.memory.free_s)
 
+    def test_bounds_of_cold_endpoints(self):
+        self.assertEqual(0.0, self.load(_VALID).cold.over)
+        bounds = "[bounds]\ncold_over = 1.5\ncold_slack = 5"
+        cold = self.load(_VALID.replace("[bounds]", bounds)).cold
+        self.assertEqual((1.5, 5.0), (cold.over, cold.slack))
+
     def test_error_names_missing_or_invalid_field(self):
         for before, after, expected in (
             ('zone = "zone-a"', "", "zone"),
