--- a/src/fireflyspur/gateway/node/settings.py
+++ b/src/fireflyspur/gateway/node/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.requests import retry_budget
 from fireflyspur.gateway.scheduling import memory_reserver
 
@@ -28,6 +29,7 @@
     :param evacuate_s: time within which the evacuation of a failure domain
         is in force, or None if evacuations are not used
     :param outer_s: additional time for nodes that the store refuses
+    :param cold: bounds of the requests to cold endpoints
     """
 
     node_name: str
@@ -46,6 +48,7 @@
     memory_bytes: int | None = None
     evacuate_s: float | None = None
     outer_s: float = 6.0
+    cold: cold_ceiling.ColdBounds = cold_ceiling.ColdBounds()
 
     @property
     def max_held_bytes(self) -> float:
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -211,7 +211,7 @@
             for endpoint in allowed
             if not self._directory.is_paused(endpoint.instance)
         ]
-        return usable or allowed
+        return self._notices.preferred(usable or allowed)
 
     def _with_room(
         self,
