--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import json
 import time
 
 import testtools
@@ -33,11 +34,7 @@
             await self.start_node(fleet, n, **more)
             for n in range(1, count + 1)
         ]
-        await gateway_fleet.wait_until(
-            lambda: all(
-                len(n.gateway.link.peers.live_names()) == count for n in nodes
-            )
-        )
+        await wait_known(*nodes)
         return nodes[0] if count == 1 else nodes
 
     async def start_node(self, fleet, number, **changes):
@@ -67,6 +64,15 @@
         return {r.status for r in responses}
 
 
+async def wait_known(*nodes):
+    """Wait until nodes hear one another."""
+    await gateway_fleet.wait_until(
+        lambda: all(
+            len(n.gateway.link.peers.live_names()) == len(nodes) for n in nodes
+        )
+    )
+
+
 def evacuated(node):
     return set(node.gateway.link.evacuations.in_force)
 
@@ -107,9 +113,12 @@
             fleet.evacuate("zone-b")
             await self.wait_evacuated(nodes, "zone-b", timeout_s=1.0)
             fleet.clear_arrivals()
-            for node in nodes:
-                self.assertEqual({200}, await self.send(node))
+            with captured_logs.capture() as records:
+                for node in nodes:
+                    self.assertEqual({200}, await self.send(node))
             self.assertEqual([], arrived(*inside))
+            messages = [r["message"] for r in records]
+            self.assertNotIn("Request not sent", messages)
             text = await nodes[0].metrics()
             self.assertIn("fireflyspur_evacuated_domains 1.0", text)
             fleet.cancel_evacuation("zone-b")
@@ -202,11 +211,13 @@
     async def test_node_that_the_store_refuses_is_told(self):
         async with gateway_fleet.GatewayFleet() as fleet:
             view = fleet.open_store()
-            (first,) = [await self.start(fleet)]
+            first = await self.start(fleet)
             refused = await self.start_node(fleet, 2, store=view.address)
+            await wait_known(first, refused)
             for fault in ("busy", "silent"):
                 view.fault = fault
-                await asyncio.sleep(0.5)
+                # Calls that are under way end before.
+                await asyncio.sleep(1.0)
                 fleet.evacuate("zone-b")
                 await self.wait_evacuated([first, refused], "zone-b")
                 fleet.cancel_evacuation("zone-b")
@@ -220,9 +231,7 @@
             await self.wait_evacuated([first], "zone-b")
             fleet.clear_arrivals()
             fleet.store.delay_s = 0.2
-            started = await fleet.start_node(
-                False, node_name="node-2", evacuate_s=_BOUND_S
-            )
+            started = await self.start_node(fleet, 2, is_configured=False)
             # Requests may come before it is ready.
             statuses = set()
             while not started.gateway.is_ready:
@@ -308,8 +317,11 @@
             node = await self.start_node(fleet, 2, store=view.address)
             make_deaf(node)
             view.fault = "busy"
+            # The call that is under way ends before.
+            await asyncio.sleep(1.0)
             fleet.evacuate("zone-b")
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(0.1)
+            self.assertEqual(set(), evacuated(node))
             fleet.clear_arrivals()
             view.fault = None
             view.delay_s = 0.4
@@ -322,48 +334,47 @@
             self.assertEqual({200}, {r.status for r in responses})
             self.assertEqual([], arrived(fleet.desks[1]))
 
-    @async_tests.in_loop
-    async def test_retry_stays_outside(self):
-        async with gateway_fleet.GatewayFleet(desks=4) as fleet:
-            node = await self.start(fleet)
-            inside = (fleet.desks[1], fleet.desks[3])
+    async def assert_moves_within_its_domain(self, path, first):
+        """Evacuate the other domain when the first attempt arrives.
 
-            async def refuse(worker, arrival, stream):
-                evacuate_now(node, "zone-b")
-                respond = fake_endpoint.respond_status(
-                    "503 Service Unavailable", "X-Fireflyspur-Not-Run: 1"
-                )
-                fleet.clear_arrivals()
-                await respond(worker, arrival, stream)
+        :param first: behaviour of the endpoint that gets it
+        """
+
+        async def evacuate_other(worker, arrival, stream):
+            for other in workers:
+                other.behaviours = []
+            number = workers.index(worker)
+            evacuate_now(node, "zone-a" if number % 2 else "zone-b")
+            await first(worker, arrival, stream)
 
-            for number in range(6):
+        async with gateway_fleet.GatewayFleet(desks=4, engines=4) as fleet:
+            node = await self.start(fleet)
+            workers = fleet.desks if path == "/safe/" else fleet.engines
+            for _ in range(6):
                 evacuate_now(node)
-                for desk in fleet.desks:
-                    desk.behaviours = [refuse]
-                await node.request("/safe/", attempt_id=f"r-{number}")
-                self.assertEqual([], arrived(*inside))
+                fleet.clear_arrivals()
+                for worker in workers:
+                    worker.behaviours = [evacuate_other]
+                    node.gateway.directory.record_success(worker.instance)
+                response = await node.request(path)
+                self.assertEqual(200, response.status)
+                numbers = [n for n in range(4) if arrived(workers[n])]
+                self.assertIn(numbers, ([0, 2], [1, 3]))
 
     @async_tests.in_loop
-    async def test_stream_is_resumed_outside(self):
-        async with gateway_fleet.GatewayFleet(engines=3) as fleet:
-            node = await self.start(fleet, zones=("zone-a", "zone-b"))
-
-            async def break_off(worker, arrival, stream):
-                evacuate_now(node, "zone-b")
-                fleet.clear_arrivals()
-                respond = fake_endpoint.respond_events(9, stop_after=4)
-                await respond(worker, arrival, stream)
+    async def test_retry_stays_outside(self):
+        await self.assert_moves_within_its_domain(
+            "/safe/",
+            fake_endpoint.respond_status(
+                "503 Service Unavailable", "X-Fireflyspur-Not-Executed: 1"
+            ),
+        )
 
-            for number in range(4):
-                evacuate_now(node)
-                for engine in fleet.engines:
-                    engine.behaviours = [break_off]
-                    node.gateway.directory.record_success(engine.instance)
-                response = await node.request(
-                    "/chat/", attempt_id=f"s-{number}"
-                )
-                self.assertEqual([], arrived(fleet.engines[1]))
-                self.assertEqual(200, response.status)
+    @async_tests.in_loop
+    async def test_stream_is_resumed_outside(self):
+        await self.assert_moves_within_its_domain(
+            "/chat/", fake_endpoint.respond_events(9, stop_after=4)
+        )
 
     @async_tests.in_loop
     async def test_helpers_are_outside(self):
@@ -380,6 +391,57 @@
             outside = {str(fleet.engines[n].address) for n in (0, 2)}
             self.assertIn(arrival.headers["x-fireflyspur-helpers"], outside)
 
+    @async_tests.in_loop
+    async def test_helper_is_evacuated_while_its_group_connects(self):
+        for tokens in (_IN_PARTS, _LONG):
+            async with gateway_fleet.GatewayFleet(engines=4) as fleet:
+                node = await self.start(fleet)
+                reachable = node.gateway._reachability
+                connect = reachable.connect
+
+                async def evacuate_helpers(endpoint, *args):
+                    reachable.connect = connect
+                    own = endpoint.failure_domain
+                    evacuate_now(node, *({"zone-a", "zone-b"} - {own}))
+                    return await connect(endpoint, *args)
+
+                reachable.connect = evacuate_helpers
+                response = await node.request("/chat/", extra=tokens)
+                self.assertEqual(200, response.status)
+                (domain,) = evacuated(node)
+                (prompt,) = [
+                    a for a in fleet.arrivals if a.target != "/api/order"
+                ]
+                inside = fleet.engines[0 if domain == "zone-a" else 1 :: 2]
+                for engine in inside:
+                    self.assertNotIn(prompt, engine.arrivals)
+                    self.assertNotIn(
+                        str(engine.address),
+                        prompt.headers["x-fireflyspur-helpers"],
+                    )
+
+    @async_tests.in_loop
+    async def test_order_for_memory_that_was_placed_just_before(self):
+        async with gateway_fleet.GatewayFleet(engines=4) as fleet:
+            node = await self.start(fleet)
+            reserver = node.gateway._memory_reserver
+            reserve = reserver.reserve
+
+            def evacuate_and_reserve(*args):
+                evacuate_now(node, "zone-b")
+                return reserve(*args)
+
+            reserver.reserve = evacuate_and_reserve
+            response = await node.request("/chat/", extra=_LONG)
+            self.assertEqual(200, response.status)
+            # What may have been reserved is released in any case.
+            targets = {
+                json.loads(a.body)["operation"]
+                for n in (1, 3)
+                for a in fleet.engines[n].arrivals
+            }
+            self.assertLessEqual(targets, {"release"})
+
     @async_tests.in_loop
     async def test_group_that_waits_for_memory(self):
         async with gateway_fleet.GatewayFleet(engines=4) as fleet:
