Replace the own requests that a report counts

A reported load counts the requests that the receiving pool had there. Those that ended since the report went on counting, so a domain without engines took engines for full that it had just left: two of 24 prompts were refused in a test of two pools with 24 slots. The prediction now takes the pool's present requests instead of those in the report.

A change of room that is reported at once has a log line.

--- a/src/fireflyspur/gateway/scheduling/in_flight_table.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_table.py
@@ -134,6 +134,20 @@
         """Return the number of in-flight requests on an endpoint."""
         return len(self._entries.get(instance, ()))
 
+    def usage_before(self, instance: str, before_s: float) -> tuple[int, int]:
+        """Return the requests that an endpoint responds to, and their memory.
+
+        :param before_s: clock time; later requests don't count
+        :returns: their number, and the memory of all requests in tokens
+        """
+        requests = [
+            entry.request
+            for entry in self._entries.get(instance, {}).values()
+            if entry.request.started_at_s < before_s
+        ]
+        serving = sum(request.target_s is not None for request in requests)
+        return serving, sum(request.memory_tokens for request in requests)
+
     def expire(self, now: float) -> None:
         """Remove requests whose end was not reported."""
         for entries in list(self._entries.values()):
--- a/src/fireflyspur/gateway/scheduling/pool_load_report.py
+++ b/src/fireflyspur/gateway/scheduling/pool_load_report.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.scheduling import pool_loads
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
+from fireflyspur.observability import logs
 
 # Reports to other pools in a second, so that the cost of a node doesn't grow
 # with the number of pools.
@@ -24,6 +25,8 @@
 # Idle engines that are named for nodes of older builds.
 _MAX_IDLE = 4
 
+_log = logs.log_for("pools")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnEngine:
@@ -60,6 +63,13 @@
         self._sent_at_s = [s for s in self._sent_at_s if now - s < 1.0]
         count = min(pools, _REPORTS_PER_S - len(self._sent_at_s))
         if count:
+            if self._has_changed(room, len(engines)):
+                _log.info(
+                    "Room of the pool changed",
+                    slots=room,
+                    before=self._last_room,
+                    engines=len(engines),
+                )
             for instance in self._told_full:
                 self._offered_at_s.pop(instance, None)
             self._told_full.clear()
--- a/src/fireflyspur/gateway/scheduling/pool_loads.py
+++ b/src/fireflyspur/gateway/scheduling/pool_loads.py
@@ -47,6 +47,19 @@
     taken_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """A report, and what it counts of this node's pool.
+
+    :param own_in_flight: requests of this pool
+    :param own_tokens: memory that they use
+    """
+
+    load: EngineLoad
+    own_in_flight: int
+    own_tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemoteLoad:
     """Load that a request would find on an engine of another pool.
@@ -67,40 +80,43 @@
     """Holds what other pools reported of their engines.
 
     Reports may be lost, arrive late or come from a pool with another view of
-    the engines. A prediction therefore adds what this node's pool has sent
-    since the report, and a margin that grows with its age.
+    the engines. In a prediction, what this node's pool has there now replaces
+    what it had at the time of the report, and a margin grows with its age.
 
     :param table: in-flight requests that this node's pool knows of
     """
 
     def __init__(self, table: in_flight_table.InFlightTable) -> None:
         self._table = table
-        self._loads: dict[str, EngineLoad] = {}
+        self._reports: dict[str, _Report] = {}
 
     @property
     def has_any(self) -> bool:
         """Whether another pool has reported engines."""
-        return bool(self._loads)
+        return bool(self._reports)
 
     @property
     def instances(self) -> list[str]:
         """Instances of the reported engines."""
-        return list(self._loads)
+        return list(self._reports)
 
     def add(self, loads: Iterable[EngineLoad]) -> None:
         """Add reported loads, unless they are older than the known ones."""
         oldest_s = clock.now_s() - MAX_AGE_S
-        self._loads = {
-            instance: load
-            for instance, load in self._loads.items()
-            if load.taken_at_s > oldest_s
+        self._reports = {
+            instance: report
+            for instance, report in self._reports.items()
+            if report.load.taken_at_s > oldest_s
         }
         for load in loads:
-            known = self._loads.get(load.instance)
+            known = self._reports.get(load.instance)
             if load.taken_at_s <= oldest_s:
                 continue
-            if known is None or known.taken_at_s <= load.taken_at_s:
-                self._loads[load.instance] = load
+            if known is None or known.load.taken_at_s <= load.taken_at_s:
+                own = self._table.usage_before(
+                    load.instance, load.taken_at_s - _TRANSIT_S
+                )
+                self._reports[load.instance] = _Report(load, *own)
 
     def add_idle(self, instances: Iterable[str]) -> None:
         """Add engines that were just reported to have no requests."""
@@ -122,21 +138,24 @@
         self, instance: str, engine: routing_config.EngineSpec
     ) -> RemoteLoad | None:
         """Return the load of an engine, or None without a recent report."""
-        load, now = self._loads.get(instance), clock.now_s()
-        if load is None or now - load.taken_at_s >= MAX_AGE_S:
+        report, now = self._reports.get(instance), clock.now_s()
+        if report is None or now - report.load.taken_at_s >= MAX_AGE_S:
             return None
-        age_s = max(0.0, now - load.taken_at_s)
+        age_s = max(0.0, now - report.load.taken_at_s)
         unseen = round(_UNSEEN_PER_S * age_s)
-        known = self._table.predict_load(instance, engine, now)
+        others = max(0, report.load.in_flight - report.own_in_flight) + unseen
+        other_tokens = max(0, _used(report.load, engine) - report.own_tokens)
+        other_tokens += round(_UNSEEN_TOKENS_PER_S * age_s)
+        own = self._table.predict_load(instance, engine, now)
         sent = self._table.predict_load(
-            instance, engine, now, load.taken_at_s - _TRANSIT_S
+            instance, engine, now, report.load.taken_at_s - _TRANSIT_S
         )
-        unseen_tokens = round(_UNSEEN_TOKENS_PER_S * age_s)
-        predicted = _add(load, unseen, unseen_tokens, sent, engine)
-        # The report may have missed requests of this pool.
-        busy = max(predicted.in_flight - unseen, busy_slots(known))
-        room = engine.slots - busy
-        return RemoteLoad(predicted, room, room - unseen, age_s)
+        state = _add_state(
+            report.load, others, other_tokens, own, sent, engine
+        )
+        predicted = _add_load(report.load, state, others, other_tokens, own)
+        likely_room = engine.slots - others - busy_slots(own)
+        return RemoteLoad(predicted, likely_room + unseen, likely_room, age_s)
 
     def is_full(
         self, instance: str, engine: routing_config.EngineSpec
@@ -172,45 +191,57 @@
     return max(serving, load.in_flight - serving)
 
 
-def _add(
+def _add_state(
     load: EngineLoad,
-    unseen: int,
-    unseen_tokens: int,
+    others: int,
+    other_tokens: int,
+    own: in_flight_table.PredictedLoad,
     sent: in_flight_table.PredictedLoad,
     engine: routing_config.EngineSpec,
-) -> in_flight_table.PredictedLoad:
-    """Return the sum of a report and of what followed it.
+) -> latency_model.EngineState:
+    """Return the state of an engine as of now.
+
+    The other pools go on sending, so the reported prefills count until a
+    later report.
 
-    The pool goes on sending its own requests, so the reported prefills count
-    until a later report.
+    :param others: requests of other pools
+    :param own: requests of this pool
+    :param sent: those of them that the report does not count
     """
     pending_ms = load.pending_prefill_ms
     pending_tokens = pending_ms / 1000 * engine.prefill_tokens_per_s
-    used = engine.kv_tokens - _free_tokens(load, engine)
-    reported = load.in_flight + unseen
-    stream = in_flight_table.Stream(load.min_gap_s or math.inf, _WEIGHT)
-    # The targets of waiting prompts are not known. It is assumed that they
-    # are just met.
-    waiting_s = pending_ms / 1000
-    waiting = in_flight_table.WaitingPrompt(waiting_s, waiting_s, _WEIGHT)
-    state = latency_model.EngineState(
-        sequences=reported + sent.state.sequences,
-        context_tokens=used + sent.state.context_tokens,
+    return latency_model.EngineState(
+        sequences=others + own.state.sequences,
+        context_tokens=other_tokens + own.state.context_tokens,
         pending_prefill_ms=pending_ms + sent.state.pending_prefill_ms,
-        urgent_prefill_ms=sent.state.urgent_prefill_ms,
+        urgent_prefill_ms=own.state.urgent_prefill_ms,
         pending_chunks=sent.state.pending_chunks
         + latency_model.chunk_count(engine, math.ceil(pending_tokens)),
     )
+
+
+def _add_load(
+    load: EngineLoad,
+    state: latency_model.EngineState,
+    others: int,
+    other_tokens: int,
+    own: in_flight_table.PredictedLoad,
+) -> in_flight_table.PredictedLoad:
+    stream = in_flight_table.Stream(load.min_gap_s or math.inf, _WEIGHT)
+    # The targets of waiting prompts are not known. It is assumed that they
+    # are just met.
+    waiting_s = load.pending_prefill_ms / 1000
+    waiting = in_flight_table.WaitingPrompt(waiting_s, waiting_s, _WEIGHT)
     return in_flight_table.PredictedLoad(
         state,
-        reported + busy_slots(sent),
-        used + unseen_tokens + sent.memory_tokens,
-        (stream,) * reported + sent.streams,
-        ((waiting,) if pending_ms else ()) + sent.waiting,
+        others + own.in_flight,
+        other_tokens + own.memory_tokens,
+        (stream,) * others + own.streams,
+        ((waiting,) if load.pending_prefill_ms else ()) + own.waiting,
     )
 
 
-def _free_tokens(load: EngineLoad, engine: routing_config.EngineSpec) -> int:
+def _used(load: EngineLoad, engine: routing_config.EngineSpec) -> int:
     if load.free_tokens is None:
-        return engine.kv_tokens
-    return min(load.free_tokens, engine.kv_tokens)
+        return 0
+    return max(0, engine.kv_tokens - load.free_tokens)
--- a/tests/gateway/scheduling/test_pool_loads.py
+++ b/tests/gateway/scheduling/test_pool_loads.py
@@ -356,6 +356,37 @@
         self.now += 1.0
         self.assertIsNone(self.predict("zone-a/models-0"))
 
+    def test_own_requests_that_have_ended_since_do_not_count(self):
+        for number in range(3):
+            self.table.add(
+                in_flight_table.InFlightRequest(
+                    key=f"k{number}",
+                    instance="zone-a/models-0",
+                    prefill=latency_model.full_prefill(5_000),
+                    is_urgent=False,
+                    reports_prefill_end=False,
+                    memory_tokens=20_000,
+                    target_s=0.3,
+                    max_gap_s=0.2,
+                    weight=1.0,
+                    started_at_s=self.now,
+                    expires_at_s=self.now + 10,
+                )
+            )
+        self.now += 0.1
+        update = self.report.compose(self.engines(1, in_flight=5))
+        self.loads.add(pool_load_report.decode(update))
+        before = self.predict("zone-a/models-0")
+        self.assertEqual(3, before.room)
+        for number in range(3):
+            self.table.remove(f"k{number}")
+        after = self.predict("zone-a/models-0")
+        self.assertEqual(6, after.room)
+        self.assertEqual(
+            60_000,
+            before.predicted.memory_tokens - after.predicted.memory_tokens,
+        )
+
     def test_late_report_does_not_replace_a_newer_one(self):
         late = self.report.compose(self.engines(1))
         late.pool_load[0].age_ms = 2_000
