Judge endpoints by a decayed error rate

The fault count of an endpoint was reset by one success, so one that failed 4 of 10 requests counted as sound after each success.

The rate is the penalty in placement, for engines and plain services; below 0.25 it applies to a part of the selections, so that an endpoint regains its share gradually. Error responses from 500 on count as well. Pauses after faults are unchanged.

--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -5,6 +5,7 @@
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import error_rates
 from fireflyspur.gateway.endpoints import restore_guard
 from fireflyspur.observability import logs
 
@@ -47,6 +48,7 @@
         self._endpoints: dict[str, endpoints.Endpoint] = {}
         self._by_service: dict[str, tuple[endpoints.Endpoint, ...]] = {}
         self._faults: dict[str, _Faults] = {}
+        self._errors = error_rates.ErrorRates()
         # Start of each instance that said that it leaves, in Unix ms. It is
         # kept after the instance is gone, as it may be listed again.
         self._leaving: dict[str, int | None] = {}
@@ -62,6 +64,11 @@
         """Epoch of the store at the latest read."""
         return self._epoch
 
+    @property
+    def errors(self) -> error_rates.ErrorRates:
+        """Error rates of the endpoints."""
+        return self._errors
+
     @property
     def is_read(self) -> bool:
         """Whether a list has been read since the start."""
@@ -114,6 +121,7 @@
             for instance, faults in self._faults.items()
             if instance in self._endpoints
         }
+        self._errors.keep_only(self._endpoints)
         self._index()
 
     def confirm(self, read_at_s: float) -> bool:
@@ -167,7 +175,8 @@
         return True
 
     def record_fault(self, instance: str, reason: str) -> None:
-        """Pause an endpoint after a fault."""
+        """Pause an endpoint after a fault, and count it as an error."""
+        self._errors.add_error(instance)
         faults = self._faults.get(instance)
         count = faults.count + 1 if faults else 1
         pause_s = min(
@@ -199,6 +208,7 @@
         kept = {k: f for k, f in self._faults.items() if f.since_s < since_s}
         _log.info("Faults forgotten", count=len(self._faults) - len(kept))
         self._faults = kept
+        self._errors.forget(since_s)
 
     def is_paused(self, instance: str) -> bool:
         """Whether an endpoint is paused after a fault."""
@@ -212,11 +222,6 @@
             return False
         return not self.is_paused(instance)
 
-    def fault_count(self, instance: str) -> int:
-        """Return the number of faults since the last success."""
-        faults = self._faults.get(instance)
-        return faults.count if faults else 0
-
     def ready(self, service: str) -> tuple[endpoints.Endpoint, ...]:
         """Return the endpoints of a service that accept requests."""
         return self._by_service.get(service, ())
@@ -270,6 +275,7 @@
                 )
             elif previous.born_ms != endpoint.born_ms:
                 self._faults.pop(instance, None)
+                self._errors.forgive(instance)
                 _log.info("Endpoint restarted", instance=instance)
             elif previous.state is not endpoint.state:
                 _log.info(
--- a/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_monitor.py
@@ -81,6 +81,27 @@
             self._broadcast(instance, peer_updates.FAILED)
         self._directory.record_fault(instance, reason)
 
+    def report_error(self, endpoint: endpoints.Endpoint) -> None:
+        """Count a failed request, and tell the nodes that use the endpoint.
+
+        A node without good paths doesn't tell them, as it may be at fault.
+        """
+        errors = self._directory.errors
+        if not errors.add_error(endpoint.instance):
+            return
+        _log.info(
+            "Request on endpoint failed",
+            instance=endpoint.instance,
+            error_rate=round(errors.rate(endpoint.instance), 3),
+        )
+        if not self._reachable.has_good_paths:
+            return
+        report = peer_updates.EndpointReport(
+            instance=endpoint.instance, event=peer_updates.REQUEST_FAILED
+        )
+        for draft in self._channel.drafts_for(endpoint):
+            draft.reports.append(report)
+
     def mark_left(self, instance: str, reason: str) -> None:
         """Mark an endpoint as gone, on all nodes."""
         self._report_left(instance, reason)
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -353,6 +353,8 @@
         for limit in update.limits:
             self._limits.update_from_peer(limit, contact.delay_s)
         self._in_flight.apply_update(update, contact.is_restarted)
+        for started in update.started:
+            self._directory.errors.add_request(started.instance)
         if update.HasField("config"):
             self._handle_config(update.config)
         if update.HasField("endpoints"):
@@ -457,6 +459,8 @@
                     self._directory.mark_leaving(report.instance, reason)
                 case peer_updates.FAILED:
                     self._directory.record_fault(report.instance, reason)
+                case peer_updates.REQUEST_FAILED:
+                    self._directory.errors.add_error(report.instance)
 
 
 def _add_ms(age_ms: int, delay_ms: int) -> int:
--- a/src/fireflyspur/gateway/requests/attempt_launcher.py
+++ b/src/fireflyspur/gateway/requests/attempt_launcher.py
@@ -65,6 +65,7 @@
         It is tracked at once, as other requests are placed next.
         """
         started = attempt_race.Started(placement)
+        self._deps.directory.errors.add_request(placement.primary.instance)
         remaining_s = self._plan.deadline_s - clock.now_s()
         with contextlib.ExitStack() as stack:
             end_prefill = stack.enter_context(
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -13,6 +13,8 @@
 
 # Statuses with which an endpoint refuses a request because it wants none now.
 _BUSY_STATUSES = (429, 503)
+# Lowest status with which an endpoint reports an error of its own.
+SERVER_ERROR = 500
 
 _log = logs.log_for("requests")
 
@@ -131,6 +133,7 @@
         if result.is_replaced:
             self._deps.monitor.mark_left(instance, result.reason)
         elif result.is_fault:
+            self._deps.monitor.report_error(placement.primary)
             self._deps.directory.record_fault(instance, result.reason)
         return None
 
@@ -156,6 +159,7 @@
         )
         if result.failed_member is not None:
             return
+        self._deps.monitor.report_error(placement.primary)
         self._deps.directory.record_fault(instance, result.reason)
         if result.is_connection_lost:
             crash = part_quarantine.PartCrash(
@@ -168,6 +172,15 @@
                 placement.primary, lambda: self._record_crash(crash)
             )
 
+    def report_rejected(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.Rejected,
+    ) -> None:
+        """Report an error response, if it is an error of the endpoint."""
+        if result.head.status >= SERVER_ERROR:
+            self._deps.monitor.report_error(placement.primary)
+
     def report_silent(
         self, silent: placements.Placement, other: placements.Placement
     ) -> None:
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -23,7 +23,6 @@
 # At usual response lengths, an engine frees a slot several times a second.
 # When the next slot becomes free is not predicted yet.
 _RETRY_AFTER_S = 0.25
-_SERVER_ERROR = 500
 # A request is refused after this many endpoints that accepted no connection,
 # had less memory than expected or made a group fail.
 _MAX_EXCLUDED = 5
@@ -355,6 +354,7 @@
                 self._has_run = True
                 self._reason = f"status {head.status}"
                 self._rejected = result
+                self._reporter.report_rejected(placement, result)
                 if not (self._attempts.is_running or self._may_retry(head)):
                     await self._send_failure(result)
                     return True
@@ -385,7 +385,7 @@
         return self._response_start_s is None and elapsed_s < target_s
 
     def _may_retry(self, head: messages.ResponseHead) -> bool:
-        if head.status < _SERVER_ERROR or not self._may_repeat:
+        if head.status < attempt_reporter.SERVER_ERROR or not self._may_repeat:
             return False
         return len(self._tried) < self._plan.route.max_attempts
 
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -16,9 +16,9 @@
 from fireflyspur.gateway.scheduling import placement_cost
 from fireflyspur.gateway.scheduling import pool_loads
 
-# Cost of each fault of an endpoint since its last success, as a share of the
-# request's weight.
-_FAULT_COST = 0.3
+# Cost of a failed request, as a share of its weight. It is as bad as a missed
+# target.
+_ERROR_COST = 1.0
 # Cost of an endpoint in another failure domain: latency and network traffic.
 _REMOTE_COST = 0.01
 # Added cost of an engine of another pool for each second of age of its report,
@@ -295,9 +295,9 @@
         return cost.total, placement
 
     def _penalty(self, endpoint: endpoints.Endpoint) -> float:
-        faults = self._directory.fault_count(endpoint.instance)
+        error_rate = self._directory.errors.draw_penalty(endpoint.instance)
         is_remote = endpoint.failure_domain != self._failure_domain
-        return _FAULT_COST * faults + _REMOTE_COST * is_remote
+        return _ERROR_COST * error_rate + _REMOTE_COST * is_remote
 
 
 def _count_elsewhere(demand: placement_cost.Demand) -> int:
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -21,6 +21,8 @@
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import placement
 from fireflyspur.gateway.scheduling import placement_cost
+from fireflyspur.gateway.scheduling import pool_load_report
+from fireflyspur.gateway.scheduling import pool_loads
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from tests.support import async_tests
 
@@ -236,3 +238,65 @@
             (8, 4), (len(update.limits), len(link.parts.describe()))
         )
         self.assertLess(update.ByteSize(), 800)
+
+    @async_tests.in_loop
+    async def test_failed_requests_count_at_nodes_that_share_the_engine(self):
+        network = _Network(20)
+        engine = example_engine.endpoint(1)
+        link = network.links[0]
+        for draft in link.channel.drafts_for(engine):
+            draft.reports.add(
+                instance=engine.instance, event=peer_updates.REQUEST_FAILED
+            )
+        await network.settle()
+        for other in network.links[1:]:
+            errors = other.directory.errors
+            self.assertGreater(errors.rate(engine.instance), 0)
+            self.assertTrue(other.directory.is_available(engine.instance))
+            with link.in_flight.track_primary(engine, _DEMAND, 1, 5.0):
+                pass
+        rate = other.directory.errors.rate(engine.instance)
+        await network.settle()
+        self.assertLess(other.directory.errors.rate(engine.instance), rate)
+
+    @async_tests.in_loop
+    async def test_room_of_a_pool_is_known_to_all_nodes_of_another(self):
+        network = _Network(60)
+        load = pool_loads.EngineLoad("engine-9", 2, 40.0, 9_000, 0.2, 0.0)
+        report = pool_load_report.PoolLoadReport()
+        for _ in range(8):
+            update = report.compose([pool_load_report.OwnEngine(load, 6)])
+            update.pool_load[0].age_ms = 200
+            link = network.links[0]
+            pool = link.peers.pools.others[0]
+            link.channel.send_to(update, link.peers.relays(pool)[0].address)
+            await network.settle()
+        informed = [
+            number
+            for number, link in enumerate(network.links)
+            if link.pool_loads.has_any
+        ]
+        members = link.peers.pools.members(pool)
+        self.assertEqual(set(members), {f"node-{n}" for n in informed})
+        link = network.links[informed[0]]
+        known = link.pool_loads.predict("engine-9", example_engine.SPEC)
+        self.assertEqual(6, known.room)
+        self.assertGreaterEqual(known.age_s, 0.2)
+
+    @async_tests.in_loop
+    async def test_late_report_of_room_is_as_old_as_it_is(self):
+        network = _Network(20)
+        link, other = network.links[:2]
+        load = pool_loads.EngineLoad("engine-9", 2, 40.0, 9_000, 0.2, 0.0)
+        report = pool_load_report.PoolLoadReport()
+        link.channel.send_to(peer_updates.PeerUpdate(), _address(1))
+        update = report.compose([pool_load_report.OwnEngine(load, 6)])
+        later_s = clock.now_s() + 2.0
+        link.channel.send_to(update, _address(2))
+        update.number += 10
+        with clock.override(lambda: later_s):
+            other.channel.datagram_received(
+                update.SerializeToString(), ("10.0.0.1", 0)
+            )
+            known = other.pool_loads.predict("engine-9", example_engine.SPEC)
+        self.assertGreater(known.age_s, 1.9)
