Do not blame an endpoint for an answer that is not read

An endpoint cuts off an answer that stays unread for some seconds. A caller that does not read keeps the node from reading, and the endpoint was then paused as faulty. A break after a part of the response was unread for 1 s no longer counts against it; the rest of a stream comes from another one.

Tests: unread bytes count toward the node's memory, the endpoint is not blamed, and unread answers do not exceed an engine's memory. Each was seen to fail without its mechanism.

Run: tests/gateway/test_slow_readers.py and test_endless_bytes.py.

--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -143,11 +143,15 @@
         result: attempt_result.Broken,
         sent_at_s: float,
         last_event_id: str | None,
+        *,
+        was_unread: bool,
     ) -> None:
         """Report a response that broke off, and whether it was a crash.
 
         :param sent_at_s: clock time of the start of the attempt
         :param last_event_id: id of the last event that the caller got, if any
+        :param was_unread: whether the endpoint may have cut it off because the
+            caller did not read
         """
         instance = placement.primary.instance
         _log.warning(
@@ -156,8 +160,9 @@
             instance=instance,
             reason=result.reason,
             event=last_event_id,
+            was_unread=was_unread,
         )
-        if result.failed_member is not None:
+        if result.failed_member is not None or was_unread:
             return
         self._deps.monitor.report_error(placement.primary)
         self._deps.directory.record_fault(instance, result.reason)
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -344,6 +344,7 @@
                     result,
                     ended.started.started_at_s,
                     self._relay.last_event_id,
+                    was_unread=self._relay.was_unread,
                 )
                 if result.failed_member is not None:
                     self._excluded.append(result.failed_member)
--- a/src/fireflyspur/gateway/requests/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -18,6 +18,8 @@
 _MAX_EVENT_BYTES = 1_048_576
 # A response of a million tokens has a few megabytes.
 _MAX_RESPONSE_BYTES = 64 * 1_048_576
+# An endpoint cuts off an answer that stays unread for some seconds.
+_UNREAD_S = 1.0
 # What a connection to an endpoint has read ahead, at most.
 _READ_AHEAD_BYTES = 65_536
 
@@ -47,6 +49,17 @@
         # Bytes of all endpoints' responses to this request.
         self._size = 0
         self._progress = 0
+        # Longest time for which the caller left a part of this endpoint's
+        # response unread.
+        self._unread_s = 0.0
+
+    @property
+    def was_unread(self) -> bool:
+        """Whether the endpoint may have cut its response off as unread.
+
+        A caller that does not read keeps this node from reading.
+        """
+        return self._unread_s >= _UNREAD_S
 
     @property
     def longest_gap_s(self) -> float:
@@ -115,6 +128,7 @@
             it can be resumed after ``last_event_id``
         """
         self._splitter.drop_tail()
+        self._unread_s = 0.0
         has_events = False
 
         def give_up(reason: str) -> None:
@@ -182,7 +196,10 @@
         :param held: bytes that are held beside it
         """
         self._hold(held + len(data), self._abort)
+        started_at_s = clock.now_s()
         await self._connection.send_body(data)
+        waited_s = clock.now_s() - started_at_s
+        self._unread_s = max(self._unread_s, waited_s)
         self._hold(held, self._abort)
         self._holding.record_progress()
 
