--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -13,6 +13,8 @@
 
 # Statuses with which an endpoint refuses a request because it wants none now.
 _BUSY_STATUSES = (429, 503)
+# Lowest status with which an endpoint reports an error of its own.
+SERVER_ERROR = 500
 
 _log = logs.log_for("requests")
 
@@ -131,6 +133,7 @@
         if result.is_replaced:
             self._deps.monitor.mark_left(instance, result.reason)
         elif result.is_fault:
+            self._deps.monitor.report_error(placement.primary)
             self._deps.directory.record_fault(instance, result.reason)
         return None
 
@@ -140,11 +143,15 @@
         result: attempt_result.Broken,
         sent_at_s: float,
         last_event_id: str | None,
+        *,
+        was_unread: bool,
     ) -> None:
         """Report a response that broke off, and whether it was a crash.
 
         :param sent_at_s: clock time of the start of the attempt
         :param last_event_id: id of the last event that the caller got, if any
+        :param was_unread: whether the endpoint may have cut it off because the
+            caller did not read
         """
         instance = placement.primary.instance
         _log.warning(
@@ -153,9 +160,11 @@
             instance=instance,
             reason=result.reason,
             event=last_event_id,
+            was_unread=was_unread,
         )
-        if result.failed_member is not None:
+        if result.failed_member is not None or was_unread:
             return
+        self._deps.monitor.report_error(placement.primary)
         self._deps.directory.record_fault(instance, result.reason)
         if result.is_connection_lost:
             crash = part_quarantine.PartCrash(
@@ -168,6 +177,15 @@
                 placement.primary, lambda: self._record_crash(crash)
             )
 
+    def report_rejected(
+        self,
+        placement: placements.Placement,
+        result: attempt_result.Rejected,
+    ) -> None:
+        """Report an error response, if it is an error of the endpoint."""
+        if result.head.status >= SERVER_ERROR:
+            self._deps.monitor.report_error(placement.primary)
+
     def report_silent(
         self, silent: placements.Placement, other: placements.Placement
     ) -> None:
