Share the calls to a failing store among the nodes

Each node retried a failed read every 0.2 s on each of two topics, and its registration every 0.5 s, so an outage cost calls in proportion to the fleet, and a change that followed it made all nodes call at the same moment.

A schedule without network access now decides when a node calls: nodes that hear one another draw their waits from a range that grows with their number, a node that hears nobody or must read for itself has a bounded rate, and reads that follow a change are spread. A node that had to read in place of the first ones goes on until another one does. Calls are counted by topic and outcome.

--- a/src/fireflyspur/gateway/common/registry.py
+++ b/src/fireflyspur/gateway/common/registry.py
@@ -1,6 +1,7 @@
 """Interface of the gateway to the platform's store."""
 
 import abc
+from collections.abc import Callable
 import dataclasses
 
 from fireflyspur.gateway.common import address as addresses
@@ -38,6 +39,13 @@
 class Registry(abc.ABC):
     """Reads configuration, endpoints and nodes; each call costs a fee."""
 
+    @abc.abstractmethod
+    def count_calls(self, count: Callable[[str, str], None]) -> None:
+        """Set what counts each call, by topic and outcome.
+
+        An operation may need several calls.
+        """
+
     @abc.abstractmethod
     async def read_config(self) -> ConfigRead:
         """Read the newest configuration.
--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import random
 
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.fleet import fleet_link
@@ -31,14 +31,18 @@
 # The first nodes of all further pools have the same rank.
 _MAX_POOL_RANK = 2
 # Maximum delay between the announcement of changes by another node and their
-# read.
-_CATCH_UP_SHARE = 0.05
+# read, as a share of the bound that is left, and after an outage.
+_CATCH_UP_SHARE = 0.5
+_OUTAGE_CATCH_UP_S = 1.0
 # Versions that follow one another within this time are read together.
 _CHANGE_PAUSE_S = 0.15
 # After a suspension, a request waits this long for a read of the store.
 _RESUME_WAIT_S = 0.5
-# Pause after a failed call, which allows several attempts within the bounds.
-_RETRY_S = 0.2
+# Pause after a record that cannot be used.
+_INVALID_PAUSE_S = 0.2
+# Interval at which a wait for an attempt is reconsidered, as other nodes may
+# have become silent.
+_REVIEW_S = 0.1
 
 _TOPICS = ("config", "endpoints")
 
@@ -57,6 +61,7 @@
     :param directory: endpoints that this node knows
     :param link: exchanges updates with the other nodes
     :param detector: tells when this process was suspended
+    :param schedule: spreads the calls during outages
     :param config_bound_s: time within which a new configuration is applied
     :param endpoints_bound_s: time after which a leaving endpoint no longer
         gets requests
@@ -70,6 +75,7 @@
         directory: endpoint_directory.EndpointDirectory,
         link: fleet_link.FleetLink,
         detector: suspension.SuspensionDetector,
+        schedule: read_schedule.ReadSchedule,
         config_bound_s: float,
         endpoints_bound_s: float,
     ) -> None:
@@ -79,9 +85,10 @@
         self._directory = directory
         self._link = link
         self._detector = detector
+        self._schedule = schedule
         self._config_bound_s = config_bound_s
         self._endpoints_bound_s = endpoints_bound_s
-        self._failing: set[str] = set()
+        self._failing: dict[str, float] = {}
         self._is_config_read = False
         self._requested_version = 0
         # When the latest read of each topic started that has ended.
@@ -137,8 +144,15 @@
                 await read()
             except base_exceptions.FireflyspurError as error:
                 self._log_failure(topic, error)
+                is_own = self._must_read(topic)
                 self._record_attempt(topic, started_at_s)
-                await asyncio.sleep(_RETRY_S)
+                if isinstance(error, exceptions.RecordInvalidError):
+                    # The store has answered.
+                    await asyncio.sleep(_INVALID_PAUSE_S)
+                    continue
+                self._schedule.record_failure(
+                    topic, self._link.peers.audible_nodes(), is_own=is_own
+                )
             else:
                 self._record_attempt(topic, started_at_s)
 
@@ -148,17 +162,18 @@
 
     def _is_outdated(self, resumed_at_s: float) -> bool:
         """Return whether a topic is too old and not read since a time."""
-        ages_s = {
-            "config": self._holder.age_s() - self._config_bound_s,
-            "endpoints": self._directory.age_s() - self._endpoints_bound_s,
-        }
         return any(
-            beyond_s > 0 and self._attempted_at_s[topic] < resumed_at_s
-            for topic, beyond_s in ages_s.items()
+            self._is_topic_outdated(topic, resumed_at_s) for topic in _TOPICS
         )
 
+    def _is_topic_outdated(self, topic: str, resumed_at_s: float) -> bool:
+        is_old = self._age_s(topic) > self._bound_s(topic)
+        return is_old and self._attempted_at_s[topic] < resumed_at_s
+
     async def _follow_config(self) -> None:
-        if not self._is_config_read:
+        if (wait_s := self._wait_s("config")) > 0:
+            await self._pause("config", min(wait_s, _REVIEW_S))
+        elif not self._is_config_read:
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
             # All nodes have received the announcement of this version.
@@ -172,40 +187,59 @@
         elif self._holder.table is None or self._rank("config") == 0:
             wait_s = min(CONFIG_WAIT_S, _WAIT_SHARE * self._config_bound_s)
             read = await self._registry.wait_config(wait_s)
-            self._apply_config(read)
-            self._announce_config()
+            self._apply_config(read, is_for_all=True)
             if read.config is not None:
                 await asyncio.sleep(_CHANGE_PAUSE_S)
         elif (remaining_s := self._remaining_s("config")) > 0:
             await self._pause("config", remaining_s)
         else:
-            self._apply_config(await self._registry.wait_config(0))
-            self._announce_config()
+            read = await self._registry.wait_config(0)
+            self._apply_config(read, is_for_all=True)
 
     async def _follow_endpoints(self) -> None:
+        if (wait_s := self._wait_s("endpoints")) > 0:
+            await self._pause("endpoints", min(wait_s, _REVIEW_S))
+            return
         remaining_s = self._remaining_s("endpoints")
         is_due = remaining_s <= 0
-        if not is_due and not self._link.sync.is_behind:
+        if not is_due and not self._must_read("endpoints"):
             await self._pause("endpoints", remaining_s)
             return
-        if not is_due:
-            # Further changes that follow at once are read together.
-            delay_s = _CATCH_UP_SHARE * self._endpoints_bound_s
-            await asyncio.sleep(random.uniform(0, delay_s))
         is_first = not self._directory.is_read
         read = await self._registry.read_endpoints()
+        before_s = self._read_at_s("endpoints")
+        is_late = self._is_late("endpoints")
         seen = self._link.sync.update_from_store(read)
         # Changes that this node catches up with have been announced already.
         if is_due and not is_first:
+            self._schedule.record_read_for_all(
+                "endpoints",
+                before_s,
+                self._read_at_s("endpoints"),
+                is_late=is_late,
+            )
             self._link.announce_endpoints(seen)
-        self._log_recovery("endpoints")
+        self._record_success("endpoints")
+
+    def _apply_config(
+        self, read: registries.ConfigRead, is_for_all: bool = False
+    ) -> None:
+        """Apply what was read.
 
-    def _apply_config(self, read: registries.ConfigRead) -> None:
+        :param is_for_all: whether it is announced to the other nodes
+        """
+        before_s = self._read_at_s("config")
+        is_late = self._is_late("config")
         self._is_config_read = True
         if read.config is not None:
             self._holder.apply(read.config)
         self._holder.confirm(read.read_at_s)
-        self._log_recovery("config")
+        self._record_success("config")
+        if is_for_all:
+            self._schedule.record_read_for_all(
+                "config", before_s, self._read_at_s("config"), is_late=is_late
+            )
+            self._announce_config()
 
     def _announce_config(self) -> None:
         if self._holder.table is not None:
@@ -213,12 +247,77 @@
 
     def _remaining_s(self, topic: str) -> float:
         """Return the time until this node must read the store itself."""
-        delay = _RANK_SHARE * self._rank(topic)
+        share = min(self._turn_share(topic), _LAST_SHARE)
+        return share * self._bound_s(topic) - self._age_s(topic)
+
+    def _turn_share(self, topic: str) -> float:
+        """Return the share of the bound after which it is this node's turn.
+
+        The turns of all but the first nodes come too late.
+        """
+        first = _CONFIG_SHARE if topic == "config" else _ENDPOINTS_SHARE
+        return first + _RANK_SHARE * self._rank(topic)
+
+    def _wait_s(self, topic: str) -> float:
+        """Return the time for which this node must not call the store."""
+        nodes = self._link.peers.audible_nodes()
+        if self._must_read(topic):
+            return self._schedule.own_wait_s(
+                topic, nodes, self._longest_catch_up_s(topic)
+            )
+        return self._schedule.shared_wait_s(
+            topic,
+            nodes,
+            self._read_at_s(topic),
+            is_late=self._is_late(topic),
+            has_turn=self._turn_share(topic) < _LAST_SHARE,
+        )
+
+    def _must_read(self, topic: str) -> bool:
+        """Return whether no read of another node helps this one."""
+        if self._age_s(topic) == float("inf") or self._is_behind(topic):
+            return True
+        if topic == "config" and self._holder.table is None:
+            return True
+        resumed_at_s = self._detector.resumed_at_s()
+        return resumed_at_s is not None and self._is_topic_outdated(
+            topic, resumed_at_s
+        )
+
+    def _is_behind(self, topic: str) -> bool:
+        """Return whether another node has announced newer data."""
         if topic == "config":
-            share = min(_CONFIG_SHARE + delay, _LAST_SHARE)
-            return share * self._config_bound_s - self._holder.age_s()
-        share = min(_ENDPOINTS_SHARE + delay, _LAST_SHARE)
-        return share * self._endpoints_bound_s - self._directory.age_s()
+            return self._is_config_behind()
+        return self._link.sync.is_behind
+
+    def _longest_catch_up_s(self, topic: str) -> float:
+        """Return the greatest delay before a read that no other replaces.
+
+        What was announced was published after the newest data that this node
+        has.
+        """
+        age_s = self._age_s(topic)
+        if age_s == float("inf") or not self._is_behind(topic):
+            return 0.0
+        left_s = self._bound_s(topic) - age_s
+        return _CATCH_UP_SHARE * left_s if left_s > 0 else _OUTAGE_CATCH_UP_S
+
+    def _is_late(self, topic: str) -> bool:
+        """Return whether all of the first nodes have missed their turns."""
+        return self._age_s(topic) >= _LAST_SHARE * self._bound_s(topic)
+
+    def _read_at_s(self, topic: str) -> float:
+        return clock.now_s() - self._age_s(topic)
+
+    def _age_s(self, topic: str) -> float:
+        if topic == "config":
+            return self._holder.age_s()
+        return self._directory.age_s()
+
+    def _bound_s(self, topic: str) -> float:
+        if topic == "config":
+            return self._config_bound_s
+        return self._endpoints_bound_s
 
     def _is_config_behind(self) -> bool:
         announced = self._link.announced_version
@@ -241,8 +340,11 @@
         """Return the rank of this node among the readers of a topic.
 
         The first node of the first pool reads for all. The first ones of
-        other pools stand in for it before the other nodes of its pool do.
+        other pools stand in for it before the other nodes of its pool do. A
+        node that has read because all of these failed goes on in their place.
         """
+        if self._schedule.is_reader(topic, self._read_at_s(topic)):
+            return 0
         peers = self._link.peers
         rank = reader_rank.rank_of(self._name, peers.live_names(), topic)
         own, *others = (str(p) for p in (peers.pools.own, *peers.pools.others))
@@ -255,8 +357,14 @@
         if isinstance(error, exceptions.RecordInvalidError):
             _log.error("Record not used", what=topic, reason=str(error))
         elif topic not in self._failing:
-            self._failing.add(topic)
-            _log.warning("Store lost", what=topic, reason=str(error))
+            self._failing[topic] = clock.now_s()
+            _log.warning(
+                "Store lost",
+                what=topic,
+                reason=str(error),
+                age_s=round(self._age_s(topic), 1),
+                nodes=self._link.peers.audible_nodes(),
+            )
 
     def _log_missing(self, read: registries.ConfigRead) -> None:
         if self._holder.version < self._requested_version:
@@ -268,7 +376,14 @@
                 end=read.end,
             )
 
-    def _log_recovery(self, topic: str) -> None:
-        if topic in self._failing:
-            self._failing.remove(topic)
-            _log.info("Store regained", what=topic)
+    def _record_success(self, topic: str) -> None:
+        failures = self._schedule.failures(topic)
+        self._schedule.record_success(topic)
+        failed_at_s = self._failing.pop(topic, None)
+        if failed_at_s is not None:
+            _log.info(
+                "Store regained",
+                what=topic,
+                lost_s=round(clock.now_s() - failed_at_s, 1),
+                failures=failures,
+            )
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -7,6 +7,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
@@ -67,11 +68,13 @@
         self._channel = update_channel.UpdateChannel(
             name, address, self._peers, self._handle_update
         )
+        self._schedule = read_schedule.ReadSchedule()
         self._registration = node_registration.NodeRegistration(
             name,
             registries.NodeEntry(address, failure_domain),
             registry,
             self._peers,
+            self._schedule,
             lambda: directory.epoch,
         )
         self._sync = endpoint_sync.EndpointSync(directory)
@@ -108,6 +111,11 @@
         """The other nodes."""
         return self._peers
 
+    @property
+    def schedule(self) -> read_schedule.ReadSchedule:
+        """Spreads the calls of this node to the store during outages."""
+        return self._schedule
+
     @property
     def in_flight(self) -> in_flight_reporter.InFlightReporter:
         """Tracks in-flight requests and announces them to the other nodes."""
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -14,6 +14,10 @@
 # A node sends a heartbeat each second. On a healthy network three lost
 # datagrams in a row are rare.
 _LIVE_S = 3.2
+# A node that hears none of the others for this time is cut off from them. It
+# exceeds the interval of heartbeats, and leaves time for a read within the
+# bounds.
+_AUDIBLE_S = 1.25
 # A silent node still gets all updates for this time, since it may only be
 # unable to send.
 _RECIPIENT_S = 12.0
@@ -196,6 +200,26 @@
         ]
         return [self._name, *names]
 
+    def audible_nodes(self) -> int:
+        """Return the number of nodes that hear one another, with this one.
+
+        Nodes of other pools are counted in the same proportion as those of
+        the own pool, as they send no heartbeats to this one.
+        """
+        now = clock.now_s()
+        known = heard = 1
+        for peer in self._pool_peers(self._pools.own):
+            known += 1
+            seen_at_s = peer.last_seen_at_s
+            if seen_at_s is not None and now - seen_at_s < _AUDIBLE_S:
+                heard += not peer.is_stopping
+        if heard == 1:
+            return 1
+        others = sum(
+            len(self._pools.members(pool)) for pool in self._pools.others
+        )
+        return heard + round(others * heard / known)
+
     def recipients(self, pool: pool_map.Pool | None = None) -> list[Peer]:
         """Return the nodes to which updates for a pool are sent.
 
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -105,7 +105,7 @@
         self._memory_reserver = memory_reserver.MemoryReserver(
             orders, lambda: self._settings.memory
         )
-        self._metrics = self._build_metrics()
+        self._metrics = self._build_metrics(registry)
         self._forwarder = self._build_forwarder(codec, in_flight)
         self._caller_server = self._build_server(self._forwarder.serve)
         self._handover_server = self._build_handover_server()
@@ -169,6 +169,7 @@
             self._directory,
             self._link,
             detector,
+            self._link.schedule,
             config_bound_s=self._settings.config_apply_s,
             endpoints_bound_s=self._settings.drain_s,
         )
@@ -218,8 +219,10 @@
             self._bytes_held,
         )
 
-    def _build_metrics(self) -> gateway_metrics.GatewayMetrics:
-        return gateway_metrics.GatewayMetrics(
+    def _build_metrics(
+        self, registry: registries.Registry
+    ) -> gateway_metrics.GatewayMetrics:
+        metrics = gateway_metrics.GatewayMetrics(
             in_progress=lambda: self._caller_server.in_progress,
             config_age_s=self._config_holder.age_s,
             endpoints_age_s=self._directory.age_s,
@@ -228,6 +231,8 @@
             held_bytes=lambda: self._bytes_held.held_bytes,
             holdings_ended=lambda: self._bytes_held.ended,
         )
+        registry.count_calls(metrics.count_store_call)
+        return metrics
 
     def _build_server(
         self, handle_request: caller_server.RequestHandler
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -88,6 +88,11 @@
             "Offers of requests to other nodes by their end.",
             ("result",),
         )
+        self._store_calls = self._counter(
+            "store_calls",
+            "Calls to the store by topic and outcome.",
+            ("topic", "outcome"),
+        )
         self._first_byte = self._histogram(
             "first_part_seconds",
             "Time from a request to the beginning of its answer.",
@@ -121,6 +126,10 @@
         """Count an offer of a request to another node."""
         self._handovers.labels(result).inc()
 
+    def count_store_call(self, topic: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(topic, outcome).inc()
+
     def observe_first_byte(
         self,
         kind: routing_config.RouteKind,
--- a/src/fireflyspur/platform/store_client.py
+++ b/src/fireflyspur/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import urllib.parse
@@ -116,6 +117,14 @@
         self._address = address
         self._epoch: int | None = None
         self._is_epoch_invalid = False
+        self._on_call: Callable[[str, str], None] = lambda topic, outcome: None
+
+    def on_call(self, callback: Callable[[str, str], None]) -> None:
+        """Set the callback for each call, with its topic and outcome.
+
+        The outcome is ``answered``, ``refused`` or ``unanswered``.
+        """
+        self._on_call = callback
 
     async def read_newest(self, topic: str) -> NewestRecords:
         """Read the newest record of each key of a topic.
@@ -216,11 +225,15 @@
             exceptions.EndpointUnreachableError,
             exceptions.BrokenResponseError,
         ) as error:
+            self._on_call(query["topic"], "unanswered")
             raise exceptions.StoreUnavailableError(
                 f"{path}: {str(error) or 'no answer in time'}"
             ) from error
         epoch = self._read_epoch(head)
-        if head.status != 200 and head.status not in accepted:
+        is_accepted = head.status == 200 or head.status in accepted
+        outcome = "answered" if is_accepted else "refused"
+        self._on_call(query["topic"], outcome)
+        if not is_accepted:
             raise exceptions.StoreUnavailableError(
                 f"{path}: status {head.status}"
             )
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -1,5 +1,7 @@
 """Registry of the gateway in the platform's store."""
 
+from collections.abc import Callable
+
 from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
@@ -15,6 +17,12 @@
 _ENDPOINTS_TOPIC = "keyed.servers"
 _NODES_TOPIC = "keyed.status"
 _NODE_KEY_PREFIX = "node-"
+# Names of the topics in metrics.
+_TOPIC_LABELS = {
+    _OPERATOR_TOPIC: "config",
+    _ENDPOINTS_TOPIC: "endpoints",
+    _NODES_TOPIC: "nodes",
+}
 
 _log = logs.log_for("platform")
 
@@ -31,6 +39,12 @@
         self._config_epoch = 0
         self._invalid_keys: set[str] = set()
 
+    def count_calls(self, count: Callable[[str, str], None]) -> None:
+        """Set what counts each call."""
+        self._store.on_call(
+            lambda topic, outcome: count(_TOPIC_LABELS[topic], outcome)
+        )
+
     async def read_config(self) -> registry.ConfigRead:
         """Read the current configuration."""
         read_at_s = clock.now_s()
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -8,6 +8,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import registry
 from fireflyspur.gateway.configuration import config_holder
+from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.configuration import store_follower
 from fireflyspur.gateway.endpoints import endpoint as endpoints
@@ -65,6 +66,7 @@
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
         link.announced_version = 0
         link.sync.is_behind = False
+        link.peers.audible_nodes.return_value = 10
         link.sync.update_from_store = self.directory.replace
         self.follower = store_follower.StoreFollower(
             "node-1",
@@ -73,6 +75,7 @@
             self.directory,
             link,
             suspension.SuspensionDetector(1.0),
+            read_schedule.ReadSchedule(),
             config_bound_s=2.0,
             endpoints_bound_s=2.0,
         )
