--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -9,6 +9,7 @@
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import evacuation_sync
 from fireflyspur.gateway.configuration import evacuations
+from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.endpoints import endpoint as endpoints
@@ -76,11 +77,13 @@
         self._channel = update_channel.UpdateChannel(
             name, address, self._peers, self._handle_update
         )
+        self._schedule = read_schedule.ReadSchedule()
         self._registration = node_registration.NodeRegistration(
             name,
             registries.NodeEntry(address, failure_domain),
             registry,
             self._peers,
+            self._schedule,
             lambda: directory.epoch,
         )
         self._cold = self._build_ceiling(cold_bounds)
@@ -123,6 +126,11 @@
         """The other nodes."""
         return self._peers
 
+    @property
+    def schedule(self) -> read_schedule.ReadSchedule:
+        """Spreads the calls of this node to the store during outages."""
+        return self._schedule
+
     @property
     def in_flight(self) -> in_flight_reporter.InFlightReporter:
         """Tracks in-flight requests and announces them to the other nodes."""
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -120,6 +120,11 @@
             "Requests refused while another pool reported room.",
             (),
         )
+        self._store_calls = self._counter(
+            "store_calls",
+            "Calls to the store by topic and outcome.",
+            ("topic", "outcome"),
+        )
         self._first_byte = self._histogram(
             "first_part_seconds",
             "Time from a request to the beginning of its answer.",
@@ -161,6 +166,10 @@
         """Count a refusal while another pool reported room."""
         self._refusals_with_room.inc()
 
+    def count_store_call(self, topic: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(topic, outcome).inc()
+
     def observe_first_byte(
         self,
         kind: routing_config.RouteKind,
