Find from the answers how many requests an endpoint takes

After the pause that follows a fault an endpoint got its full load at once, and one that has just started or turned cold as well, from all nodes: an idle engine is the best choice for each of them. A recovering engine was overloaded again; a node that had seen the fault avoided it until it had an answer of its own, while a node sees each engine once in half a minute.

EndpointPaces keeps, for such endpoints only, a limit of requests in flight from all nodes and the ratio of the actual to the predicted time to first event. Both come from answers: 2 requests at first, one more with each answer in time, 0.7 of the limit after a late or refused one, half after one that is missing or an error. Nodes that share an endpoint tell each other of changes (PeerUpdate field 24), and answers in time at one node end the pause at others. Placement multiplies its prediction by the factor and adds a cost beyond the limit, so no request is refused for it. Nodes that have heard no peer since their start begin low on all endpoints, for 5 s at most.

--- a/src/fireflyspur/gateway/endpoints/cold_ceiling.py
+++ b/src/fireflyspur/gateway/endpoints/cold_ceiling.py
@@ -94,6 +94,7 @@
     :param own: requests of this node
     :param delay_s: time by which this node waits longer than others
     :param was_cold: whether it was cold at the last look
+    :param cold_since_s: clock time at which that was noticed
     :param unlisted_at_s: when it was found to be unlisted, or None
     """
 
@@ -104,6 +105,7 @@
     own: pacing.Pacing = pacing.Pacing()
     delay_s: float = 0.0
     was_cold: bool = False
+    cold_since_s: float = 0.0
     unlisted_at_s: float | None = None
 
 
@@ -188,6 +190,12 @@
         cold = self._spec(endpoint)
         return cold is not None and self._is_cold(endpoint, cold)
 
+    def cold_since_s(self, endpoint: endpoints.Endpoint) -> float | None:
+        """Return since when an endpoint is cold, or None if it is warm."""
+        if not self.is_cold(endpoint):
+            return None
+        return self._sent[endpoint.instance].cold_since_s
+
     def add_start(self, instance: str, *, is_own: bool) -> None:
         """Count a request that a node sends to an endpoint.
 
@@ -274,6 +282,7 @@
         if is_cold != sent.was_cold:
             sent = dataclasses.replace(sent, was_cold=is_cold)
             if is_cold:
+                sent = dataclasses.replace(sent, cold_since_s=now)
                 sent = self._begin(endpoint, cold, sent, until_s - now)
             self._sent[endpoint.instance] = sent
         return is_cold
--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -21,11 +21,13 @@
 
     :param paused_until_s: when the endpoint may get requests again
     :param since_s: when the first of them was recorded
+    :param at_s: when the last of them was recorded
     """
 
     count: int
     paused_until_s: float
     since_s: float
+    at_s: float
 
 
 class EndpointDirectory:
@@ -186,7 +188,7 @@
         if faults and faults.paused_until_s > now:
             return
         since_s = faults.since_s if faults else now
-        self._faults[instance] = _Faults(count, now + pause_s, since_s)
+        self._faults[instance] = _Faults(count, now + pause_s, since_s, now)
         _log.warning(
             "Endpoint paused",
             instance=instance,
@@ -222,6 +224,11 @@
             return False
         return not self.is_paused(instance)
 
+    def fault_at_s(self, instance: str) -> float | None:
+        """Return when an endpoint had a fault last, if not a success since."""
+        faults = self._faults.get(instance)
+        return faults.at_s if faults else None
+
     def ready(self, service: str) -> tuple[endpoints.Endpoint, ...]:
         """Return the endpoints of a service that accept requests."""
         return self._by_service.get(service, ())
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -19,6 +19,7 @@
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
 from fireflyspur.gateway.endpoints import rate_limits
+from fireflyspur.gateway.fleet import endpoint_pacing
 from fireflyspur.gateway.fleet import node_registration
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.gateway.fleet import update_channel
@@ -78,17 +79,10 @@
             name, address, self._peers, self._handle_update
         )
         self._schedule = read_schedule.ReadSchedule()
-        self._registration = node_registration.NodeRegistration(
-            name,
-            registries.NodeEntry(address, failure_domain),
-            registry,
-            self._peers,
-            self._schedule,
-            lambda: directory.epoch,
-        )
-        self._cold = self._build_ceiling(cold_bounds)
+        self._registration = self._build_registration(address, registry)
+        self._pacing = self._build_pacing(cold_bounds)
         self._sync = endpoint_sync.EndpointSync(
-            directory, self._cold.record_entry
+            directory, self._pacing.ceiling.record_entry
         )
         self._evacuations = evacuations.Evacuations(directory.set_evacuated)
         self._evacuation_sync = evacuation_sync.EvacuationSync(
@@ -96,7 +90,7 @@
         )
         self._limits = self._build_limits()
         self._notices = endpoint_notices.EndpointNotices(
-            self._limits, self.report_left, self._cold
+            self._limits, self.report_left, self._pacing.ceiling
         )
         self._in_flight = in_flight_reporter.InFlightReporter(
             name, table, self._channel, self._notices
@@ -152,9 +146,9 @@
         return self._limits
 
     @property
-    def cold(self) -> cold_ceiling.ColdCeiling:
-        """Limits of the requests to cold endpoints."""
-        return self._cold
+    def pacing(self) -> endpoint_pacing.EndpointPacing:
+        """Limits of endpoints that start, recover, are cold or late."""
+        return self._pacing
 
     @property
     def notices(self) -> endpoint_notices.EndpointNotices:
@@ -195,6 +189,31 @@
         """Set the callback for when another node has newer data."""
         self._on_behind = callback
 
+    def _build_pacing(
+        self, cold_bounds: cold_ceiling.BoundsReader
+    ) -> endpoint_pacing.EndpointPacing:
+        return endpoint_pacing.EndpointPacing(
+            self._name,
+            self._holder,
+            cold_bounds,
+            self._directory,
+            self._peers,
+            self._channel,
+            self._is_own,
+        )
+
+    def _build_registration(
+        self, address: addresses.Address, registry: registries.Registry
+    ) -> node_registration.NodeRegistration:
+        return node_registration.NodeRegistration(
+            self._name,
+            registries.NodeEntry(address, self._failure_domain),
+            registry,
+            self._peers,
+            self._schedule,
+            lambda: self._directory.epoch,
+        )
+
     def _build_limits(self) -> rate_limits.RateLimits:
         return rate_limits.RateLimits(
             lambda: self._channel.fleet_draft,
@@ -203,18 +222,6 @@
             self._limit_share,
         )
 
-    def _build_ceiling(
-        self, bounds: cold_ceiling.BoundsReader
-    ) -> cold_ceiling.ColdCeiling:
-        return cold_ceiling.ColdCeiling(
-            self._holder.find_service,
-            bounds,
-            self._directory.find_named,
-            self._is_own,
-            self._pool_size,
-            self._name,
-        )
-
     def close(self) -> None:
         """Close the channel."""
         self._channel.close()
@@ -282,6 +289,7 @@
             self._in_flight_table.expire(clock.now_s())
             self._notices.keep_only(self._directory.instances)
             self._evacuations.refresh()
+            self._pacing.keep_only(self._directory.instances)
             self._peers.log_silent_peers()
             self._send_heartbeat()
 
@@ -299,6 +307,7 @@
         if not update.limits:
             update.limits.extend(self._limits.describe())
         self._add_evacuations(update)
+        self._pacing.add_state(update)
         seen = self._sync.describe()
         if seen is not None and not update.HasField("endpoints"):
             update.endpoints.CopyFrom(seen)
@@ -328,10 +337,6 @@
         pools = 1 + len(self._peers.pools.others)
         return rate_limits.FleetShare(min(1.0, live / nodes), pools, live)
 
-    def _pool_size(self) -> cold_ceiling.PoolSize:
-        pools = 1 + len(self._peers.pools.others)
-        return cold_ceiling.PoolSize(self._peers.possible_size(), pools)
-
     def _trial_rank(self, part: int) -> int:
         return reader_rank.rank_of(
             self._name, self._peers.live_names(), f"part-{part}"
@@ -363,6 +368,7 @@
             self._parts.update_from_peer(seen)
         for limit in update.limits:
             self._limits.update_from_peer(limit, contact.delay_s)
+        self._pacing.apply_update(update, contact.delay_s)
         self._in_flight.apply_update(update, contact.is_restarted)
         for started in update.started:
             self._directory.errors.add_request(started.instance)
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -24,6 +24,7 @@
     :param endpoints_age_s: returns the age of the list of endpoints
     :param limited_endpoints: returns the number of endpoints that name a rate
     :param cold_endpoints: returns the number of endpoints that are cold
+    :param paced_endpoints: returns the number of endpoints that have a pace
     :param lacks_paths: returns whether the node reaches few endpoints or none
     :param held_bytes: returns the bytes held for all connections
     :param holdings_ended: returns how many of them were given up
@@ -38,6 +39,7 @@
         endpoints_age_s: Callable[[], float],
         limited_endpoints: Callable[[], float],
         cold_endpoints: Callable[[], float],
+        paced_endpoints: Callable[[], float],
         lacks_paths: Callable[[], bool],
         held_bytes: Callable[[], float],
         holdings_ended: Callable[[], float],
@@ -57,15 +59,8 @@
             endpoints_age_s,
             "Age of the list of endpoints.",
         )
-        self._gauge(
-            "limited_endpoints",
-            limited_endpoints,
-            "Endpoints whose named rate limit is in force.",
-        )
-        self._gauge(
-            "cold_endpoints",
-            cold_endpoints,
-            "Cold endpoints that take a limited rate.",
+        self._add_endpoint_gauges(
+            limited_endpoints, cold_endpoints, paced_endpoints
         )
         self._gauge(
             "lacks_paths",
@@ -91,6 +86,28 @@
             "Age of what is known of evacuations.",
         )
 
+    def _add_endpoint_gauges(
+        self,
+        limited_endpoints: Callable[[], float],
+        cold_endpoints: Callable[[], float],
+        paced_endpoints: Callable[[], float],
+    ) -> None:
+        self._gauge(
+            "limited_endpoints",
+            limited_endpoints,
+            "Endpoints whose named rate limit is in force.",
+        )
+        self._gauge(
+            "cold_endpoints",
+            cold_endpoints,
+            "Cold endpoints that take a limited rate.",
+        )
+        self._gauge(
+            "paced_endpoints",
+            paced_endpoints,
+            "Endpoints with a concurrency limit or factor found from answers.",
+        )
+
     def _add_counters(self) -> None:
         self._requests = self._counter(
             "requests",
--- a/src/fireflyspur/gateway/requests/attempt.py
+++ b/src/fireflyspur/gateway/requests/attempt.py
@@ -25,6 +25,8 @@
 # only if the endpoint itself guarantees that.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OTHER_INSTANCE = 421
+# Statuses with which an endpoint takes no more requests now.
+_BUSY_STATUSES = frozenset((429, 503))
 # Statuses of refusals that the state of the endpoint or the request explains.
 _NO_FAULT_STATUSES = frozenset((421, 429, 503))
 # An error response is buffered whole before it is relayed; error messages are
@@ -221,6 +223,7 @@
             return attempt_result.NotRun(
                 f"status {head.status}",
                 is_fault=head.status not in _NO_FAULT_STATUSES,
+                is_busy=head.status in _BUSY_STATUSES,
                 is_replaced=self._is_replaced(head, info, instance),
                 failed_member=self._find_failed_member(head, info),
             )
--- a/src/fireflyspur/gateway/requests/attempt_launcher.py
+++ b/src/fireflyspur/gateway/requests/attempt_launcher.py
@@ -91,6 +91,9 @@
 
         def record_response_start() -> None:
             self._on_response_start()
+            self._reporter.report_answer(
+                placement, clock.now_s() - started.started_at_s
+            )
             self._race.report_response(
                 started, f"silent, {placement.primary.instance} responds"
             )
@@ -126,6 +129,9 @@
             lambda: self._race.report_silence(started),
             lambda: self._race.report_progress(started),
             self._outlook.may_meet_target,
+            lambda silent_s: self._deps.paces.record_silence(
+                placement.primary, silent_s
+            ),
         )
 
     async def _lacks_paths(self) -> bool:
--- a/src/fireflyspur/gateway/requests/attempt_reporter.py
+++ b/src/fireflyspur/gateway/requests/attempt_reporter.py
@@ -3,6 +3,7 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.endpoints import endpoint as endpoints
+from fireflyspur.gateway.endpoints import endpoint_pace
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
 from fireflyspur.gateway.requests import attempt_result
@@ -34,6 +35,7 @@
         self._deps = deps
         self._attempt_id = plan.info.attempt_id
         self._service = plan.service
+        self._target_s = plan.route.target_latency_s
         self._fingerprint = quarantine.fingerprint_of(
             plan.request, plan.account_name or plan.info.api_key or ""
         )
@@ -79,6 +81,22 @@
             info = self._deps.codec.decode_response(head)
             self.report_notice(endpoint, head, info)
 
+    def report_answer(
+        self, placement: placements.Placement, elapsed_s: float
+    ) -> None:
+        """Report that a successful response has begun.
+
+        The answer of a group says little of any one of its members.
+
+        :param elapsed_s: time since the attempt started
+        """
+        if placement.helpers:
+            return
+        expected = endpoint_pace.Expectation(
+            placement.first_event_s or self._target_s, placement.factor
+        )
+        self._deps.paces.record_answer(placement.primary, elapsed_s, expected)
+
     def report_delivered(
         self, placement: placements.Placement, is_confirmed: bool
     ) -> None:
@@ -135,6 +153,9 @@
         elif result.is_fault:
             self._deps.monitor.report_error(placement.primary)
             self._deps.directory.record_fault(instance, result.reason)
+            self._deps.paces.record_failure(placement.primary)
+        elif result.is_busy:
+            self._deps.paces.record_refusal(placement.primary)
         return None
 
     def report_broken(
@@ -166,6 +187,7 @@
             return
         self._deps.monitor.report_error(placement.primary)
         self._deps.directory.record_fault(instance, result.reason)
+        self._deps.paces.record_failure(placement.primary)
         if result.is_connection_lost:
             crash = part_quarantine.PartCrash(
                 self._parts,
@@ -185,6 +207,7 @@
         """Report an error response, if it is an error of the endpoint."""
         if result.head.status >= SERVER_ERROR:
             self._deps.monitor.report_error(placement.primary)
+            self._deps.paces.record_failure(placement.primary)
 
     def report_silent(
         self, silent: placements.Placement, other: placements.Placement
@@ -196,6 +219,7 @@
             instance=silent.primary.instance,
             other=other.primary.instance,
         )
+        self._deps.paces.record_failure(silent.primary)
 
     def report_overtaken(self, placement: placements.Placement) -> None:
         """Report an attempt that was not needed, as the silent one goes on."""
--- a/src/fireflyspur/gateway/requests/attempt_result.py
+++ b/src/fireflyspur/gateway/requests/attempt_result.py
@@ -36,6 +36,7 @@
     """The endpoint has not run the request and never will.
 
     :param is_fault: whether the refusal is a fault of the endpoint
+    :param is_busy: whether the endpoint takes no more requests now
     :param is_replaced: whether another instance is now at the address
     :param failed_member: instance or address of the other group member that
         made the request fail, or None
@@ -43,6 +44,7 @@
 
     reason: str
     is_fault: bool = False
+    is_busy: bool = False
     is_replaced: bool = False
     failed_member: str | None = None
 
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -10,6 +10,7 @@
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
 from fireflyspur.gateway.endpoints import endpoint_notices
+from fireflyspur.gateway.endpoints import endpoint_pace
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
 from fireflyspur.gateway.endpoints import reachability
@@ -53,6 +54,7 @@
     crashes: quarantine.Quarantine
     parts: part_quarantine.PartQuarantine
     notices: endpoint_notices.EndpointNotices
+    paces: endpoint_pace.EndpointPaces
     memory: memory_reserver.MemoryReserver
     bytes_held: byte_budget.ByteBudget
     reachable: reachability.Reachability
--- a/src/fireflyspur/gateway/requests/stall_detector.py
+++ b/src/fireflyspur/gateway/requests/stall_detector.py
@@ -48,6 +48,8 @@
     :param on_progress: called once the response goes on after that
     :param may_meet_target: returns whether the response may still meet its
         latency target
+    :param on_late: called once with the silence if it is longer than the
+        in-flight requests explain, though the endpoint accepts a connection
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         seek: Callable[[], None],
         on_progress: Callable[[], None],
         may_meet_target: Callable[[], bool],
+        on_late: Callable[[float], None],
     ) -> None:
         self._monitor = monitor
         self._members = members
@@ -69,6 +72,8 @@
         self._seek = seek
         self._on_progress = on_progress
         self._may_meet_target = may_meet_target
+        self._on_late = on_late
+        self._is_late_reported = False
         # Whether the endpoint accepted a probe.
         self._accepts = False
         # Silence at the first probe that failed, or None.
@@ -105,6 +110,7 @@
         if not self._accepts:
             await self._check_lost(silent_s)
             return _RECHECK_S
+        self._report_late(silent_s)
         if self._engine is None or not self._may_move():
             return self._expected_silence_s
         remaining_s = _SEEK_FACTOR * self._expected_silence_s - silent_s
@@ -113,6 +119,16 @@
         self._seek_elsewhere(silent_s)
         return _SEEK_S
 
+    def _report_late(self, silent_s: float) -> None:
+        """Report an engine that is silent, which the model does not explain.
+
+        No model predicts a plain service, nor which member delays a group.
+        """
+        is_single = self._engine is not None and len(self._members) == 1
+        if is_single and not self._is_late_reported:
+            self._is_late_reported = True
+            self._on_late(silent_s)
+
     def _seek_elsewhere(self, silent_s: float) -> None:
         self._sought_at_s = silent_s
         self._seek()
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -9,6 +9,7 @@
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_pace
 from fireflyspur.gateway.scheduling import engine_candidates
 from fireflyspur.gateway.scheduling import engine_group
 from fireflyspur.gateway.scheduling import in_flight_table
@@ -19,6 +20,9 @@
 # Cost of a failed request, as a share of its weight. It is as bad as a missed
 # target.
 _ERROR_COST = 1.0
+# Cost of a request that would double the number that an endpoint takes. Where
+# no endpoint has room, the limit refuses nothing.
+_EXCESS_COST = 2.0
 # Cost of an endpoint in another failure domain: latency and network traffic.
 _REMOTE_COST = 0.01
 # Added cost of an engine of another pool for each second of age of its report,
@@ -65,6 +69,7 @@
     :param in_flight: number of in-flight requests on the primary endpoint
     :param load_source: where the load of the primary endpoint is known from
     :param load_age_s: age of the report with its load; None without one
+    :param factor: factor of the primary endpoint, in the prediction
     """
 
     primary: endpoints.Endpoint
@@ -73,6 +78,7 @@
     in_flight: int = 0
     load_source: LoadSource = LoadSource.OWN_POOL
     load_age_s: float | None = None
+    factor: float = 1.0
 
     @property
     def is_elsewhere(self) -> bool:
@@ -90,6 +96,7 @@
     :param table: in-flight requests that this node knows of
     :param candidates: finds the engines to compare
     :param failure_domain: failure domain of this node
+    :param paces: paces of endpoints, or None if they have none
     """
 
     def __init__(
@@ -98,7 +105,9 @@
         table: in_flight_table.InFlightTable,
         candidates: engine_candidates.EngineCandidates,
         failure_domain: str,
+        paces: endpoint_pace.EndpointPaces | None = None,
     ) -> None:
+        self._paces = paces or endpoint_pace.EndpointPaces.none()
         self._directory = directory
         self._table = table
         self._candidates = candidates
@@ -119,11 +128,7 @@
             return None
         best = min(
             candidates,
-            key=lambda endpoint: (
-                self._table.count(endpoint.instance) / max(1, endpoint.slots)
-                + self._penalty(endpoint),
-                random.random(),
-            ),
+            key=lambda endpoint: (self._plain_cost(endpoint), random.random()),
         )
         return Placement(best, in_flight=self._table.count(best.instance))
 
@@ -210,14 +215,7 @@
     ) -> list[placement_cost.Candidate]:
         """Return the engines that have a slot, as far as the table tells."""
         now = clock.now_s()
-        candidates = [
-            placement_cost.Candidate(
-                endpoint,
-                self._table.predict_load(endpoint.instance, engine, now),
-                self._penalty(endpoint),
-            )
-            for endpoint in compared
-        ]
+        candidates = [self._candidate(engine, e, now) for e in compared]
         return [
             candidate
             for candidate in candidates
@@ -228,9 +226,11 @@
         self, reported: tuple[endpoints.Endpoint, pool_loads.RemoteLoad]
     ) -> placement_cost.Candidate:
         endpoint, load = reported
+        pace = self._paces.assess(endpoint, load.predicted.in_flight)
         penalty = self._penalty(endpoint) + _AGE_COST_PER_S * load.age_s
+        penalty += _EXCESS_COST * pace.excess
         return placement_cost.Candidate(
-            endpoint, load.predicted, penalty, load.age_s
+            endpoint, load.predicted, penalty, load.age_s, pace.factor
         )
 
     def _best(
@@ -291,9 +291,30 @@
             if members[0].report_age_s is None
             else LoadSource.REPORT,
             members[0].report_age_s,
+            members[0].factor,
         )
         return cost.total, placement
 
+    def _candidate(
+        self,
+        engine: routing_config.EngineSpec,
+        endpoint: endpoints.Endpoint,
+        now: float,
+    ) -> placement_cost.Candidate:
+        load = self._table.predict_load(endpoint.instance, engine, now)
+        pace = self._paces.assess(endpoint, load.in_flight)
+        penalty = self._penalty(endpoint) + _EXCESS_COST * pace.excess
+        return placement_cost.Candidate(
+            endpoint, load, penalty, factor=pace.factor
+        )
+
+    def _plain_cost(self, endpoint: endpoints.Endpoint) -> float:
+        in_flight = self._table.count(endpoint.instance)
+        pace = self._paces.assess(endpoint, in_flight)
+        slowness = (pace.factor - 1) * (in_flight + 1)
+        load = (in_flight + slowness) / max(1, endpoint.slots)
+        return load + self._penalty(endpoint) + _EXCESS_COST * pace.excess
+
     def _penalty(self, endpoint: endpoints.Endpoint) -> float:
         error_rate = self._directory.errors.draw_penalty(endpoint.instance)
         is_remote = endpoint.failure_domain != self._failure_domain
--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -15,6 +15,7 @@
 from fireflyspur.gateway.configuration import evacuations
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
+from fireflyspur.gateway.endpoints import endpoint_pace
 from fireflyspur.gateway.endpoints import part_quarantine
 from fireflyspur.gateway.endpoints import quarantine
 from fireflyspur.gateway.fleet import fleet_link
@@ -124,7 +125,9 @@
         network = _Network(40)
         endpoint = example_engine.endpoint(1)
         counts = [
-            self.enterContext(mock.patch.object(link.cold, "add_start"))
+            self.enterContext(
+                mock.patch.object(link.pacing.ceiling, "add_start")
+            )
             for link in network.links
         ]
         link = network.links[0]
@@ -140,6 +143,23 @@
         for number, count in enumerate(counts):
             count.assert_called_once_with("engine-1", is_own=number == 0)
 
+    @async_tests.in_loop
+    async def test_pace_that_an_answer_shows_is_known_to_the_pool(self):
+        network = _Network(40)
+        endpoint = example_engine.endpoint(1)
+        for link in network.links:
+            link.directory.record_fault(endpoint.instance, "test")
+            self.assertEqual(2.0, link.pacing.paces.limit(endpoint))
+        sender = network.links[3]
+        sender.pacing.paces.record_answer(
+            endpoint, 0.2, endpoint_pace.Expectation(0.3)
+        )
+        await network.settle()
+        for link in network.links:
+            self.assertEqual(3.0, link.pacing.paces.limit(endpoint))
+            is_paused = link.directory.is_paused(endpoint.instance)
+            self.assertEqual(link is sender, is_paused)
+
     @async_tests.in_loop
     async def test_stopping_node_stays_known_as_stopping(self):
         network = _Network(20)
