Let requests wait briefly for room instead of refusing them at once

When all slots of the engines were taken, a request was refused at once with 503, although slots become free within some tens of milliseconds, and all callers were told to return after 0.25 s.

Waits end with the caller, the deadline, a stop or a handover, and hold nothing.

--- a/src/fireflyspur/gateway/endpoints/endpoint_directory.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_directory.py
@@ -1,5 +1,6 @@
 """The registered endpoints and the faults that this node observed."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -55,6 +56,7 @@
         self._epoch = 0
         # Entries expire after the time without a report that is an outage.
         self._guard = restore_guard.RestoreGuard(outage_s + reregister_s)
+        self._on_change: Callable[[], None] = lambda: None
 
     @property
     def epoch(self) -> int:
@@ -76,6 +78,10 @@
         """Instances of all listed endpoints."""
         return self._endpoints.keys()
 
+    def set_listener(self, on_change: Callable[[], None]) -> None:
+        """Set what is called when the ready endpoints may have changed."""
+        self._on_change = on_change
+
     def age_s(self) -> float:
         """Return the age of the list in seconds."""
         if self._read_at_s is None:
@@ -272,3 +278,4 @@
         for endpoint in self.usable():
             by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = {k: tuple(v) for k, v in by_service.items()}
+        self._on_change()
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -24,6 +24,7 @@
 from fireflyspur.gateway.node import node_drain
 from fireflyspur.gateway.node import settings as gateway_settings
 from fireflyspur.gateway.node import suspension
+from fireflyspur.gateway.requests import admission
 from fireflyspur.gateway.requests import forwarder
 from fireflyspur.gateway.requests import request_dependencies
 from fireflyspur.gateway.requests import request_plan
@@ -105,6 +106,7 @@
         self._memory_reserver = memory_reserver.MemoryReserver(
             orders, lambda: self._settings.memory
         )
+        self._admission = self._build_admission(in_flight)
         self._metrics = self._build_metrics()
         self._forwarder = self._build_forwarder(codec, in_flight)
         self._caller_server = self._build_server(self._forwarder.serve)
@@ -192,6 +194,7 @@
                     self._link.candidates,
                     self._settings.failure_domain,
                 ),
+                admission=self._admission,
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
                 parts=self._link.parts,
@@ -209,6 +212,20 @@
             )
         )
 
+    def _build_admission(
+        self, in_flight: in_flight_table.InFlightTable
+    ) -> admission.Admission:
+        return admission.Admission(
+            self._directory,
+            in_flight,
+            self._link.candidates,
+            pool_nodes=lambda: len(self._link.peers.recipients()) + 1,
+            exits_at_s=lambda: self._drain.deadline_s,
+            observe=lambda result, seconds: self._metrics.observe_wait(
+                result, seconds
+            ),
+        )
+
     def _build_handover_server(self) -> handover_server.HandoverServer:
         return handover_server.HandoverServer(
             self._link.peers,
@@ -227,6 +244,7 @@
             lacks_paths=lambda: not self._reachability.has_good_paths,
             held_bytes=lambda: self._bytes_held.held_bytes,
             holdings_ended=lambda: self._bytes_held.ended,
+            waiting=lambda: self._admission.waiting,
         )
 
     def _build_server(
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -26,6 +26,7 @@
     :param lacks_paths: returns whether the node reaches few endpoints or none
     :param held_bytes: returns the bytes held for all connections
     :param holdings_ended: returns how many of them were given up
+    :param waiting: returns the number of requests that wait for room
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         lacks_paths: Callable[[], bool],
         held_bytes: Callable[[], float],
         holdings_ended: Callable[[], float],
+        waiting: Callable[[], float],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._add_counters()
@@ -69,6 +71,9 @@
             holdings_ended,
             "Requests and responses given up as too much was held.",
         )
+        self._gauge(
+            "requests_waiting", waiting, "Requests that wait for room."
+        )
 
     def _add_counters(self) -> None:
         self._requests = self._counter(
@@ -93,6 +98,11 @@
             "Time from a request to the beginning of its answer.",
             ("kind", "prompt"),
         )
+        self._waits = self._histogram(
+            "room_wait_seconds",
+            "Time for which requests waited for room on an engine.",
+            ("result",),
+        )
         self._longest_gap = self._histogram(
             "longest_gap_seconds",
             "Longest pause between the events of a stream.",
@@ -131,6 +141,10 @@
         length = length_bins.length_bin(prompt_tokens)
         self._first_byte.labels(kind.value, length).observe(seconds)
 
+    def observe_wait(self, result: str, seconds: float) -> None:
+        """Record the end of a wait for room on an engine."""
+        self._waits.labels(result).observe(seconds)
+
     def observe_longest_gap(self, prompt_tokens: int, seconds: float) -> None:
         """Record the longest gap between two events of a stream."""
         length = length_bins.length_bin(prompt_tokens)
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -14,6 +14,7 @@
 from fireflyspur.gateway.endpoints import reachability
 from fireflyspur.gateway.handover import peer_choice
 from fireflyspur.gateway.node import gateway_metrics
+from fireflyspur.gateway.requests import admission as admissions
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_timeouts
 from fireflyspur.gateway.requests import retry_budget
@@ -28,6 +29,7 @@
 
     :param node_name: name of this node
     :param peers: chooses nodes that requests are handed over to
+    :param admission: lets requests wait for room on an engine
     :param is_draining: returns whether the node is stopping
     :param reachable: tells whether this node reaches endpoints
     :param bytes_held: limits the bytes that are held for responses
@@ -47,6 +49,7 @@
     directory: endpoint_directory.EndpointDirectory
     in_flight: in_flight_reporter.InFlightReporter
     placer: placements.EndpointSelector
+    admission: admissions.Admission
     retries: retry_budget.RetryBudget
     crashes: quarantine.Quarantine
     parts: part_quarantine.PartQuarantine
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -7,6 +7,7 @@
 from fireflyspur.gateway.common import messages
 from fireflyspur.gateway.handover import exceptions as handover_exceptions
 from fireflyspur.gateway.handover import handover_run
+from fireflyspur.gateway.requests import admission
 from fireflyspur.gateway.requests import attempt_launcher
 from fireflyspur.gateway.requests import attempt_race
 from fireflyspur.gateway.requests import attempt_reporter
@@ -20,8 +21,7 @@
 # An endpoint stops processing at the deadline and reports it; this is the
 # time for that response to arrive.
 _DEADLINE_GRACE_S = 0.1
-# At usual response lengths, an engine frees a slot several times a second.
-# When the next slot becomes free is not predicted yet.
+# Time after which a caller returns if no endpoint is known to be ready.
 _RETRY_AFTER_S = 0.25
 _SERVER_ERROR = 500
 # A request is refused after this many endpoints that accepted no connection,
@@ -148,7 +148,7 @@
         :raises FireflyspurError: if the caller gets no complete response
         """
         while self._may_attempt() and not self._must_hand_over():
-            placement = self._place()
+            placement = await self._place_or_wait()
             if placement is None or not self._acquire_retry():
                 break
             if await self._run_beside_silent(placement):
@@ -283,6 +283,27 @@
         self._retries += 1
         return True
 
+    async def _place_or_wait(self) -> placements.Placement | None:
+        """Place the request, or wait briefly for room on an engine.
+
+        :returns: None if no endpoint may be tried now
+        """
+        placement = self._place()
+        plan = self._plan
+        # What an endpoint has answered is not held back.
+        if placement is not None or self._rejected is not None:
+            return placement
+        is_limited = self._limited_retry_s is not None
+        if is_limited or not self._deps.directory.ready(plan.service.name):
+            return None
+        trial = admission.Trial(
+            self._place,
+            lambda: self._may_attempt() and not self._must_hand_over(),
+        )
+        return await self._deps.admission.wait(
+            plan, attempt_launcher.demand_of(plan), trial
+        )
+
     def _place(self) -> placements.Placement | None:
         plan = self._plan
         excluded = frozenset((*self._tried, *self._excluded))
@@ -395,7 +416,12 @@
                 "all endpoints take no more requests for now, as they said",
                 retry_after_s=self._limited_retry_s,
             )
-        return exceptions.NoCapacityError(reason, retry_after_s=_RETRY_AFTER_S)
+        retry_after_s = _RETRY_AFTER_S
+        if self._deps.directory.ready(self._plan.service.name):
+            retry_after_s = self._deps.admission.retry_after_s(
+                self._plan, attempt_launcher.demand_of(self._plan)
+            )
+        return exceptions.NoCapacityError(reason, retry_after_s=retry_after_s)
 
     def _crashing_error(
         self, message: str
--- a/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
@@ -168,6 +168,7 @@
         weight=placement_cost.prompt_weight(started.prompt_tokens),
         started_at_s=now,
         expires_at_s=now + started.lasts_ms / 1000,
+        output_tokens=max(0, started.memory_tokens - started.prompt_tokens),
     )
 
 
--- a/src/fireflyspur/gateway/scheduling/in_flight_table.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_table.py
@@ -1,5 +1,6 @@
 """Table of the in-flight requests of each endpoint."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -31,6 +32,7 @@
         the endpoint generates no output for it
     :param weight: cost of a missed target, relative to other requests
     :param expires_at_s: clock time by which it has ended
+    :param output_tokens: largest length of its output
     """
 
     key: str
@@ -44,6 +46,7 @@
     weight: float
     started_at_s: float
     expires_at_s: float
+    output_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +104,11 @@
     def __init__(self) -> None:
         self._entries: dict[str, dict[str, _Entry]] = {}
         self._instances: dict[str, str] = {}
+        self._on_freed: Callable[[], None] = lambda: None
+
+    def set_listener(self, on_freed: Callable[[], None]) -> None:
+        """Set what is called when a request or its prefill has ended."""
+        self._on_freed = on_freed
 
     def add(self, request: InFlightRequest) -> None:
         """Add a request that was sent to an endpoint."""
@@ -114,6 +122,7 @@
         if instance is not None:
             entries = self._entries[instance]
             entries[key] = _Entry(entries[key].request, is_prefilled=True)
+            self._on_freed()
 
     def remove(self, key: str) -> None:
         """Remove a request that has ended."""
@@ -124,12 +133,18 @@
         del entries[key]
         if not entries:
             del self._entries[instance]
+        self._on_freed()
 
     def remove_all(self, prefix: str) -> None:
         """Remove the requests whose keys start with a prefix."""
         for key in [k for k in self._instances if k.startswith(prefix)]:
             self.remove(key)
 
+    def requests(self, instance: str) -> list[InFlightRequest]:
+        """Return the in-flight requests on an endpoint."""
+        entries = self._entries.get(instance, {}).values()
+        return [entry.request for entry in entries]
+
     def count(self, instance: str) -> int:
         """Return the number of in-flight requests on an endpoint."""
         return len(self._entries.get(instance, ()))
