--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -26,6 +26,7 @@
 from fireflyspur.gateway.node import settings as gateway_settings
 from fireflyspur.gateway.node import start_phases
 from fireflyspur.gateway.node import suspension
+from fireflyspur.gateway.requests import admission
 from fireflyspur.gateway.requests import forwarder
 from fireflyspur.gateway.requests import request_dependencies
 from fireflyspur.gateway.requests import request_plan
@@ -110,6 +111,7 @@
         self._memory_reserver = memory_reserver.MemoryReserver(
             orders, lambda: self._settings.memory
         )
+        self._admission = self._build_admission(in_flight)
         self._metrics = self._build_metrics(registry)
         self._forwarder = self._build_forwarder(codec, in_flight)
         self._caller_server = self._build_server(self._forwarder.serve)
@@ -209,6 +211,7 @@
                     self._settings.failure_domain,
                     self._link.pacing.paces,
                 ),
+                admission=self._admission,
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
                 parts=self._link.parts,
@@ -228,6 +231,20 @@
             )
         )
 
+    def _build_admission(
+        self, in_flight: in_flight_table.InFlightTable
+    ) -> admission.Admission:
+        return admission.Admission(
+            self._directory,
+            in_flight,
+            self._link.candidates,
+            pool_nodes=lambda: len(self._link.peers.recipients()) + 1,
+            exits_at_s=lambda: self._drain.deadline_s,
+            observe=lambda result, seconds: self._metrics.observe_wait(
+                result, seconds
+            ),
+        )
+
     def _build_handover_server(self) -> handover_server.HandoverServer:
         return handover_server.HandoverServer(
             self._link.peers,
@@ -252,6 +269,7 @@
             holdings_ended=lambda: self._bytes_held.ended,
             evacuated_domains=lambda: len(self._link.evacuations.in_force),
             evacuations_age_s=self._link.evacuations.age_s,
+            waiting=lambda: self._admission.waiting,
         )
         registry.count_calls(metrics.count_store_call)
         return metrics
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -30,6 +30,7 @@
     :param holdings_ended: returns how many of them were given up
     :param evacuated_domains: returns the number of evacuated failure domains
     :param evacuations_age_s: returns the age of what is known of them
+    :param waiting: returns the number of requests that wait for room
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         holdings_ended: Callable[[], float],
         evacuated_domains: Callable[[], float],
         evacuations_age_s: Callable[[], float],
+        waiting: Callable[[], float],
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._add_counters()
@@ -85,6 +87,9 @@
             evacuations_age_s,
             "Age of what is known of evacuations.",
         )
+        self._gauge(
+            "requests_waiting", waiting, "Requests that wait for room."
+        )
 
     def _add_endpoint_gauges(
         self,
@@ -147,6 +152,11 @@
             "Time from a request to the beginning of its answer.",
             ("kind", "prompt"),
         )
+        self._waits = self._histogram(
+            "room_wait_seconds",
+            "Time for which requests waited for room on an engine.",
+            ("result",),
+        )
         self._longest_gap = self._histogram(
             "longest_gap_seconds",
             "Longest pause between the events of a stream.",
@@ -197,6 +207,10 @@
         length = length_bins.length_bin(prompt_tokens)
         self._first_byte.labels(kind.value, length).observe(seconds)
 
+    def observe_wait(self, result: str, seconds: float) -> None:
+        """Record the end of a wait for room on an engine."""
+        self._waits.labels(result).observe(seconds)
+
     def observe_longest_gap(self, prompt_tokens: int, seconds: float) -> None:
         """Record the longest gap between two events of a stream."""
         length = length_bins.length_bin(prompt_tokens)
