Halve the slots after a single error of an endpoint in use

An error response of an endpoint without a pace left a limit of 1, so an application that answers some requests with 500 would have been used for one request at a time for a second. It now leaves half of its slots. After a fault, which also pauses the endpoint, the limit begins at 2 as before.

The new test fails without the change.

--- a/src/fireflyspur/gateway/endpoints/endpoint_pace.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_pace.py
@@ -277,7 +277,7 @@
         """Record that an answer is missing, broke off or was an error."""
         pace = self._current(endpoint)
         if pace is None:
-            pace = self._begin(endpoint, _FIRST_LIMIT)
+            pace = self._begin(endpoint, float(endpoint.slots))
         self._set(endpoint, pace, pace.limit / 2, pace.factor, "failure")
 
     def update_from_peer(
--- a/tests/gateway/endpoints/test_endpoint_pace.py
+++ b/tests/gateway/endpoints/test_endpoint_pace.py
@@ -130,6 +130,13 @@
         paces.record_failure(self.endpoint)
         self.assertEqual(1.0, paces.limit(self.endpoint))
 
+    def test_single_error_of_an_endpoint_in_use_leaves_half(self):
+        paces, _ = self.make()
+        paces.record_failure(self.endpoint)
+        self.assertEqual(_SLOTS / 2, paces.limit(self.endpoint))
+        self.answer(paces, 0.3, _SLOTS // 2)
+        self.assertIsNone(paces.limit(self.endpoint))
+
     def test_later_fault_begins_anew(self):
         paces, _ = self.make()
         self.begin()
