Test what nodes know and call during and after an outage of the store

The follower's tests say how many nodes are heard; nobody is where no other node does anything, as in the test of the last rank, whose bound is unchanged.

Run: tests/gateway passed.

--- a/src/fireflyspur/gateway/configuration/read_schedule.py
+++ b/src/fireflyspur/gateway/configuration/read_schedule.py
@@ -14,14 +14,14 @@
 # nodes, one that it serves then reads before the data exceeds its bound.
 _FIRST_PER_S = 16.0
 _FIRST_S = 1.0
-# Intervals of a node that must read for itself: the first one, after which
-# they double, and the longest one for each topic that fails, so that a node
-# makes 1.4 calls a second at most. A node is to be current again within 3 s.
+# Intervals of a node that must read for itself, for each topic that fails: the
+# first one, after which they double, and the longest one. A node makes 1.4
+# calls a second in the long run, and is current again within 3 s.
 _OWN_FIRST_S = 0.25
 _OWN_LONGEST_S = 0.7
 # Attempts of all nodes that must read for themselves, each second, as far as
 # the interval of a node stays below a limit.
-_OWN_PER_S = 200.0
+_OWN_PER_S = 50.0
 _OWN_SPREAD_MAX_S = 1.5
 # Reads of all nodes that follow a change, each second.
 _CATCH_UP_PER_S = 100.0
@@ -241,7 +241,7 @@
         :param topics: number of topics that fail
         """
         interval_s = _OWN_FIRST_S * 2.0 ** min(failures - 1, 8)
-        interval_s = min(interval_s, _OWN_LONGEST_S * topics)
+        interval_s = topics * min(interval_s, _OWN_LONGEST_S)
         if is_own:
             share_s = min(nodes / _OWN_PER_S, _OWN_SPREAD_MAX_S)
         else:
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -1,11 +1,13 @@
 """Tests of which nodes read the store, and when."""
 
 import asyncio
+import collections
 from unittest import mock
 
 import testtools
 
 from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import registry
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import evacuations
@@ -52,12 +54,8 @@
         return endpoints.EndpointList(self.endpoints, clock.now_s())
 
 
-class StoreFollowerTest(testtools.TestCase):
-    """Guards against redundant, missing and wrongly dated reads.
-
-    Only one node is to read the configuration, and another one takes over
-    before the bound.
-    """
+class _FollowerTest(testtools.TestCase):
+    """Runs a follower beside other nodes that it only seems to hear."""
 
     def setUp(self):
         super().setUp()
@@ -67,7 +65,7 @@
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
         link.announced_version = 0
         link.sync.is_behind = False
-        link.peers.audible_nodes.return_value = 10
+        link.peers.audible_nodes.return_value = 1
         link.sync.update_from_store = self.directory.replace
         link.evacuations = evacuations.Evacuations(
             self.directory.set_evacuated
@@ -105,6 +103,14 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+
+class StoreFollowerTest(_FollowerTest):
+    """Guards against redundant, missing and wrongly dated reads.
+
+    Only one node is to read the configuration, and another one takes over
+    before the bound.
+    """
+
     @async_tests.in_loop
     async def test_second_rank_does_not_read_while_reader_sends_updates(self):
         self.set_rank(1)
@@ -230,3 +236,115 @@
             read = await store_reader.wait_config(0.4)
             self.assertEqual(2, read.config.version)
             self.assertLess(read.read_at_s, started + 0.1)
+
+
+class _FailingRegistry(_Registry):
+    """Counts the attempts, and fails on the topics in ``failing``."""
+
+    def __init__(self):
+        super().__init__()
+        self.failing = set()
+        self.attempts = collections.Counter()
+        self.endpoints = ()
+
+    def _attempt(self, topic):
+        self.attempts[topic] += 1
+        if topic in self.failing:
+            raise exceptions.StoreUnavailableError("refused")
+
+    async def read_config(self):
+        self._attempt("config")
+        return await super().read_config()
+
+    async def wait_config(self, wait_s):
+        self._attempt("config")
+        return await super().wait_config(wait_s)
+
+    async def read_endpoints(self):
+        self._attempt("endpoints")
+        return await super().read_endpoints()
+
+
+class StoreOutageTest(_FollowerTest):
+    """Guards against calls that grow with the fleet while the store fails.
+
+    Neither a node that is alone nor one that starts waits for other nodes.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.registry = _FailingRegistry()
+        self.follower._registry = self.registry
+        # Nothing ticks here, which would look like a suspension.
+        self.follower._detector = mock.Mock(resumed_at_s=lambda: None)
+
+    async def lose(self, seconds, *topics, nodes=70):
+        """Follow until current, then let topics fail for some time."""
+        self.link.peers.audible_nodes.return_value = nodes
+        await self.follow(0.2, reader_interval_s=None)
+        self.registry.failing = set(topics)
+        self.registry.attempts.clear()
+        await self.follow(seconds, reader_interval_s=None)
+        return self.registry.attempts
+
+    @async_tests.in_loop
+    async def test_first_of_many_nodes_rarely_retries(self):
+        self.set_rank(0)
+        attempts = await self.lose(4.0, "config", "endpoints")
+        self.assertLessEqual(attempts["config"], 2)
+        self.assertLessEqual(attempts["endpoints"], 2)
+
+    @async_tests.in_loop
+    async def test_last_of_many_nodes_rarely_retries(self):
+        self.set_rank(9)
+        attempts = await self.lose(4.0, "config", "endpoints")
+        self.assertLessEqual(attempts["config"], 1)
+        self.assertLessEqual(attempts["endpoints"], 1)
+
+    @async_tests.in_loop
+    async def test_lone_node_reads_within_the_bound_and_retries(self):
+        self.set_rank(0)
+        attempts = await self.lose(4.0, "config", "endpoints", nodes=1)
+        for topic in ("config", "endpoints"):
+            self.assertGreater(attempts[topic], 1)
+            self.assertLess(attempts[topic], 8)
+
+    @async_tests.in_loop
+    async def test_other_topic_is_read_as_before(self):
+        self.set_rank(0)
+        attempts = await self.lose(3.0, "config")
+        self.assertGreaterEqual(attempts["endpoints"], 3)
+        self.assertLess(self.directory.age_s(), 1.0)
+
+    @async_tests.in_loop
+    async def test_refused_reader_leaves_the_role_to_others(self):
+        self.set_rank(0)
+        await self.follow(0.2, reader_interval_s=None)
+        self.registry.failing = {"config"}
+        self.registry.attempts.clear()
+        self.link.peers.audible_nodes.return_value = 70
+        await self.follow(3.0, reader_interval_s=0.1)
+        self.assertLessEqual(self.registry.attempts["config"], 2)
+
+    @async_tests.in_loop
+    async def test_starting_node_is_current_soon_after_the_outage(self):
+        self.set_rank(9)
+        self.link.peers.audible_nodes.return_value = 70
+        self.registry.failing = {"config", "endpoints"}
+        await self.follow(3.0, reader_interval_s=None)
+        self.assertLess(self.registry.attempts.total(), 14)
+        self.registry.failing = set()
+        await self.follow(3.0, reader_interval_s=None)
+        self.assertIsNotNone(self.holder.table)
+        self.assertTrue(self.directory.is_read)
+
+    @async_tests.in_loop
+    async def test_loss_and_return_are_logged_once(self):
+        self.set_rank(0)
+        with captured_logs.capture() as records:
+            await self.lose(1.5, "config", nodes=1)
+            self.registry.failing = set()
+            await self.follow(2.5, reader_interval_s=None)
+        found = [r["extra"] for r in records if "Store " in r["message"]]
+        self.assertEqual(["config"] * 2, [extra["what"] for extra in found])
+        self.assertGreater(found[1]["lost_s"], 1.0)
