Prefer other failure domains after a failed attempt

If all engines of a pool were paused, they were offered as better than none, while other pools had engines that work. A request whose first five engines accept no connection was refused, although only its own domain was down.

Paused engines are offered only if all of every pool are paused. Each endpoint that did not serve a request adds a quarter of its weight to the cost of the others in its failure domain.

--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -103,13 +103,7 @@
         )
         self._announced_version = 0
         self._pool_loads = pool_loads.PoolLoads(table)
-        self._candidates = engine_candidates.EngineCandidates(
-            directory,
-            table,
-            self._peers.pools,
-            self._pool_loads,
-            self._notices,
-        )
+        self._candidates = self._build_candidates()
         self._load_reporter = pool_load_reporter.PoolLoadReporter(
             name, holder, self._candidates, self._peers, self._channel
         )
@@ -268,6 +262,15 @@
         self._channel.mark_paths(are_good)
         self._send_heartbeat()
 
+    def _build_candidates(self) -> engine_candidates.EngineCandidates:
+        return engine_candidates.EngineCandidates(
+            self._directory,
+            self._in_flight_table,
+            self._peers.pools,
+            self._pool_loads,
+            self._notices,
+        )
+
     def _introduce(self) -> None:
         """Announce this node to all nodes that registered before it.
 
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -22,6 +22,9 @@
 MAX_COMPARED = 32
 # Share of them that is left for engines of other pools.
 _COMPARED_ELSEWHERE = 8
+# Reports that are examined for each engine of another pool to compare, as some
+# engines have no room.
+_EXAMINED_PER_CHOICE = 3
 
 _T = TypeVar("_T")
 
@@ -95,8 +98,14 @@
     def in_pool(
         self, service: str, excluded: frozenset[str]
     ) -> list[endpoints.Endpoint]:
-        """Return the engines of the own pool, or a sample of them."""
-        available = self.available(self._own_engines(service), excluded)
+        """Return the engines of the own pool, or a sample of them.
+
+        Paused ones are left out if there are other pools.
+        """
+        own = self._own_engines(service)
+        if self._pools.others:
+            own = self._not_paused(own)
+        available = self.available(own, excluded)
         if not self._loads.has_any:
             return _sample(available, MAX_COMPARED)
         return _sample(available, MAX_COMPARED - _COMPARED_ELSEWHERE)
@@ -117,7 +126,12 @@
         """
         found = [
             (endpoint, load)
-            for endpoint, load in self._with_room(service, engine, excluded)
+            for endpoint, load in self._with_room(
+                service,
+                engine,
+                excluded,
+                min(2 * MAX_COMPARED, _EXAMINED_PER_CHOICE * count),
+            )
             if load.likely_room > 0
         ]
         return heapq.nlargest(
@@ -137,7 +151,7 @@
 
         Requests that others sent since the reports may have filled them.
         """
-        found = self._with_room(service, engine, excluded)
+        found = self._with_room(service, engine, excluded, 2 * MAX_COMPARED)
         return heapq.nlargest(
             count, found, key=lambda i: i[1].likely_room + random.random()
         )
@@ -150,7 +164,7 @@
     ) -> list[endpoints.Endpoint]:
         """Return engines of other pools that may have room, or a sample.
 
-        Those that were just reported as full are left out.
+        Paused ones and those that were just reported as full are left out.
         """
         if not self._pools.others:
             return []
@@ -161,7 +175,19 @@
             if endpoint.instance not in own
             and not self._loads.is_full(endpoint.instance, engine)
         ]
-        return _sample(self.available(others, excluded), MAX_COMPARED)
+        available = self.available(self._not_paused(others), excluded)
+        return _sample(available, MAX_COMPARED)
+
+    def paused(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[endpoints.Endpoint]:
+        """Return engines of any pool, or a sample, if all are paused."""
+        if not self._pools.others:
+            return []
+        listed = self._directory.ready(service)
+        if self._not_paused(listed):
+            return []
+        return _sample(self.available(listed, excluded), MAX_COMPARED)
 
     def record_full(
         self, instance: str, engine: routing_config.EngineSpec
@@ -218,13 +244,17 @@
         service: str,
         engine: routing_config.EngineSpec,
         excluded: frozenset[str],
+        examined: int,
     ) -> list[tuple[endpoints.Endpoint, pool_loads.RemoteLoad]]:
-        """Return engines of other pools that were reported to have room."""
+        """Return engines of other pools that were reported to have room.
+
+        :param examined: number of reports to examine, drawn at random
+        """
         if not self._pools.others:
             return []
         listed = (
             self._directory.find_named(instance)
-            for instance in _sample(self._loads.instances, 2 * MAX_COMPARED)
+            for instance in _sample(self._loads.instances, examined)
         )
         usable = [
             endpoint
@@ -242,6 +272,12 @@
                 found.append((endpoint, load))
         return found
 
+    def _not_paused(
+        self, listed: Sequence[endpoints.Endpoint]
+    ) -> list[endpoints.Endpoint]:
+        is_paused = self._directory.is_paused
+        return [e for e in listed if not is_paused(e.instance)]
+
     def _own_engines(self, service: str) -> tuple[endpoints.Endpoint, ...]:
         ready = self._directory.ready(service)
         if not self._pools.others:
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -1,5 +1,7 @@
 """Selection of the endpoints that serve a request."""
 
+import collections
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import enum
@@ -28,6 +30,9 @@
 # Added cost of an engine of another pool for each second of age of its report,
 # as a prediction from an old report is more often wrong.
 _AGE_COST_PER_S = 0.02
+# Cost of an endpoint for each one of its failure domain that did not serve the
+# request: a domain often fails as a whole, and only a few attempts are left.
+_FAILED_DOMAIN_COST = 0.25
 # Numbers of engines that may prefill one prompt together.
 _GROUP_SIZES = (1, 2, 3, 4, 6, 8, 12, 16)
 # Engines of other pools that are compared for a prompt that needs only one.
@@ -86,6 +91,21 @@
         return self.load_source is not LoadSource.OWN_POOL
 
 
+@dataclasses.dataclass(frozen=True)
+class _Search:
+    """What engines are compared for.
+
+    :param excluded: instances that must not be chosen
+    :param failed: number of them by failure domain
+    """
+
+    service: str
+    engine: routing_config.EngineSpec
+    demand: placement_cost.Demand
+    excluded: frozenset[str]
+    failed: Mapping[str, int]
+
+
 class EndpointSelector:
     """Selects the endpoints whose predicted cost is lowest.
 
@@ -126,9 +146,13 @@
         )
         if not candidates:
             return None
+        failed = self._count_domains(excluded)
         best = min(
             candidates,
-            key=lambda endpoint: (self._plain_cost(endpoint), random.random()),
+            key=lambda endpoint: (
+                self._plain_cost(endpoint, failed),
+                random.random(),
+            ),
         )
         return Placement(best, in_flight=self._table.count(best.instance))
 
@@ -146,9 +170,14 @@
         engine = service.engine
         if engine is None:
             return self.choose_plain(service.name, excluded)
-        return self._choose_known(
-            service.name, engine, demand, excluded
-        ) or self._choose_last(service.name, engine, demand, excluded)
+        search = _Search(
+            service.name,
+            engine,
+            demand,
+            excluded,
+            self._count_domains(excluded),
+        )
+        return self._choose_known(search) or self._choose_last(search)
 
     def record_full(
         self, service: routing_config.Service, instance: str
@@ -161,86 +190,93 @@
         """Return whether another pool reported an engine with room."""
         return service.engine is not None and bool(
             self._candidates.reported(
-                service.name, service.engine, frozenset(), 1
+                service.name,
+                service.engine,
+                frozenset(),
+                engine_candidates.MAX_COMPARED,
             )
         )
 
-    def _choose_known(
-        self,
-        service: str,
-        engine: routing_config.EngineSpec,
-        demand: placement_cost.Demand,
-        excluded: frozenset[str],
-    ) -> Placement | None:
+    def _choose_known(self, search: _Search) -> Placement | None:
         """Choose among the engines whose load is known."""
         own = self._own_candidates(
-            engine, self._candidates.in_pool(service, excluded)
+            search, self._candidates.in_pool(search.service, search.excluded)
         )
         count = min(
-            _count_elsewhere(demand), engine_candidates.MAX_COMPARED - len(own)
+            _count_elsewhere(search.demand),
+            engine_candidates.MAX_COMPARED - len(own),
         )
-        reported = self._candidates.reported(service, engine, excluded, count)
-        return self._best(
-            engine, demand, [*own, *map(self._remote_candidate, reported)]
+        reported = self._candidates.reported(
+            search.service, search.engine, search.excluded, count
         )
+        others = self._remote_candidates(search, reported)
+        return self._best(search, [*own, *others])
 
-    def _choose_last(
-        self,
-        service: str,
-        engine: routing_config.EngineSpec,
-        demand: placement_cost.Demand,
-        excluded: frozenset[str],
-    ) -> Placement | None:
+    def _choose_last(self, search: _Search) -> Placement | None:
         """Choose an engine of another pool that may turn out to be full."""
+        service, excluded = search.service, search.excluded
         reported = self._candidates.reported_earlier(
-            service, engine, excluded, _count_elsewhere(demand)
-        )
-        placement = self._best(
-            engine, demand, [*map(self._remote_candidate, reported)]
+            service, search.engine, excluded, _count_elsewhere(search.demand)
         )
+        candidates = self._remote_candidates(search, reported)
+        placement = self._best(search, candidates)
         if placement is not None:
             return placement
-        unreported = self._own_candidates(
-            engine, self._candidates.unreported(service, engine, excluded)
-        )
-        placement = self._best(engine, demand, unreported)
-        if placement is None:
-            return None
+        others = self._candidates.unreported(service, search.engine, excluded)
+        if not others:
+            others = self._candidates.paused(service, excluded)
+        placement = self._best(search, self._own_candidates(search, others))
+        if placement is None or self._candidates.is_own(placement.primary):
+            return placement
         return dataclasses.replace(placement, load_source=LoadSource.UNKNOWN)
 
     def _own_candidates(
-        self,
-        engine: routing_config.EngineSpec,
-        compared: Sequence[endpoints.Endpoint],
+        self, search: _Search, compared: Sequence[endpoints.Endpoint]
     ) -> list[placement_cost.Candidate]:
         """Return the engines that have a slot, as far as the table tells."""
-        now = clock.now_s()
-        candidates = [self._candidate(engine, e, now) for e in compared]
+        now, engine = clock.now_s(), search.engine
+        candidates = []
+        for endpoint in compared:
+            load = self._table.predict_load(endpoint.instance, engine, now)
+            candidates.append(self._candidate(search, endpoint, load))
         return [
             candidate
             for candidate in candidates
             if pool_loads.busy_slots(candidate.load) < engine.slots
         ]
 
-    def _remote_candidate(
-        self, reported: tuple[endpoints.Endpoint, pool_loads.RemoteLoad]
+    def _remote_candidates(
+        self,
+        search: _Search,
+        reported: Sequence[tuple[endpoints.Endpoint, pool_loads.RemoteLoad]],
+    ) -> list[placement_cost.Candidate]:
+        return [
+            self._candidate(search, endpoint, load.predicted, load.age_s)
+            for endpoint, load in reported
+        ]
+
+    def _candidate(
+        self,
+        search: _Search,
+        endpoint: endpoints.Endpoint,
+        load: in_flight_table.PredictedLoad,
+        report_age_s: float | None = None,
     ) -> placement_cost.Candidate:
-        endpoint, load = reported
-        pace = self._paces.assess(endpoint, load.predicted.in_flight)
-        penalty = self._penalty(endpoint) + _AGE_COST_PER_S * load.age_s
-        penalty += _EXCESS_COST * pace.excess
+        pace = self._paces.assess(endpoint, load.in_flight)
+        penalty = (
+            self._penalty(endpoint, search.failed)
+            + _AGE_COST_PER_S * (report_age_s or 0.0)
+            + _EXCESS_COST * pace.excess
+        )
         return placement_cost.Candidate(
-            endpoint, load.predicted, penalty, load.age_s, pace.factor
+            endpoint, load, penalty, report_age_s, pace.factor
         )
 
     def _best(
-        self,
-        engine: routing_config.EngineSpec,
-        demand: placement_cost.Demand,
-        candidates: Sequence[placement_cost.Candidate],
+        self, search: _Search, candidates: Sequence[placement_cost.Candidate]
     ) -> Placement | None:
         """Return the placement with the lowest cost."""
-        options = self._options(engine, demand, candidates)
+        options = self._options(search.engine, search.demand, candidates)
         best = min(options, key=lambda option: option[0], default=None)
         return None if best is None else best[1]
 
@@ -295,30 +331,39 @@
         )
         return cost.total, placement
 
-    def _candidate(
-        self,
-        engine: routing_config.EngineSpec,
-        endpoint: endpoints.Endpoint,
-        now: float,
-    ) -> placement_cost.Candidate:
-        load = self._table.predict_load(endpoint.instance, engine, now)
-        pace = self._paces.assess(endpoint, load.in_flight)
-        penalty = self._penalty(endpoint) + _EXCESS_COST * pace.excess
-        return placement_cost.Candidate(
-            endpoint, load, penalty, factor=pace.factor
-        )
-
-    def _plain_cost(self, endpoint: endpoints.Endpoint) -> float:
+    def _plain_cost(
+        self, endpoint: endpoints.Endpoint, failed: Mapping[str, int]
+    ) -> float:
         in_flight = self._table.count(endpoint.instance)
         pace = self._paces.assess(endpoint, in_flight)
         slowness = (pace.factor - 1) * (in_flight + 1)
         load = (in_flight + slowness) / max(1, endpoint.slots)
-        return load + self._penalty(endpoint) + _EXCESS_COST * pace.excess
+        penalty = self._penalty(endpoint, failed)
+        return load + penalty + _EXCESS_COST * pace.excess
+
+    def _count_domains(self, excluded: frozenset[str]) -> Mapping[str, int]:
+        """Return how many excluded endpoints each failure domain has."""
+        found = map(self._directory.find_named, excluded)
+        return collections.Counter(
+            endpoint.failure_domain
+            for endpoint in found
+            if endpoint is not None
+        )
 
-    def _penalty(self, endpoint: endpoints.Endpoint) -> float:
-        error_rate = self._directory.errors.draw_penalty(endpoint.instance)
-        is_remote = endpoint.failure_domain != self._failure_domain
-        return _ERROR_COST * error_rate + _REMOTE_COST * is_remote
+    def _penalty(
+        self, endpoint: endpoints.Endpoint, failed: Mapping[str, int]
+    ) -> float:
+        """Return the added cost of an endpoint, as a share of the weight.
+
+        :param failed: endpoints that did not serve the request, by domain
+        """
+        domain = endpoint.failure_domain
+        return (
+            _ERROR_COST
+            * self._directory.errors.draw_penalty(endpoint.instance)
+            + _REMOTE_COST * (domain != self._failure_domain)
+            + _FAILED_DOMAIN_COST * failed.get(domain, 0)
+        )
 
 
 def _count_elsewhere(demand: placement_cost.Demand) -> int:
--- a/src/fireflyspur/gateway/scheduling/pool_loads.py
+++ b/src/fireflyspur/gateway/scheduling/pool_loads.py
@@ -147,9 +147,10 @@
         other_tokens = max(0, _used(report.load, engine) - report.own_tokens)
         other_tokens += round(_UNSEEN_TOKENS_PER_S * age_s)
         own = self._table.predict_load(instance, engine, now)
-        sent = self._table.predict_load(
-            instance, engine, now, report.load.taken_at_s - _TRANSIT_S
-        )
+        sent = own
+        if own.in_flight:
+            since_s = report.load.taken_at_s - _TRANSIT_S
+            sent = self._table.predict_load(instance, engine, now, since_s)
         state = _add_state(
             report.load, others, other_tokens, own, sent, engine
         )
--- a/tests/gateway/scheduling/test_engine_candidates.py
+++ b/tests/gateway/scheduling/test_engine_candidates.py
@@ -101,6 +101,15 @@
         self.loads.add_idle(["b-0"])
         self.assertEqual("b-0", self.choose())
 
+    def test_paused_engines_are_used_only_if_all_are(self):
+        for instance in ("a-0", "a-1"):
+            self.directory.record_fault(instance, "test")
+        self.assertEqual("b-0", self.choose())
+        self.loads.add_idle(["b-0"])
+        self.assertEqual("b-0", self.choose())
+        self.directory.record_fault("b-0", "test")
+        self.assertIsNotNone(self.choose())
+
     def test_engine_elsewhere_is_better_than_none(self):
         self.list_engines({"b-0": "zone-b"})
         self.now += 0.1
--- a/tests/gateway/scheduling/test_pool_loads.py
+++ b/tests/gateway/scheduling/test_pool_loads.py
@@ -34,6 +34,7 @@
 _DELAY_S = 0.01
 _LASTS_S = 2.0
 _MAX_ATTEMPTS = 3
+_MAX_UNREACHABLE = 5
 # Requests a second that fill all slots of a pool.
 _FULL_PER_S = _ENGINES * _ENGINE.slots / _LASTS_S
 
@@ -89,6 +90,8 @@
         self.served = collections.Counter()
         self.refused = collections.Counter()
         self.full = 0
+        # Engines that are listed and accept no connection.
+        self.down = set()
         self.waits_s = collections.defaultdict(list)
         self.busy = collections.Counter()
         self.list_engines(_DOMAINS)
@@ -103,7 +106,8 @@
             for domain in domains
             for number in range(_ENGINES)
         ]
-        # After an outage of the store, endpoints stay listed for a while.
+        # A list that is not newer is ignored.
+        self.now += 0.001
         self.directory.replace(endpoints.EndpointList(tuple(listed), self.now))
 
     def set_rates(self, *shares):
@@ -144,14 +148,18 @@
                 self.at(_DELAY_S, lambda o=other, ls=loads: o.loads.add(ls))
 
     def place(self, pool):
-        tried = []
+        tried, unreachable = [], []
         while len(tried) < _MAX_ATTEMPTS:
             chosen = pool.selector.choose_engine(
-                _SERVICE, _QUOTE, frozenset(tried)
+                _SERVICE, _QUOTE, frozenset((*tried, *unreachable))
             )
-            if chosen is None:
+            if chosen is None or len(unreachable) >= _MAX_UNREACHABLE:
                 break
             instance = chosen.primary.instance
+            if instance in self.down:
+                self.directory.record_fault(instance, "no connection")
+                unreachable.append(instance)
+                continue
             if self.busy[instance] < _ENGINE.slots:
                 self.waits_s[pool.domain].append(chosen.first_event_s)
                 self.served[pool.domain, chosen.primary.failure_domain] += 1
@@ -237,6 +245,18 @@
         self.run_for(2.0)
         self.assertLess(self.share_elsewhere("zone-a"), 0.2)
 
+    def test_its_engines_are_down_and_still_listed(self):
+        self.list_engines(_DOMAINS)
+        self.run_for(2.0)
+        self.down = {f"zone-a/e{n}" for n in range(_ENGINES)}
+        self.run_for(3.0)
+        self.assertEqual({}, self.refused)
+        self.down.clear()
+        self.run_for(10.0)
+        self.assertEqual({}, self.refused)
+        self.run_for(4.0)
+        self.assertLess(self.share_elsewhere("zone-a"), 0.5)
+
     def test_all_other_reports_are_lost(self):
         self.is_lost = lambda: True
         self.run_for(5.0)
