Keep requests in the regions that route and account allow

A node without paths to endpoints hands a body over only to nodes of an allowed region or of its own one. Regions come from [zones] and region of the settings; a region that they do not have is logged and allows nothing, the rest stays in force. Without these keys nothing changes.

--- a/src/fireflyspur/gateway/configuration/config_holder.py
+++ b/src/fireflyspur/gateway/configuration/config_holder.py
@@ -1,6 +1,9 @@
 """The current configuration of a node."""
 
+from collections.abc import Callable
+
 from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import regions as region_maps
 from fireflyspur.gateway.configuration import route_table
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.observability import logs
@@ -9,9 +12,16 @@
 
 
 class ConfigHolder:
-    """Holds the current configuration and the time of its confirmation."""
+    """Holds the current configuration and the time of its confirmation.
+
+    :param regions: returns the current regions
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        regions: Callable[[], region_maps.RegionMap] = region_maps.RegionMap,
+    ) -> None:
+        self._regions = regions
         self._table: route_table.RouteTable | None = None
         self._confirmed_at_s: float | None = None
 
@@ -60,8 +70,19 @@
             routes=len(config.routes),
             accounts=len(config.accounts),
         )
+        self.log_unknown_regions()
         return True
 
+    def log_unknown_regions(self) -> None:
+        """Log regions of the configuration that the settings do not have.
+
+        Nothing is in them, so that they allow nothing.
+        """
+        if self._table is None:
+            return
+        for region, owner in self._regions().find_unknown(self._table.config):
+            _log.error("Region unknown", region=region, used_by=owner)
+
     def confirm(self, read_at_s: float) -> None:
         """Confirm that the current version was the latest.
 
--- a/src/fireflyspur/gateway/configuration/routing_config.py
+++ b/src/fireflyspur/gateway/configuration/routing_config.py
@@ -34,6 +34,8 @@
     :param priority: 0 is the most urgent
     :param is_public: whether requests need no API key
     :param is_resumable: whether another endpoint may resume a stream
+    :param allowed_regions: regions in which its requests may be processed, or
+        None for any
     """
 
     name: str
@@ -48,6 +50,7 @@
     priority: int
     is_public: bool
     is_resumable: bool
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -127,11 +130,14 @@
     """Client account and its API keys.
 
     :param priority: overrides the priority of the route, or None
+    :param allowed_regions: regions in which its requests may be processed, or
+        None for any
     """
 
     name: str
     api_keys: tuple[str, ...]
     priority: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -1,5 +1,6 @@
 """The other nodes of the gateway."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -254,13 +255,16 @@
             if now - (peer.last_seen_at_s or peer.added_at_s) < _RECIPIENT_S
         ]
 
-    def carriers(self, others: int) -> list[Peer]:
+    def carriers(
+        self, others: int, is_allowed: Callable[[str | None], bool]
+    ) -> list[Peer]:
         """Return nodes that may take requests of a node without paths.
 
         If no node of the own pool can, some of other pools are returned,
         which may have ended or be without paths too.
 
         :param others: greatest number of nodes of other pools
+        :param is_allowed: returns whether nodes of a failure domain may
         """
         now = clock.now_s()
         own = [
@@ -268,12 +272,16 @@
             for peer in self._pool_peers(self._pools.own)
             if self._is_live(peer, now)
             and not (peer.is_stopping or peer.lacks_paths)
+            and is_allowed(self._pools.domain_of_node(peer.name))
         ]
-        if own or not self._pools.others:
+        allowed = [
+            pool
+            for pool in self._pools.others
+            if is_allowed(pool.failure_domain)
+        ]
+        if own or not allowed:
             return own
-        pools = random.sample(
-            self._pools.others, min(others, len(self._pools.others))
-        )
+        pools = random.sample(allowed, min(others, len(allowed)))
         elsewhere = (list(self._pool_peers(pool)) for pool in pools)
         return [random.choice(peers) for peers in elsewhere if peers]
 
--- a/src/fireflyspur/gateway/fleet/pool_map.py
+++ b/src/fireflyspur/gateway/fleet/pool_map.py
@@ -89,6 +89,10 @@
         """Return the names of the nodes of a pool."""
         return self._members.get(pool, ())
 
+    def domain_of_node(self, name: str) -> str | None:
+        """Return the failure domain of a node, or None if not known."""
+        return self._domains.get(name)
+
     def pool_of_node(self, name: str) -> Pool | None:
         """Return the pool of a node, or None if the node is not known."""
         domain = self._domains.get(name)
--- a/src/fireflyspur/gateway/handover/handover_run.py
+++ b/src/fireflyspur/gateway/handover/handover_run.py
@@ -107,7 +107,7 @@
         """
         self._may_have_run = may_have_run
         reason = "no other node reaches endpoints"
-        for peer in self._peers.choose():
+        for peer in self._peers.choose(self._plan.allowed_regions):
             if len(self._tried) >= self._plan.route.max_attempts:
                 break
             if not self._acquire_retry():
--- a/src/fireflyspur/gateway/handover/peer_choice.py
+++ b/src/fireflyspur/gateway/handover/peer_choice.py
@@ -1,8 +1,10 @@
 """Choice of the nodes that a request may be handed over to."""
 
+from collections.abc import Callable
 import random
 
 from fireflyspur.gateway.common import clock
+from fireflyspur.gateway.configuration import regions as region_maps
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.gateway.requests import http_exchange
 
@@ -18,21 +20,33 @@
     """Spreads requests over the nodes that reach endpoints.
 
     :param peers: the other nodes
+    :param regions: returns the current regions
     """
 
-    def __init__(self, peers: peer_table.PeerTable) -> None:
+    def __init__(
+        self,
+        peers: peer_table.PeerTable,
+        regions: Callable[[], region_maps.RegionMap],
+    ) -> None:
         self._peers = peers
+        self._regions = regions
         self._avoided_until_s: dict[str, float] = {}
 
-    def choose(self) -> list[peer_table.Peer]:
-        """Return the nodes to offer a request to, in order."""
+    def choose(self, allowed: frozenset[str] | None) -> list[peer_table.Peer]:
+        """Return the nodes to offer a request to, in order.
+
+        :param allowed: regions of the request, or None for any
+        """
         now = clock.now_s()
         self._avoided_until_s = {
             name: until_s
             for name, until_s in self._avoided_until_s.items()
             if until_s > now
         }
-        carriers = self._peers.carriers(_MAX_OFFERS)
+        regions = self._regions()
+        carriers = self._peers.carriers(
+            _MAX_OFFERS, lambda domain: regions.may_carry(allowed, domain)
+        )
         random.shuffle(carriers)
         preferred = [
             peer for peer in carriers if peer.name not in self._avoided_until_s
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -14,6 +14,7 @@
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import evacuation_check
+from fireflyspur.gateway.configuration import regions as region_maps
 from fireflyspur.gateway.configuration import store_follower
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_monitor
@@ -36,6 +37,7 @@
 from fireflyspur.gateway.scheduling import in_flight_table
 from fireflyspur.gateway.scheduling import memory_reserver
 from fireflyspur.gateway.scheduling import placement
+from fireflyspur.gateway.scheduling import region_filter
 from fireflyspur.observability import logs
 
 # Interval at which the settings file is reread, as a change may come without
@@ -71,7 +73,7 @@
         self._load_settings = load_settings
         self._exit_stack = contextlib.AsyncExitStack()
         self._stop_event = asyncio.Event()
-        self._config_holder = config_holder.ConfigHolder()
+        self._config_holder = config_holder.ConfigHolder(self._regions)
         self._directory = endpoint_directory.EndpointDirectory(
             outage_s=3 * settings.heartbeat_s, reregister_s=_REREGISTRATION_S
         )
@@ -165,6 +167,9 @@
             )
         _log.info("Stopped")
 
+    def _regions(self) -> region_maps.RegionMap:
+        return self._settings.regions
+
     def _build_follower(
         self,
         registry: registries.Registry,
@@ -197,7 +202,7 @@
         return forwarder.Forwarder(
             request_dependencies.RequestDependencies(
                 node_name=self._settings.node_name,
-                peers=peer_choice.PeerChoice(self._link.peers),
+                peers=peer_choice.PeerChoice(self._link.peers, self._regions),
                 planner=request_plan.RequestPlanner(
                     self._config_holder, codec
                 ),
@@ -212,6 +217,9 @@
                     self._link.pacing.paces,
                 ),
                 admission=self._admission,
+                region_filter=region_filter.RegionFilter(
+                    self._directory, self._regions
+                ),
                 retries=self._retry_budget,
                 crashes=self._link.crashes,
                 parts=self._link.parts,
@@ -347,6 +355,7 @@
             return
         self._settings = settings
         self._retry_budget.set_limits(settings.retries)
+        self._config_holder.log_unknown_regions()
         self._store_follower.set_bounds(
             settings.config_apply_s, settings.drain_s
         )
--- a/src/fireflyspur/gateway/node/settings.py
+++ b/src/fireflyspur/gateway/node/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fireflyspur.gateway.common import address as addresses
+from fireflyspur.gateway.configuration import regions as region_maps
 from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.requests import retry_budget
 from fireflyspur.gateway.scheduling import memory_reserver
@@ -30,6 +31,7 @@
         is in force, or None if evacuations are not used
     :param outer_s: additional time for nodes that the store refuses
     :param cold: bounds of the requests to cold endpoints
+    :param regions: regions of this node and of the failure domains
     """
 
     node_name: str
@@ -49,6 +51,7 @@
     evacuate_s: float | None = None
     outer_s: float = 6.0
     cold: cold_ceiling.ColdBounds = cold_ceiling.ColdBounds()
+    regions: region_maps.RegionMap = region_maps.RegionMap()
 
     @property
     def max_held_bytes(self) -> float:
--- a/src/fireflyspur/gateway/requests/request_dependencies.py
+++ b/src/fireflyspur/gateway/requests/request_dependencies.py
@@ -23,6 +23,7 @@
 from fireflyspur.gateway.scheduling import in_flight_reporter
 from fireflyspur.gateway.scheduling import memory_reserver
 from fireflyspur.gateway.scheduling import placement as placements
+from fireflyspur.gateway.scheduling import region_filter
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +54,7 @@
     in_flight: in_flight_reporter.InFlightReporter
     placer: placements.EndpointSelector
     admission: admissions.Admission
+    region_filter: region_filter.RegionFilter
     retries: retry_budget.RetryBudget
     crashes: quarantine.Quarantine
     parts: part_quarantine.PartQuarantine
--- a/src/fireflyspur/gateway/requests/request_plan.py
+++ b/src/fireflyspur/gateway/requests/request_plan.py
@@ -40,6 +40,15 @@
         """Name of the client account, if the request has one."""
         return self.account.name if self.account else None
 
+    @property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Regions that route and account allow, or None for any."""
+        route = self.route.allowed_regions
+        account = self.account.allowed_regions if self.account else None
+        if route is None or account is None:
+            return account if route is None else route
+        return route & account
+
     @property
     def resumed_after_id(self) -> str | None:
         """Id of the event after which the request resumes a stream."""
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -1,10 +1,13 @@
 """Running of one request through attempts at endpoints."""
 
+from collections.abc import Sequence
+
 from fireflyspur.errors import exceptions as base_exceptions
 from fireflyspur.errors import verdict as verdicts
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import messages
+from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.handover import exceptions as handover_exceptions
 from fireflyspur.gateway.handover import handover_run
 from fireflyspur.gateway.requests import admission
@@ -28,6 +31,7 @@
 _MAX_EXCLUDED = 5
 _NONE_READY = "no endpoint is ready"
 _NO_ROOM = "no endpoint has room"
+_NONE_ALLOWED = "no endpoint is in an allowed region"
 _ALL_EVACUATED = "all endpoints are in evacuated failure domains"
 
 
@@ -294,11 +298,15 @@
         if placement is not None or self._rejected is not None:
             return placement
         is_limited = self._limited_retry_s is not None
-        if is_limited or not self._deps.directory.ready(plan.service.name):
+        if is_limited or not self._ready():
             return None
         trial = admission.Trial(
             self._place,
-            lambda: self._may_attempt() and not self._must_hand_over(),
+            lambda: (
+                bool(self._ready())
+                and self._may_attempt()
+                and not self._must_hand_over()
+            ),
         )
         return await self._deps.admission.wait(
             plan, attempt_launcher.demand_of(plan), trial
@@ -307,6 +315,12 @@
     def _place(self) -> placements.Placement | None:
         plan = self._plan
         excluded = frozenset((*self._tried, *self._excluded))
+        is_first = len(excluded) == self._first_choice
+        excluded = excluded.union(
+            self._deps.region_filter.outside(
+                plan.service.name, plan.allowed_regions
+            )
+        )
         if plan.service.engine is None:
             placement = self._deps.placer.choose_plain(
                 plan.service.name, excluded
@@ -315,18 +329,26 @@
             placement = self._deps.placer.choose_engine(
                 plan.service, attempt_launcher.demand_of(plan), excluded
             )
-        if placement is None and len(excluded) == self._first_choice:
+        if placement is None and is_first:
             self._reason = self._explain_none()
         if placement is None:
             self._limited_retry_s = self._deps.notices.retry_after_s(
-                self._deps.directory.ready(plan.service.name), plan.priority
+                self._ready(), plan.priority
             )
         return placement
 
+    def _ready(self) -> Sequence[endpoints.Endpoint]:
+        """Return the endpoints that may get this request."""
+        return self._deps.region_filter.ready(
+            self._plan.service.name, self._plan.allowed_regions
+        )
+
     def _explain_none(self) -> str:
         service = self._plan.service.name
-        if self._deps.directory.ready(service):
+        if self._ready():
             return _NO_ROOM
+        if self._deps.directory.ready(service):
+            return _NONE_ALLOWED
         if self._deps.directory.has_evacuated(service):
             return _ALL_EVACUATED
         return _NONE_READY
@@ -398,7 +420,7 @@
         return any(
             endpoint.instance not in excluded
             and self._deps.directory.is_available(endpoint.instance)
-            for endpoint in self._deps.directory.ready(service)
+            for endpoint in self._ready()
         )
 
     def _may_meet_target(self) -> bool:
@@ -425,10 +447,13 @@
                 "all endpoints take no more requests for now, as they said",
                 retry_after_s=self._limited_retry_s,
             )
-        if self._deps.placer.has_reported_room(self._plan.service):
+        is_possible = bool(self._ready())
+        if is_possible and self._deps.placer.has_reported_room(
+            self._plan.service
+        ):
             self._deps.metrics.count_refusal_with_room()
         retry_after_s = _RETRY_AFTER_S
-        if self._deps.directory.ready(self._plan.service.name):
+        if is_possible:
             retry_after_s = self._deps.admission.retry_after_s(
                 self._plan, attempt_launcher.demand_of(self._plan)
             )
--- a/src/fireflyspur/platform/config_codec.py
+++ b/src/fireflyspur/platform/config_codec.py
@@ -28,6 +28,8 @@
     public: bool = False
     stream_resume: bool = False
     gap_aim_ms: float | None = None
+    # Any if absent.
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -60,6 +62,7 @@
     name: str
     api_keys: list[str]
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 # Nodes tell one another of versions in integers of 64 bits.
@@ -122,6 +125,7 @@
         priority=wire.priority,
         is_public=wire.public,
         is_resumable=wire.stream_resume,
+        allowed_regions=_decode_regions(wire.allowed_regions),
     )
 
 
@@ -170,4 +174,9 @@
         name=wire.name,
         api_keys=tuple(wire.api_keys),
         priority=wire.priority,
+        allowed_regions=_decode_regions(wire.allowed_regions),
     )
+
+
+def _decode_regions(names: list[str] | None) -> frozenset[str] | None:
+    return None if names is None else frozenset(names)
--- a/src/fireflyspur/platform/settings_file.py
+++ b/src/fireflyspur/platform/settings_file.py
@@ -9,6 +9,7 @@
 
 from fireflyspur.gateway.common import address as addresses
 from fireflyspur.gateway.common import exceptions
+from fireflyspur.gateway.configuration import regions
 from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.node import settings as gateway_settings
 from fireflyspur.gateway.requests import retry_budget
@@ -64,6 +65,9 @@
     bounds: _Bounds
     platform: _Platform
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    region: str | None = None
+    # Region of each zone.
+    zones: dict[str, str] = {}
 
 
 def path() -> pathlib.Path:
@@ -135,4 +139,5 @@
             None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1000
         ),
         outer_s=bounds.outer_ms / 1000,
+        regions=regions.RegionMap(wire.region, wire.zones),
     )
--- a/tests/gateway/fleet/test_peer_table.py
+++ b/tests/gateway/fleet/test_peer_table.py
@@ -122,14 +122,19 @@
             **flags,
         )
 
-    def carriers(self):
-        return {peer.name for peer in self.table.carriers(3)}
+    def carriers(self, *domains):
+        """Return the names of carriers, in some domains or in any."""
+        found = self.table.carriers(
+            3, lambda domain: not domains or domain in domains
+        )
+        return {peer.name for peer in found}
 
     def test_live_nodes_that_reach_endpoints(self):
         self.hear(1)
         self.hear(2, lacks_paths=True)
         self.hear(3, is_stopping=True)
         self.assertEqual({"node-1"}, self.carriers())
+        self.assertEqual(set(), self.carriers("zone-b"))
         self.now += 4.0
         self.assertEqual(set(), self.carriers())
 
@@ -142,6 +147,10 @@
             for n in range(1, 100)
         }
         self.table.add_nodes(entries)
+        allowed = self.carriers("zone-b", "zone-x")
+        self.assertEqual(
+            {"zone-b"}, {entries[n].failure_domain for n in allowed}
+        )
         domains = {entries[name].failure_domain for name in self.carriers()}
         self.assertTrue(domains)
         self.assertNotIn("zone-a", domains)
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -72,6 +72,14 @@
         cold = self.load(_VALID.replace("[bounds]", bounds)).cold
         self.assertEqual((1.5, 5.0), (cold.over, cold.slack))
 
+    def test_regions(self):
+        self.assertEqual({}, self.load(_VALID).regions.by_domain)
+        text = 'region = "north"\n' + _VALID + '[zones]\nzone-a = "north"\n'
+        regions = self.load(text).regions
+        self.assertEqual(
+            ("north", {"zone-a": "north"}), (regions.own, regions.by_domain)
+        )
+
     def test_error_names_missing_or_invalid_field(self):
         for before, after, expected in (
             ('zone = "zone-a"', "", "zone"),
