Let a part of a large pool use a cold endpoint

Each node may send one request to a cold endpoint after a pause, whatever it hears. 48 nodes that had just stopped hearing one another sent 34 requests in a second in virtual time, three such pools 42, where 26 are allowed.

Of a pool of more than 24 nodes about 18 may now use a cold endpoint, drawn by a hash of both names, and about four nodes of all other pools together instead of two of each.

--- a/src/fireflyspur/gateway/endpoints/cold_ceiling.py
+++ b/src/fireflyspur/gateway/endpoints/cold_ceiling.py
@@ -20,9 +20,12 @@
 _BURST_SHARE = 0.1
 # Share of the ceiling that nodes which hear nothing may use together.
 _BLIND_SHARE = 0.9
-# Nodes of each other pool that may use a cold endpoint, on average. All of
-# them together would exceed the ceiling with one request each.
-_FOREIGN_NODES = 2
+# Nodes of all other pools that may use a cold endpoint, on average, and of its
+# own pool if that is large. All nodes together would exceed the ceiling with
+# one request each.
+_FOREIGN_NODES = 4
+_LARGE_POOL = 24
+_DRAWN_NODES = 18
 # Share of the rate that other pools leave to the endpoint's own pool.
 _OWN_SHARE = 0.5
 # Time until the other nodes know of a request: a batch of updates and its
@@ -347,22 +350,29 @@
         ceiling = self._bounds().ceiling(cold)
         size = self._size()
         rate = min(cold.requests_per_s, _RATE_SHARE * ceiling)
-        own_rate = max(rate, _BLIND_SHARE * ceiling - size.nodes) / size.nodes
-        burst = max(1.0, _BURST_SHARE * ceiling)
         if not is_cold:
-            rate = own_rate = ceiling
-        if not self._is_own(endpoint):
-            share = (1 - _OWN_SHARE) / max(1, size.pools - 1)
-            rate *= share
-            own_rate = rate / _FOREIGN_NODES
+            rate = ceiling
+        burst = max(1.0, _BURST_SHARE * ceiling)
+        users = float(size.nodes)
+        if size.nodes > _LARGE_POOL:
+            users = _DRAWN_NODES
+        if self._is_own(endpoint):
+            own_rate = max(rate, _BLIND_SHARE * ceiling - users) / users
+        else:
+            others = max(1, size.pools - 1)
+            rate *= (1 - _OWN_SHARE) / others
             burst = 1.0
-            if is_cold and not self._is_chosen(endpoint, size):
-                return None
-        own_burst = max(1.0, burst / size.nodes)
+            users = min(users, _FOREIGN_NODES / others)
+            own_rate = rate / max(1.0, users)
+        if is_cold and not self._is_drawn(endpoint, users / size.nodes):
+            return None
+        own_burst = max(1.0, burst / max(1.0, users))
         return _Budget(rate, burst / rate, own_rate, own_burst / own_rate)
 
-    def _is_chosen(self, endpoint: endpoints.Endpoint, size: PoolSize) -> bool:
-        """Return whether this node may use an endpoint of another pool."""
+    def _is_drawn(self, endpoint: endpoints.Endpoint, share: float) -> bool:
+        """Return whether this node is among those that may use an endpoint.
+
+        :param share: share of the nodes of its pool that may
+        """
         key = f"{self._node_name}|{endpoint.instance}|{endpoint.born_ms}"
-        drawn = zlib.crc32(key.encode()) / 2**32
-        return drawn < _FOREIGN_NODES / size.nodes
+        return zlib.crc32(key.encode()) / 2**32 < share
