--- a/src/fireflyspur/gateway/fleet/endpoint_pacing.py
+++ b/src/fireflyspur/gateway/fleet/endpoint_pacing.py
@@ -1,6 +1,5 @@
 """Pacing of endpoints, as the nodes of the fleet share it."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 
 from fireflyspur.gateway.configuration import config_holder
@@ -22,7 +21,6 @@
     :param directory: endpoints that this node knows
     :param peers: the other nodes
     :param outbox: sends changes to the nodes that share an endpoint
-    :param is_own: returns whether an endpoint is in the pool of this node
     """
 
     def __init__(
@@ -33,14 +31,13 @@
         directory: endpoint_directory.EndpointDirectory,
         peers: peer_table.PeerTable,
         outbox: endpoint_pace.UpdateOutbox,
-        is_own: Callable[[endpoints.Endpoint], bool],
     ) -> None:
         self._peers = peers
         self._ceiling = cold_ceiling.ColdCeiling(
             holder.find_service,
             bounds,
             directory.find_named,
-            is_own,
+            self._is_own,
             self._pool_size,
             name,
         )
@@ -51,7 +48,7 @@
             outbox,
             directory.find_named,
             beginnings.find,
-            is_own,
+            self._is_own,
             directory.record_success,
         )
 
@@ -81,6 +78,10 @@
         for pace in update.paces:
             self._paces.update_from_peer(pace, delay_s)
 
+    def _is_own(self, endpoint: endpoints.Endpoint) -> bool:
+        pools = self._peers.pools
+        return pools.pool_of_endpoint(endpoint) == pools.own
+
     def _pool_size(self) -> cold_ceiling.PoolSize:
         pools = 1 + len(self._peers.pools.others)
         return cold_ceiling.PoolSize(self._peers.possible_size(), pools)
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -193,7 +193,6 @@
             self._directory,
             self._peers,
             self._channel,
-            self._is_own,
         )
 
     def _build_registration(
