Announce as many changes of endpoints as fit in a datagram

After more than 8 changes in one read each node read the list from the store itself. The limit is now the size of the update, 900 bytes: 12 changed or some 60 removed entries, as after an outage in which entries expired.

--- a/src/fireflyspur/gateway/endpoints/endpoint_sync.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_sync.py
@@ -22,9 +22,11 @@
         by which it said so
     """
 
-    # Maximum number of changes in one datagram. After more changes each node
-    # reads the store.
-    _MAX_CHANGES = 8
+    # Changes must fit in one datagram beside other updates, 12 changed entries
+    # or some 60 removed ones. After more of them each node reads the store.
+    _MAX_UPDATE_BYTES = 900
+    # Fewer changes than these leave room for entries that turned cold.
+    _MAX_COLD = 8
 
     def __init__(
         self,
@@ -66,14 +68,18 @@
         cold = self._find_cold(previous)
         for endpoint in cold:
             self._on_cold(endpoint, clock.now_s())
-        room = self._MAX_CHANGES - len(changed) - len(removed)
-        if room >= 0:
-            others = [e for e in cold if e not in changed]
-            if len(others) > room:
-                others = random.sample(others, room)
-            seen.changed.extend(map(_to_entry, (*changed, *others)))
-            seen.gone.extend(removed)
-        return seen
+        full = peer_updates.EndpointsSeen()
+        full.CopyFrom(seen)
+        full.changed.extend(map(_to_entry, changed))
+        full.gone.extend(removed)
+        if full.ByteSize() > self._MAX_UPDATE_BYTES:
+            return seen
+        room = max(0, self._MAX_COLD - len(changed) - len(removed))
+        others = [e for e in cold if e not in changed]
+        if len(others) > room:
+            others = random.sample(others, room)
+        full.changed.extend(map(_to_entry, others))
+        return full
 
     def _find_cold(
         self, previous: dict[str, endpoints.Endpoint]
--- a/tests/gateway/endpoints/test_endpoint_sync.py
+++ b/tests/gateway/endpoints/test_endpoint_sync.py
@@ -102,6 +102,35 @@
         self.assertFalse(self.sync.is_behind)
         self.assertEqual(4, len(self.ready()))
 
+    def follow(self, before, after):
+        """Return an update that tells of another list, and handle it."""
+        other = endpoint_sync.EndpointSync(
+            endpoint_directory.EndpointDirectory(_OUTAGE_S, _REREGISTER_S)
+        )
+        self.read(before)
+        for count in (before, after):
+            self.now_s += 0.5
+            listed = tuple(map(example_engine.endpoint, range(count)))
+            update = other.update_from_store(
+                endpoints.EndpointList(listed, self.now_s)
+            )
+        self.sync.update_from_peer(update)
+        return update
+
+    def test_changes_that_fit_in_a_datagram_need_no_read_of_the_store(self):
+        # Each node reads the store otherwise, as after an outage in which
+        # many entries expired.
+        for before, after in ((5, 16), (60, 10)):
+            update = self.follow(before, after)
+            self.assertLess(update.ByteSize(), 1_000)
+            self.assertFalse(self.sync.is_behind)
+            self.assertEqual(after, len(self.ready()))
+            self.now_s += 0.5
+
+    def test_update_of_more_changes_fits_in_a_datagram(self):
+        self.assertLess(self.follow(5, 80).ByteSize(), 100)
+        self.assertTrue(self.sync.is_behind)
+
 
 class ColdEndpointSyncTest(testtools.TestCase):
     """Guards against nodes that do not hear that an endpoint turned cold."""
