--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -360,7 +360,7 @@
             self._evacuation_sync.update_from_peer(
                 update.evacuations, self._clock_offset_s(update, contact)
             )
-        self._handle_loads(update)
+        pool_load_report.apply(update, self._pool_loads)
         if update.is_for_pool:
             self._forward(update)
         if contact.is_stale:
@@ -477,13 +477,6 @@
         for part in update.tried_parts:
             self._parts.postpone_trial(part)
 
-    def _handle_loads(self, update: peer_updates.PeerUpdate) -> None:
-        if update.pool_load:
-            self._pool_loads.add(pool_load_report.decode(update))
-        else:
-            # Nodes of older builds name only idle engines.
-            self._pool_loads.add_idle(update.idle.instances)
-
     def _handle_reports(self, update: peer_updates.PeerUpdate) -> None:
         for report in update.reports:
             reason = f"reported by {update.node}"
--- a/src/fireflyspur/gateway/scheduling/pool_load_report.py
+++ b/src/fireflyspur/gateway/scheduling/pool_load_report.py
@@ -126,6 +126,17 @@
         )
 
 
+def apply(
+    update: peer_updates.PeerUpdate, loads: pool_loads.PoolLoads
+) -> None:
+    """Add the loads in an update of another node to the known ones."""
+    if update.pool_load:
+        loads.add(decode(update))
+    else:
+        # Nodes of older builds name only idle engines.
+        loads.add_idle(update.idle.instances)
+
+
 def decode(update: peer_updates.PeerUpdate) -> list[pool_loads.EngineLoad]:
     """Return the loads in an update of another node."""
     now = clock.now_s()
