Send a long prompt later while that costs less in total

Long prompts that came together were all read at once and left no engine on which the short prompts in between met their targets, although most of them could have been read later.

A placement now says what it leaves to other requests. While other prompts are being read, a long prompt that would leave fewer than a quarter of the engines clear, or cost the requests in flight more than 0.25, waits as long as its first event is predicted within 0.4 of its target and a quarter of the slots is free. It looks again every 50 to 100 ms and is sent as its slack ends, as it does when the node stops.

--- a/src/fireflyspur/gateway/requests/admission.py
+++ b/src/fireflyspur/gateway/requests/admission.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import math
+import random
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.configuration import routing_config
@@ -23,6 +24,9 @@
 # Interval of tries without a change of the in-flight requests: pauses of
 # engines end and other pools report theirs without one.
 _POLL_S = 0.05
+# Longest interval of looks at the engines for a prompt that is better sent
+# later. A look compares groups of engines, which takes some milliseconds.
+_DEFER_S = 0.1
 # Time after which a caller returns if no engine is predicted to have room: at
 # usual response lengths, an engine frees a slot several times a second.
 _DEFAULT_RETURN_S = 0.25
@@ -34,11 +38,15 @@
 class Trial:
     """What a waiting request does when its turn comes.
 
+    :param demand: returns what it needs of an engine from now on
     :param place: returns a placement, or None if there is no room
+    :param may_wait: returns whether it may wait for room, if it has none
     :param may_go_on: returns whether it may still be sent by this node
     """
 
+    demand: Callable[[], placement_cost.Demand]
     place: Callable[[], placements.Placement | None]
+    may_wait: Callable[[], bool]
     may_go_on: Callable[[], bool]
 
 
@@ -82,20 +90,73 @@
         """Number of requests that wait."""
         return self._queue.count
 
-    async def wait(
+    async def place(
+        self, plan: request_plan.RequestPlan, trial: Trial
+    ) -> placements.Placement | None:
+        """Place a request, now or after a wait.
+
+        :returns: None if it should be refused, or handed over
+        """
+        placement = trial.place()
+        if placement is not None and self._should_defer(
+            plan, trial, placement
+        ):
+            placement = await self._defer(plan, trial)
+        if placement is None and trial.may_wait():
+            placement = await self._wait_for_room(plan, trial)
+        return placement
+
+    def _should_defer(
         self,
         plan: request_plan.RequestPlan,
-        demand: placement_cost.Demand,
         trial: Trial,
+        placement: placements.Placement,
+    ) -> bool:
+        """Return whether a long prompt should be sent later."""
+        is_stopping = self._exits_at_s() is not None
+        return not is_stopping and admission_queue.is_better_later(
+            trial.demand(), plan.route.target_latency_s, placement
+        )
+
+    async def _defer(
+        self, plan: request_plan.RequestPlan, trial: Trial
     ) -> placements.Placement | None:
-        """Wait until a request can be sent.
+        """Wait until the slack of a long prompt or its cost to others ends.
 
-        :returns: None if it should be refused, or handed over
+        :returns: None if there is no room any more, or if it may not be sent
         """
         engine = plan.service.engine
         if engine is None:
             return None
-        request = self._request(plan, engine, demand)
+        now = clock.now_s()
+        demand = trial.demand()
+        slack_s = admission_queue.slack_s(demand, plan.route.target_latency_s)
+        request = admission_queue.WaitingRequest(
+            plan.account_name, demand, engine, now, now + slack_s
+        )
+        result = "ended"
+        try:
+            with self._queued(request):
+                while True:
+                    await asyncio.sleep(random.uniform(_DEFER_S / 2, _DEFER_S))
+                    if not trial.may_go_on():
+                        return None
+                    placement = trial.place()
+                    if placement is None or not self._should_defer(
+                        plan, trial, placement
+                    ):
+                        result = "deferred"
+                        return placement
+        finally:
+            self._report(plan, request, result, 0.0)
+
+    async def _wait_for_room(
+        self, plan: request_plan.RequestPlan, trial: Trial
+    ) -> placements.Placement | None:
+        engine = plan.service.engine
+        if engine is None:
+            return None
+        request = self._request(plan, engine, trial.demand())
         free_in_s = self._free_in_s(plan.service)
         if admission_queue.is_too_late(request, free_in_s):
             self._report(plan, request, "too_late", free_in_s)
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -292,25 +292,24 @@
 
         :returns: None if no endpoint may be tried now
         """
-        placement = self._place()
-        plan = self._plan
-        # What an endpoint has answered is not held back.
-        if placement is not None or self._rejected is not None:
-            return placement
-        is_limited = self._limited_retry_s is not None
-        if is_limited or not self._ready():
-            return None
         trial = admission.Trial(
+            lambda: attempt_launcher.demand_of(self._plan),
             self._place,
+            self._may_wait,
             lambda: (
                 bool(self._ready())
                 and self._may_attempt()
                 and not self._must_hand_over()
             ),
         )
-        return await self._deps.admission.wait(
-            plan, attempt_launcher.demand_of(plan), trial
-        )
+        return await self._deps.admission.place(self._plan, trial)
+
+    def _may_wait(self) -> bool:
+        """Return whether the request may wait for room on an endpoint."""
+        # What an endpoint has answered is not held back.
+        if self._rejected is not None or self._limited_retry_s is not None:
+            return False
+        return bool(self._ready())
 
     def _place(self) -> placements.Placement | None:
         plan = self._plan
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -63,6 +63,23 @@
     tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Outlook:
+    """What a placement leaves to the other requests of the engines compared.
+
+    :param cost: cost to those that are in flight
+    :param clear_share: share of the engines on which short prompts still meet
+        their targets
+    :param blocked_share: share of the engines on which they do not now
+    :param free_share: share of the slots that are free
+    """
+
+    cost: float
+    clear_share: float
+    blocked_share: float
+    free_share: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """Endpoints selected for a request.
@@ -75,6 +92,8 @@
     :param load_source: where the load of the primary endpoint is known from
     :param load_age_s: age of the report with its load; None without one
     :param factor: factor of the primary endpoint, in the prediction
+    :param outlook: what remains for other requests; None for an endpoint
+        without published figures
     """
 
     primary: endpoints.Endpoint
@@ -84,6 +103,7 @@
     load_source: LoadSource = LoadSource.OWN_POOL
     load_age_s: float | None = None
     factor: float = 1.0
+    outlook: Outlook | None = None
 
     @property
     def is_elsewhere(self) -> bool:
@@ -106,6 +126,10 @@
     failed: Mapping[str, int]
 
 
+# Outlook if no engine is known to have room.
+_NONE_FREE = Outlook(0.0, clear_share=0.0, blocked_share=0.0, free_share=0.0)
+
+
 class EndpointSelector:
     """Selects the endpoints whose predicted cost is lowest.
 
@@ -177,7 +201,13 @@
             excluded,
             self._count_domains(excluded),
         )
-        return self._choose_known(search) or self._choose_last(search)
+        placement = self._choose_known(search)
+        if placement is not None:
+            return placement
+        placement = self._choose_last(search)
+        if placement is None:
+            return None
+        return dataclasses.replace(placement, outlook=_NONE_FREE)
 
     def record_full(
         self, service: routing_config.Service, instance: str
@@ -199,9 +229,8 @@
 
     def _choose_known(self, search: _Search) -> Placement | None:
         """Choose among the engines whose load is known."""
-        own = self._own_candidates(
-            search, self._candidates.in_pool(search.service, search.excluded)
-        )
+        in_pool = self._candidates.in_pool(search.service, search.excluded)
+        own = self._own_candidates(search, in_pool)
         count = min(
             _count_elsewhere(search.demand),
             engine_candidates.MAX_COMPARED - len(own),
@@ -210,7 +239,9 @@
             search.service, search.engine, search.excluded, count
         )
         others = self._remote_candidates(search, reported)
-        return self._best(search, [*own, *others])
+        return self._best(
+            search, [*own, *others], full=len(in_pool) - len(own)
+        )
 
     def _choose_last(self, search: _Search) -> Placement | None:
         """Choose an engine of another pool that may turn out to be full."""
@@ -273,19 +304,29 @@
         )
 
     def _best(
-        self, search: _Search, candidates: Sequence[placement_cost.Candidate]
+        self,
+        search: _Search,
+        candidates: Sequence[placement_cost.Candidate],
+        full: int = 0,
     ) -> Placement | None:
-        """Return the placement with the lowest cost."""
+        """Return the placement with the lowest cost.
+
+        :param full: number of other engines, which have no slot
+        """
         options = self._options(search.engine, search.demand, candidates)
-        best = min(options, key=lambda option: option[0], default=None)
-        return None if best is None else best[1]
+        best = min(options, key=lambda option: option[0].total, default=None)
+        if best is None:
+            return None
+        cost, placement = best
+        outlook = _outlook(search.engine, cost, placement, candidates, full)
+        return dataclasses.replace(placement, outlook=outlook)
 
     def _options(
         self,
         engine: routing_config.EngineSpec,
         demand: placement_cost.Demand,
         candidates: Sequence[placement_cost.Candidate],
-    ) -> list[tuple[float, Placement]]:
+    ) -> list[tuple[placement_cost.Cost, Placement]]:
         full_prefill = latency_model.full_prefill(demand.prompt_tokens)
         options = []
         for size in _GROUP_SIZES:
@@ -314,7 +355,7 @@
         demand: placement_cost.Demand,
         group: engine_group.Group,
         prefill: latency_model.Prefill,
-    ) -> tuple[float, Placement]:
+    ) -> tuple[placement_cost.Cost, Placement]:
         members = group.members
         cost = placement_cost.estimate_cost(engine, demand, members, prefill)
         helpers = zip(members[1:], group.helper_tokens, strict=True)
@@ -329,7 +370,7 @@
             members[0].report_age_s,
             members[0].factor,
         )
-        return cost.total, placement
+        return cost, placement
 
     def _plain_cost(
         self, endpoint: endpoints.Endpoint, failed: Mapping[str, int]
@@ -371,3 +412,31 @@
     if demand.prompt_tokens < 2 * _MIN_PART_TOKENS:
         return _SAMPLED_ELSEWHERE
     return engine_candidates.MAX_COMPARED
+
+
+def _outlook(
+    engine: routing_config.EngineSpec,
+    cost: placement_cost.Cost,
+    placement: Placement,
+    candidates: Sequence[placement_cost.Candidate],
+    full: int,
+) -> Outlook:
+    """Return what a placement leaves to other requests.
+
+    :param candidates: engines with a free slot
+    :param full: number of engines that have none
+    """
+    compared = len(candidates) + full
+    used = {placement.primary.instance}
+    used |= {helper.endpoint.instance for helper in placement.helpers}
+    clear = [c for c in candidates if placement_cost.is_clear(c)]
+    left = sum(c.endpoint.instance not in used for c in clear)
+    free = sum(
+        engine.slots - pool_loads.busy_slots(c.load) for c in candidates
+    )
+    return Outlook(
+        cost.to_others,
+        clear_share=left / compared,
+        blocked_share=(len(candidates) - len(clear)) / compared,
+        free_share=free / (compared * engine.slots),
+    )
--- a/src/fireflyspur/gateway/scheduling/placement_cost.py
+++ b/src/fireflyspur/gateway/scheduling/placement_cost.py
@@ -89,10 +89,12 @@
 
     :param first_event_s: predicted time to the first event
     :param total: weighted probabilities of missed targets, and penalties
+    :param to_others: part of it that other requests in flight bear
     """
 
     first_event_s: float
     total: float
+    to_others: float
 
 
 def estimate_cost(
@@ -107,7 +109,7 @@
     :param prefill: part that each member prefills
     """
     first_ms = 0.0
-    others = 0.0
+    others = blocked = 0.0
     for index, member in enumerate(members):
         is_urgent = index > 0
         ms = latency_model.first_event_ms(
@@ -115,15 +117,21 @@
         )
         first_ms = max(first_ms, ms * member.factor)
         others += cost_to_others(engine, member, prefill, is_urgent=is_urgent)
-        others += blocked_engine_cost(engine, demand, member, prefill)
+        blocked += blocked_engine_cost(engine, demand, member, prefill)
     first_s = first_ms / 1000
     own = (
         miss_probability(first_s, demand.target_s)
         + wait_cost(first_s, demand.target_s)
         + sum(member.penalty for member in members)
     )
-    total = demand.weight * own + others + idle_engine_cost(demand, members[0])
-    return Cost(first_s, total)
+    total = demand.weight * own + others + blocked
+    total += idle_engine_cost(demand, members[0])
+    return Cost(first_s, total, others)
+
+
+def is_clear(candidate: Candidate) -> bool:
+    """Return whether short prompts meet their targets on an engine."""
+    return candidate.load.state.pending_prefill_ms <= _CLEAR_MS
 
 
 def idle_engine_cost(demand: Demand, candidate: Candidate) -> float:
