Leave the last free slots to accounts that use less

An account that sent many times its usual requests took the slots of all others, as requests were admitted in the order of their arrival.

Each node counts the engine time of the requests that it sends by client account, with a half-life of 10 s. An account that uses more than four times the mean of the others, in at least eight requests, is behind them in the order of the queue. While fewer than an eighth of the slots is free, or fewer than twice the share that the others use, it waits as if there were no room and is refused at the end of its wait. Alone, or while more is free, it is not limited.

--- a/src/fireflyspur/gateway/requests/admission.py
+++ b/src/fireflyspur/gateway/requests/admission.py
@@ -12,6 +12,7 @@
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.scheduling import account_shares
 from fireflyspur.gateway.scheduling import admission_queue
 from fireflyspur.gateway.scheduling import engine_candidates
 from fireflyspur.gateway.scheduling import in_flight_table
@@ -40,12 +41,14 @@
 
     :param demand: returns what it needs of an engine from now on
     :param place: returns a placement, or None if there is no room
+    :param withhold: called if a placement is left to other accounts
     :param may_wait: returns whether it may wait for room, if it has none
     :param may_go_on: returns whether it may still be sent by this node
     """
 
     demand: Callable[[], placement_cost.Demand]
     place: Callable[[], placements.Placement | None]
+    withhold: Callable[[], None]
     may_wait: Callable[[], bool]
     may_go_on: Callable[[], bool]
 
@@ -79,6 +82,7 @@
         self._observe = observe
         self._queue = admission_queue.AdmissionQueue()
         self._turns: dict[admission_queue.WaitingRequest, asyncio.Event] = {}
+        self._shares = account_shares.AccountShares()
         self._returns = return_schedule.ReturnSchedule()
         self._is_waking = False
         self._has_changed = False
@@ -97,6 +101,7 @@
 
         :returns: None if it should be refused, or handed over
         """
+        trial = self._share_fairly(plan, trial)
         placement = trial.place()
         if placement is not None and self._should_defer(
             plan, trial, placement
@@ -104,8 +109,36 @@
             placement = await self._defer(plan, trial)
         if placement is None and trial.may_wait():
             placement = await self._wait_for_room(plan, trial)
+        engine = plan.service.engine
+        if placement is not None and engine is not None:
+            self._shares.record(
+                plan.account_name,
+                admission_queue.engine_time_s(engine, trial.demand()),
+            )
         return placement
 
+    def _share_fairly(
+        self, plan: request_plan.RequestPlan, trial: Trial
+    ) -> Trial:
+        """Return a trial that leaves the last free slots to other accounts.
+
+        It does so only if the account uses far more than its share of the
+        engines.
+        """
+
+        def place() -> placements.Placement | None:
+            placement = trial.place()
+            if placement is None or placement.outlook is None:
+                return placement
+            if not self._shares.must_wait(
+                plan.account_name, placement.outlook.free_share
+            ):
+                return placement
+            trial.withhold()
+            return None
+
+        return dataclasses.replace(trial, place=place)
+
     def _should_defer(
         self,
         plan: request_plan.RequestPlan,
@@ -272,6 +305,7 @@
             engine,
             now,
             ends_at_s,
+            self._shares.excess(plan.account_name),
         )
 
     def _free_in_s(self, service: routing_config.Service) -> float:
@@ -314,4 +348,5 @@
             if math.isinf(free_in_s)
             else round(free_in_s * 1000),
             waiting=self.waiting,
+            excess=round(request.share_excess, 1),
         )
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -33,6 +33,7 @@
 _NO_ROOM = "no endpoint has room"
 _NONE_ALLOWED = "no endpoint is in an allowed region"
 _ALL_EVACUATED = "all endpoints are in evacuated failure domains"
+_OVER_SHARE = "the client account uses more than its share of the endpoints"
 
 
 class RequestRunner:
@@ -295,6 +296,7 @@
         trial = admission.Trial(
             lambda: attempt_launcher.demand_of(self._plan),
             self._place,
+            self._withhold,
             self._may_wait,
             lambda: (
                 bool(self._ready())
@@ -304,6 +306,10 @@
         )
         return await self._deps.admission.place(self._plan, trial)
 
+    def _withhold(self) -> None:
+        if len(self._tried) == self._first_choice:
+            self._reason = _OVER_SHARE
+
     def _may_wait(self) -> bool:
         """Return whether the request may wait for room on an endpoint."""
         # What an endpoint has answered is not held back.
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -192,3 +192,48 @@
                 stream.cancel()
         self.assertLess(short_s, 0.5)
         self.assertLess(waited_s, 0.4 * 12.0)
+
+
+class FloodTest(testtools.TestCase):
+    """Guards against an account whose flood takes the slots of all others."""
+
+    @async_tests.in_loop
+    async def test_last_slots_are_left_to_other_accounts(self):
+        tenants = [
+            {"name": name, "api_keys": [f"key-{name}"], "priority": 1}
+            for name in ("flood", "clinic")
+        ]
+        wanted = gateway_fleet.config(
+            routes=_CONFIG["routes"], tenants=tenants
+        )
+        async with gateway_fleet.GatewayFleet(engines=2) as fleet:
+            fleet.publish(wanted)
+            node = await fleet.start_node()
+            for engine in fleet.engines:
+                engine.default_behaviour = fake_endpoint.never_respond
+
+            def send(number, name):
+                return asyncio.ensure_future(
+                    node.request(
+                        "/once/",
+                        body=bytes((number,)),
+                        key=f"key-{name}",
+                        deadline_ms=4_000,
+                    )
+                )
+
+            streams = [send(0, "clinic")]
+            streams += [send(n, "flood") for n in range(1, 2 * _SLOTS - 1)]
+            await gateway_fleet.wait_until(
+                lambda: len(fleet.arrivals) == 2 * _SLOTS - 1
+            )
+            refused = await send(98, "flood")
+            streams.append(send(99, "clinic"))
+            await gateway_fleet.wait_until(
+                lambda: len(fleet.arrivals) == 2 * _SLOTS
+            )
+            for stream in streams:
+                stream.cancel()
+        self.assertEqual(503, refused.status)
+        self.assertIn(b"more than its share", refused.body)
+        self.assertGreater(float(refused.headers["retry-after"]), 0)
