--- a/src/fireflyspur/gateway/requests/admission.py
+++ b/src/fireflyspur/gateway/requests/admission.py
@@ -6,11 +6,13 @@
 import contextlib
 import dataclasses
 import math
+import random
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.requests import request_plan
+from fireflyspur.gateway.scheduling import account_shares
 from fireflyspur.gateway.scheduling import admission_queue
 from fireflyspur.gateway.scheduling import engine_candidates
 from fireflyspur.gateway.scheduling import in_flight_table
@@ -23,6 +25,9 @@
 # Interval of tries without a change of the in-flight requests: pauses of
 # engines end and other pools report theirs without one.
 _POLL_S = 0.05
+# Longest interval of looks at the engines for a prompt that is better sent
+# later. A look compares groups of engines, which takes some milliseconds.
+_DEFER_S = 0.1
 # Time after which a caller returns if no engine is predicted to have room: at
 # usual response lengths, an engine frees a slot several times a second.
 _DEFAULT_RETURN_S = 0.25
@@ -34,11 +39,17 @@
 class Trial:
     """What a waiting request does when its turn comes.
 
+    :param demand: returns what it needs of an engine from now on
     :param place: returns a placement, or None if there is no room
+    :param withhold: called if a placement is left to other accounts
+    :param may_wait: returns whether it may wait for room, if it has none
     :param may_go_on: returns whether it may still be sent by this node
     """
 
+    demand: Callable[[], placement_cost.Demand]
     place: Callable[[], placements.Placement | None]
+    withhold: Callable[[], None]
+    may_wait: Callable[[], bool]
     may_go_on: Callable[[], bool]
 
 
@@ -71,6 +82,7 @@
         self._observe = observe
         self._queue = admission_queue.AdmissionQueue()
         self._turns: dict[admission_queue.WaitingRequest, asyncio.Event] = {}
+        self._shares = account_shares.AccountShares()
         self._returns = return_schedule.ReturnSchedule()
         self._is_waking = False
         self._has_changed = False
@@ -82,20 +94,127 @@
         """Number of requests that wait."""
         return self._queue.count
 
-    async def wait(
+    async def place(
+        self, plan: request_plan.RequestPlan, trial: Trial
+    ) -> placements.Placement | None:
+        """Place a request, now or after a wait.
+
+        :returns: None if it should be refused, or handed over
+        """
+        since_s = clock.now_s()
+        trial = self._share_fairly(plan, trial)
+        placement = trial.place()
+        if placement is not None and self._should_defer(
+            plan, trial, placement
+        ):
+            placement = await self._defer(plan, trial, since_s)
+        if placement is None and trial.may_wait():
+            placement = await self._wait_for_room(plan, trial, since_s)
+        elif placement is not None and _is_guess(placement):
+            placement = await self._wait_before_guess(plan, trial, since_s)
+        engine = plan.service.engine
+        if placement is not None and engine is not None:
+            self._shares.record(
+                plan.account_name,
+                admission_queue.engine_time_s(engine, trial.demand()),
+            )
+        return placement
+
+    async def _wait_before_guess(
+        self, plan: request_plan.RequestPlan, trial: Trial, since_s: float
+    ) -> placements.Placement | None:
+        """Wait for known room rather than send to an engine that may be full.
+
+        Engines that no pool reports as having room most likely refuse, which
+        uses up an attempt.
+        """
+
+        def place_if_known() -> placements.Placement | None:
+            placement = trial.place()
+            if placement is None or _is_guess(placement):
+                return None
+            return placement
+
+        known = dataclasses.replace(trial, place=place_if_known)
+        placement = await self._wait_for_room(plan, known, since_s)
+        if placement is None and trial.may_go_on():
+            placement = trial.place()
+        return placement
+
+    def _share_fairly(
+        self, plan: request_plan.RequestPlan, trial: Trial
+    ) -> Trial:
+        """Return a trial that leaves the last free slots to other accounts.
+
+        It does so only if the account uses far more than its share of the
+        engines.
+        """
+
+        def place() -> placements.Placement | None:
+            placement = trial.place()
+            if placement is None or placement.outlook is None:
+                return placement
+            if not self._shares.must_wait(
+                plan.account_name, placement.outlook.free_share
+            ):
+                return placement
+            trial.withhold()
+            return None
+
+        return dataclasses.replace(trial, place=place)
+
+    def _should_defer(
         self,
         plan: request_plan.RequestPlan,
-        demand: placement_cost.Demand,
         trial: Trial,
+        placement: placements.Placement,
+    ) -> bool:
+        """Return whether a long prompt should be sent later."""
+        is_stopping = self._exits_at_s() is not None
+        return not is_stopping and admission_queue.is_better_later(
+            trial.demand(), plan.route.target_latency_s, placement
+        )
+
+    async def _defer(
+        self, plan: request_plan.RequestPlan, trial: Trial, since_s: float
     ) -> placements.Placement | None:
-        """Wait until a request can be sent.
+        """Wait until the slack of a long prompt or its cost to others ends.
 
-        :returns: None if it should be refused, or handed over
+        It ends with the time for which a request may wait for room, as there
+        may be none any more by then.
+
+        :returns: None if there is no room any more, or if it may not be sent
         """
         engine = plan.service.engine
         if engine is None:
             return None
-        request = self._request(plan, engine, demand)
+        request = self._request(plan, engine, trial.demand(), since_s)
+        result = "ended"
+        try:
+            with self._queued(request):
+                while True:
+                    await asyncio.sleep(random.uniform(_DEFER_S / 2, _DEFER_S))
+                    if not trial.may_go_on():
+                        return None
+                    placement = trial.place()
+                    is_over = clock.now_s() >= request.expires_at_s
+                    if (
+                        is_over
+                        or placement is None
+                        or not self._should_defer(plan, trial, placement)
+                    ):
+                        result = "deferred"
+                        return placement
+        finally:
+            self._report(plan, request, result, 0.0)
+
+    async def _wait_for_room(
+        self, plan: request_plan.RequestPlan, trial: Trial, since_s: float
+    ) -> placements.Placement | None:
+        engine = plan.service.engine
+        if engine is None:
+            return None
+        request = self._request(plan, engine, trial.demand(), since_s)
         free_in_s = self._free_in_s(plan.service)
         if admission_queue.is_too_late(request, free_in_s):
             self._report(plan, request, "too_late", free_in_s)
@@ -195,10 +314,10 @@
         plan: request_plan.RequestPlan,
         engine: routing_config.EngineSpec,
         demand: placement_cost.Demand,
+        since_s: float,
     ) -> admission_queue.WaitingRequest:
-        now = clock.now_s()
         expected_s = plan.expected_duration_s()
-        ends_at_s = now + admission_queue.wait_limit_s(
+        ends_at_s = since_s + admission_queue.wait_limit_s(
             plan.info.prompt_tokens, plan.route.target_latency_s
         )
         ends_at_s = min(ends_at_s, plan.deadline_s - expected_s)
@@ -209,8 +328,9 @@
             plan.account_name,
             demand,
             engine,
-            now,
+            since_s,
             ends_at_s,
+            self._shares.excess(plan.account_name),
         )
 
     def _free_in_s(self, service: routing_config.Service) -> float:
@@ -253,4 +373,9 @@
             if math.isinf(free_in_s)
             else round(free_in_s * 1000),
             waiting=self.waiting,
+            excess=round(request.share_excess, 1),
         )
+
+
+def _is_guess(placement: placements.Placement) -> bool:
+    return placement.load_source is placements.LoadSource.UNKNOWN
