Correct what reading the parts for uneven load has shown

The forecast of a free slot looked at a sample of the engines and at some that a request must not use, so that Retry-After and refusals could be wrong. A request that polled for room reserved a time to return at each look. Requests that wait on purpose took the turns of those that wait for room. A request that only rate limits hold back for a short time was refused at once. Parts of prompts counted as sound requests at other nodes. A pool could offer an idle engine that did not fit its report. An ended pace was announced again.

--- a/src/fireflyspur/gateway/endpoints/cold_ceiling.py
+++ b/src/fireflyspur/gateway/endpoints/cold_ceiling.py
@@ -18,8 +18,8 @@
 _RATE_SHARE = 0.55
 # Share of the ceiling that the endpoint's pool may send at once.
 _BURST_SHARE = 0.1
-# Share of the ceiling that nodes which hear nothing may use together.
-_BLIND_SHARE = 0.9
+# Share of the ceiling that nodes without contact to others may use together.
+_ISOLATED_SHARE = 0.9
 # Nodes of all other pools that may use a cold endpoint, on average, and of its
 # own pool if that is large. All nodes together would exceed the ceiling with
 # one request each.
@@ -247,8 +247,11 @@
         for instance, sent in list(self._sent.items()):
             unlisted_at_s = None
             if instance not in listed:
-                unlisted_at_s = sent.unlisted_at_s or now
-            if unlisted_at_s and now - unlisted_at_s > _KEEP_UNLISTED_S:
+                unlisted_at_s = sent.unlisted_at_s
+                if unlisted_at_s is None:
+                    unlisted_at_s = now
+            is_listed = unlisted_at_s is None
+            if not is_listed and now - unlisted_at_s > _KEEP_UNLISTED_S:
                 del self._sent[instance]
             elif unlisted_at_s != sent.unlisted_at_s:
                 self._sent[instance] = dataclasses.replace(
@@ -357,7 +360,7 @@
         if size.nodes > _LARGE_POOL:
             users = _DRAWN_NODES
         if self._is_own(endpoint):
-            own_rate = max(rate, _BLIND_SHARE * ceiling - users) / users
+            own_rate = max(rate, _ISOLATED_SHARE * ceiling - users) / users
         else:
             others = max(1, size.pools - 1)
             rate *= (1 - _OWN_SHARE) / others
--- a/src/fireflyspur/gateway/endpoints/endpoint_notices.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_notices.py
@@ -120,11 +120,15 @@
         :param priority: priority of the request; 0 is the most urgent
         :returns: None if one of them allows a request now
         """
-        wait_s = min(map(self._wait_s, listed), default=0.0)
+        wait_s = self.wait_s(listed)
         if wait_s <= 0:
             return None
         return self._limits.schedule_return(listed, priority, wait_s)
 
+    def wait_s(self, listed: Sequence[endpoints.Endpoint]) -> float:
+        """Return the time until one of some endpoints allows a request."""
+        return max(0.0, min(map(self._wait_s, listed), default=0.0))
+
     def keep_only(self, instances: Iterable[str]) -> None:
         """Forget what no longer binds this node.
 
--- a/src/fireflyspur/gateway/endpoints/endpoint_pace.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_pace.py
@@ -12,8 +12,7 @@
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 from fireflyspur.observability import logs
 
-# Requests in flight at the beginning. With one, an endpoint whose answers
-# take 0.3 s would need longer than a second to reach 8 slots.
+# Initial limit; a limit of one grows too slowly.
 _FIRST_LIMIT = 2.0
 _MIN_LIMIT = 1.0
 # Share of the limit that is left after a late answer, and after a refusal.
@@ -370,8 +369,7 @@
         limit = min(max(_MIN_LIMIT, limit), float(endpoint.slots))
         factor = min(max(1.0, factor), _MAX_FACTOR)
         is_over = limit >= endpoint.slots and factor < _USUAL_FACTOR
-        is_known = endpoint.instance in self._paces
-        if is_over and not is_known and self._find_beginning(endpoint) is None:
+        if is_over and self._current(endpoint) is None:
             return
         now = clock.now_s()
         pace = _Pace(
@@ -382,13 +380,13 @@
             previous.announced,
             now if limit < previous.limit else previous.lowered_at_s,
         )
-        if pace.is_news:
-            pace = dataclasses.replace(
-                pace, announced=(pace.limit, pace.factor)
-            )
-            for draft in self._outbox.drafts_for(endpoint):
-                draft.paces.append(_to_entry(endpoint.instance, pace, now))
+        if not pace.is_news:
+            self._paces[endpoint.instance] = pace
+            return
+        pace = dataclasses.replace(pace, announced=(pace.limit, pace.factor))
         self._paces[endpoint.instance] = pace
+        for draft in self._outbox.drafts_for(endpoint):
+            draft.paces.append(_to_entry(endpoint.instance, pace, now))
         _log.info(
             "Endpoint has no pace any more" if is_over else "Endpoint paced",
             instance=endpoint.instance,
--- a/src/fireflyspur/gateway/endpoints/error_rates.py
+++ b/src/fireflyspur/gateway/endpoints/error_rates.py
@@ -6,8 +6,7 @@
 
 from fireflyspur.gateway.common import clock
 
-# Requests and errors count half after this time. At the reference sizes an
-# engine gets some requests in it from all nodes of a pool.
+# Half-life of the counts of requests and errors.
 _HALF_LIFE_S = 5.0
 # Sound requests that are assumed before the first observation.
 _PRIOR_REQUESTS = 2.0
@@ -94,7 +93,10 @@
         An endpoint that crashes again and again keeps the others.
         """
         record = self._records.pop(instance, None)
-        if record is not None and record.errors > 1:
+        if record is None:
+            return
+        record = record.at(clock.now_s())
+        if record.errors > 1:
             self._records[instance] = dataclasses.replace(
                 record, errors=record.errors - 1
             )
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -372,7 +372,7 @@
             self._limits.update_from_peer(limit, contact.delay_s)
         self._pacing.apply_update(update, contact.delay_s)
         self._in_flight.apply_update(update, contact.is_restarted)
-        for started in update.started:
+        for started in filter(in_flight_reporter.is_primary, update.started):
             self._directory.errors.add_request(started.instance)
         if update.HasField("config"):
             self._handle_config(update.config)
--- a/src/fireflyspur/gateway/requests/admission.py
+++ b/src/fireflyspur/gateway/requests/admission.py
@@ -42,6 +42,7 @@
     :param demand: returns what it needs of an engine from now on
     :param place: returns a placement, or None if there is no room
     :param withhold: called if a placement is left to other accounts
+    :param excluded: returns the instances that must not be chosen
     :param may_wait: returns whether it may wait for room, if it has none
     :param may_go_on: returns whether it may still be sent by this node
     """
@@ -49,6 +50,7 @@
     demand: Callable[[], placement_cost.Demand]
     place: Callable[[], placements.Placement | None]
     withhold: Callable[[], None]
+    excluded: Callable[[], frozenset[str]]
     may_wait: Callable[[], bool]
     may_go_on: Callable[[], bool]
 
@@ -84,6 +86,8 @@
         self._turns: dict[admission_queue.WaitingRequest, asyncio.Event] = {}
         self._shares = account_shares.AccountShares()
         self._returns = return_schedule.ReturnSchedule()
+        # Long prompts that look at the engines at intervals of their own.
+        self._deferred = 0
         self._is_waking = False
         self._has_changed = False
         table.set_listener(self.wake)
@@ -92,7 +96,7 @@
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return self._queue.count
+        return self._queue.count + self._deferred
 
     async def place(
         self, plan: request_plan.RequestPlan, trial: Trial
@@ -190,22 +194,23 @@
             return None
         request = self._request(plan, engine, trial.demand(), since_s)
         result = "ended"
+        self._deferred += 1
         try:
-            with self._queued(request):
-                while True:
-                    await asyncio.sleep(random.uniform(_DEFER_S / 2, _DEFER_S))
-                    if not trial.may_go_on():
-                        return None
-                    placement = trial.place()
-                    is_over = clock.now_s() >= request.expires_at_s
-                    if (
-                        is_over
-                        or placement is None
-                        or not self._should_defer(plan, trial, placement)
-                    ):
-                        result = "deferred"
-                        return placement
+            while True:
+                await asyncio.sleep(random.uniform(_DEFER_S / 2, _DEFER_S))
+                if not trial.may_go_on():
+                    return None
+                placement = trial.place()
+                is_over = clock.now_s() >= request.expires_at_s
+                if (
+                    is_over
+                    or placement is None
+                    or not self._should_defer(plan, trial, placement)
+                ):
+                    result = "deferred"
+                    return placement
         finally:
+            self._deferred -= 1
             self._report(plan, request, result, 0.0)
 
     async def _wait_for_room(
@@ -215,7 +220,7 @@
         if engine is None:
             return None
         request = self._request(plan, engine, trial.demand(), since_s)
-        free_in_s = self._free_in_s(plan.service)
+        free_in_s = self._free_in_s(plan.service, trial.excluded())
         if admission_queue.is_too_late(request, free_in_s):
             self._report(plan, request, "too_late", free_in_s)
             return None
@@ -232,17 +237,23 @@
             self._report(plan, request, result, free_in_s)
 
     def retry_after_s(
-        self, plan: request_plan.RequestPlan, demand: placement_cost.Demand
+        self,
+        plan: request_plan.RequestPlan,
+        demand: placement_cost.Demand,
+        excluded: frozenset[str],
     ) -> float:
-        """Return when the caller of a refused request should return."""
+        """Return when the caller of a refused request should return.
+
+        :param excluded: instances that the request may not be sent to
+        """
         engine = plan.service.engine
         if engine is None:
             return _DEFAULT_RETURN_S
-        wait_s = self._free_in_s(plan.service)
+        wait_s = self._free_in_s(plan.service, excluded)
         step_s = admission_queue.return_step_s(
             engine,
             demand,
-            len(self._candidates.in_pool(plan.service.name, frozenset())),
+            len(self._candidates.own_engines(plan.service.name)),
             self._pool_nodes(),
         )
         return self._returns.add(
@@ -266,8 +277,11 @@
         delays = sorted(
             admission_queue.turn_delay_s(request, nodes) for request in ordered
         )
+        now = clock.now_s()
         for request, delay_s in zip(ordered, delays, strict=True):
-            loop.call_later(delay_s, self._turns[request].set)
+            # The delay may be that of a request that waits for longer.
+            latest_s = max(0.0, request.remaining_s(now) / 2)
+            loop.call_later(min(delay_s, latest_s), self._turns[request].set)
         loop.call_later(delays[-1], self._end_waking)
 
     def _end_waking(self) -> None:
@@ -333,8 +347,13 @@
             self._shares.excess(plan.account_name),
         )
 
-    def _free_in_s(self, service: routing_config.Service) -> float:
-        """Return the predicted time until an engine of the pool has room."""
+    def _free_in_s(
+        self, service: routing_config.Service, excluded: frozenset[str]
+    ) -> float:
+        """Return the predicted time until an engine of the pool has room.
+
+        :param excluded: instances that are left out
+        """
         engine = service.engine
         if engine is None:
             return math.inf
@@ -344,9 +363,8 @@
                 slot_forecast.free_in_s(
                     engine, self._table.requests(endpoint.instance), now
                 )
-                for endpoint in self._candidates.in_pool(
-                    service.name, frozenset()
-                )
+                for endpoint in self._candidates.own_engines(service.name)
+                if endpoint.instance not in excluded
             ),
             default=math.inf,
         )
--- a/src/fireflyspur/gateway/requests/request_runner.py
+++ b/src/fireflyspur/gateway/requests/request_runner.py
@@ -19,6 +19,7 @@
 from fireflyspur.gateway.requests import request_plan
 from fireflyspur.gateway.requests import request_report
 from fireflyspur.gateway.requests import response_relay
+from fireflyspur.gateway.scheduling import admission_queue
 from fireflyspur.gateway.scheduling import placement as placements
 
 # An endpoint stops processing at the deadline and reports it; this is the
@@ -53,8 +54,6 @@
         self._plan = plan
         self._relay = relay
         self._reporter = attempt_reporter.AttemptReporter(deps, plan)
-        # When to return if the rates of all endpoints are used up.
-        self._limited_retry_s: float | None = None
         handover = plan.handover
         self._tried = list(handover.tried) if handover else []
         self._excluded: list[str] = []
@@ -297,6 +296,7 @@
             lambda: attempt_launcher.demand_of(self._plan),
             self._place,
             self._withhold,
+            self._excluded_instances,
             self._may_wait,
             lambda: (
                 bool(self._ready())
@@ -313,19 +313,24 @@
     def _may_wait(self) -> bool:
         """Return whether the request may wait for room on an endpoint."""
         # What an endpoint has answered is not held back.
-        if self._rejected is not None or self._limited_retry_s is not None:
+        ready = self._ready()
+        if self._rejected is not None or not ready:
             return False
-        return bool(self._ready())
+        limit_s = admission_queue.wait_limit_s(
+            self._plan.info.prompt_tokens, self._plan.route.target_latency_s
+        )
+        return self._deps.notices.wait_s(ready) <= limit_s
+
+    def _excluded_instances(self) -> frozenset[str]:
+        """Return the endpoints that must not be chosen."""
+        outside = self._deps.region_filter.outside(
+            self._plan.service.name, self._plan.allowed_regions
+        )
+        return frozenset((*self._tried, *self._excluded, *outside))
 
     def _place(self) -> placements.Placement | None:
         plan = self._plan
-        excluded = frozenset((*self._tried, *self._excluded))
-        is_first = len(excluded) == self._first_choice
-        excluded = excluded.union(
-            self._deps.region_filter.outside(
-                plan.service.name, plan.allowed_regions
-            )
-        )
+        excluded = self._excluded_instances()
         if plan.service.engine is None:
             placement = self._deps.placer.choose_plain(
                 plan.service.name, excluded
@@ -334,12 +339,9 @@
             placement = self._deps.placer.choose_engine(
                 plan.service, attempt_launcher.demand_of(plan), excluded
             )
-        if placement is None and is_first:
+        is_first = len(self._tried) == self._first_choice
+        if placement is None and is_first and not self._excluded:
             self._reason = self._explain_none()
-        if placement is None:
-            self._limited_retry_s = self._deps.notices.retry_after_s(
-                self._ready(), plan.priority
-            )
         return placement
 
     def _ready(self) -> Sequence[endpoints.Endpoint]:
@@ -447,12 +449,16 @@
         self.log_end(status, None)
 
     def _capacity_error(self, reason: str) -> base_exceptions.FireflyspurError:
-        if self._limited_retry_s is not None:
+        ready = self._ready()
+        limited_retry_s = self._deps.notices.retry_after_s(
+            ready, self._plan.priority
+        )
+        if limited_retry_s is not None:
             return exceptions.RateLimitedError(
-                "all endpoints take no more requests for now, as they said",
-                retry_after_s=self._limited_retry_s,
+                "all endpoints have reached their rate limits",
+                retry_after_s=limited_retry_s,
             )
-        is_possible = bool(self._ready())
+        is_possible = bool(ready)
         if is_possible and self._deps.placer.has_reported_room(
             self._plan.service
         ):
@@ -460,7 +466,9 @@
         retry_after_s = _RETRY_AFTER_S
         if is_possible:
             retry_after_s = self._deps.admission.retry_after_s(
-                self._plan, attempt_launcher.demand_of(self._plan)
+                self._plan,
+                attempt_launcher.demand_of(self._plan),
+                self._excluded_instances(),
             )
         return exceptions.NoCapacityError(reason, retry_after_s=retry_after_s)
 
--- a/src/fireflyspur/gateway/scheduling/account_shares.py
+++ b/src/fireflyspur/gateway/scheduling/account_shares.py
@@ -1,9 +1,9 @@
 """Use of the engines by client accounts, and their shares of it.
 
-The load that it addresses: one account sends many times its usual requests,
-and takes the slots that others would get. Accounts that want capacity have
-equal shares. A balancer spreads the requests of each account over the nodes,
-so that each node sees a sample and needs no message from others.
+Answers floods in which one account takes the slots that others would get.
+Accounts that want capacity have equal shares. A load balancer spreads each
+account's requests over the nodes, so each node decides from its own sample.
+Requests without an account count as one account.
 """
 
 import dataclasses
--- a/src/fireflyspur/gateway/scheduling/admission_queue.py
+++ b/src/fireflyspur/gateway/scheduling/admission_queue.py
@@ -1,9 +1,8 @@
 """Order and time in which requests wait for room on an engine.
 
-The load that it addresses: 50 short prompts a second share 80 engines with a
-few long ones, and their rates swing within seconds. When all slots are taken,
-one is free again within some tens of milliseconds. Most nodes then hold one
-waiting request or none, so that the order is mostly one among nodes.
+Answers peaks at which all slots are taken for some tens of milliseconds. A
+node usually holds few waiting requests, so the order matters mostly between
+nodes; see ``turn_delay_s``.
 """
 
 import dataclasses
@@ -69,6 +68,10 @@
     expires_at_s: float
     share_excess: float = 1.0
 
+    def remaining_s(self, now: float) -> float:
+        """Return the time until the end of the wait."""
+        return self.expires_at_s - now
+
 
 class AdmissionQueue:
     """Keeps the waiting requests of a node in the order of their urgency."""
@@ -191,7 +194,7 @@
     hurry = max(1.0, urgency(request, now) / _CALM_URGENCY)
     delay_s = random.uniform(0, spread_s / hurry)
     # The last try comes before the end of the wait.
-    return max(0.0, min(delay_s, (request.expires_at_s - now) / 2))
+    return max(0.0, min(delay_s, request.remaining_s(now) / 2))
 
 
 def is_too_late(request: WaitingRequest, free_in_s: float) -> bool:
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -95,6 +95,22 @@
             ),
         )
 
+    def own_engines(self, service: str) -> tuple[endpoints.Endpoint, ...]:
+        """Return all engines of the own pool that accept requests."""
+        ready = self._directory.ready(service)
+        if not self._pools.others:
+            return ready
+        revision = self._pools.revision
+        cached = self._own.get(service)
+        if cached is None or not cached.is_current(ready, revision):
+            own = tuple(
+                endpoint
+                for endpoint in ready
+                if self._pools.pool_of_endpoint(endpoint) == self._pools.own
+            )
+            cached = self._own[service] = _OwnEngines(own, ready, revision)
+        return cached.engines
+
     def in_pool(
         self, service: str, excluded: frozenset[str]
     ) -> list[endpoints.Endpoint]:
@@ -102,7 +118,7 @@
 
         Paused ones are left out if there are other pools.
         """
-        own = self._own_engines(service)
+        own = self.own_engines(service)
         if self._pools.others:
             own = self._not_paused(own)
         available = self.available(own, excluded)
@@ -168,7 +184,7 @@
         """
         if not self._pools.others:
             return []
-        own = {e.instance for e in self._own_engines(service)}
+        own = {e.instance for e in self.own_engines(service)}
         others = [
             endpoint
             for endpoint in self._directory.ready(service)
@@ -217,7 +233,7 @@
                 engine,
                 self._table.predict_load(endpoint.instance, engine, now),
             )
-            for endpoint in self._own_engines(service)
+            for endpoint in self.own_engines(service)
             if not self._directory.is_paused(endpoint.instance)
             and not self._notices.is_restricted(endpoint)
         ]
@@ -278,21 +294,6 @@
         is_paused = self._directory.is_paused
         return [e for e in listed if not is_paused(e.instance)]
 
-    def _own_engines(self, service: str) -> tuple[endpoints.Endpoint, ...]:
-        ready = self._directory.ready(service)
-        if not self._pools.others:
-            return ready
-        revision = self._pools.revision
-        cached = self._own.get(service)
-        if cached is None or not cached.is_current(ready, revision):
-            own = tuple(
-                endpoint
-                for endpoint in ready
-                if self._pools.pool_of_endpoint(endpoint) == self._pools.own
-            )
-            cached = self._own[service] = _OwnEngines(own, ready, revision)
-        return cached.engines
-
 
 def _sample(items: list[_T], count: int) -> list[_T]:
     return items if len(items) <= count else random.sample(items, count)
--- a/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/in_flight_reporter.py
@@ -108,7 +108,7 @@
         self._endpoints[number] = endpoint
         self._table.add(to_in_flight(self._node_name, started))
         self._notices.add_start(
-            endpoint.instance, is_part=not started.max_gap_ms
+            endpoint.instance, is_part=not is_primary(started)
         )
         for draft in self._outbox.drafts_for(endpoint):
             draft.started.append(started)
@@ -144,7 +144,7 @@
         for started in update.started:
             self._table.add(to_in_flight(update.node, started))
             self._notices.add_peer_start(
-                started.instance, is_part=not started.max_gap_ms
+                started.instance, is_part=not is_primary(started)
             )
         for number in update.read:
             self._table.mark_prefilled(_key(update.node, number))
@@ -152,23 +152,28 @@
             self._table.remove(_key(update.node, number))
 
 
+def is_primary(started: peer_updates.RequestStarted) -> bool:
+    """Return whether the endpoint responds, and not only prefills a part."""
+    return started.max_gap_ms > 0
+
+
 def to_in_flight(
     node: str, started: peer_updates.RequestStarted
 ) -> in_flight_table.InFlightRequest:
     """Return the table entry for a request that a node has started."""
     parts = max(1, started.parts)
     full_prefill = latency_model.full_prefill(started.prompt_tokens)
-    is_primary = started.max_gap_ms > 0
+    responds = is_primary(started)
     now = clock.now_s()
     return in_flight_table.InFlightRequest(
         key=_key(node, started.number),
         instance=started.instance,
         prefill=latency_model.prefill_part(full_prefill, parts),
-        is_urgent=parts > 1 and not is_primary,
+        is_urgent=parts > 1 and not responds,
         reports_prefill_end=started.prompt_tokens >= _MIN_REPORTED_TOKENS,
         memory_tokens=started.memory_tokens,
-        target_s=started.target_ms / 1000 if is_primary else None,
-        max_gap_s=started.max_gap_ms / 1000 if is_primary else None,
+        target_s=started.target_ms / 1000 if responds else None,
+        max_gap_s=started.max_gap_ms / 1000 if responds else None,
         weight=placement_cost.prompt_weight(started.prompt_tokens),
         started_at_s=now,
         expires_at_s=now + started.lasts_ms / 1000,
--- a/src/fireflyspur/gateway/scheduling/pool_load_report.py
+++ b/src/fireflyspur/gateway/scheduling/pool_load_report.py
@@ -97,10 +97,13 @@
         for engine in self._rank(engines):
             _append(report, engine.load)
             is_idle = not engine.load.in_flight and engine.room > 0
-            if is_idle and len(update.idle.instances) < _MAX_IDLE:
+            is_named = is_idle and len(update.idle.instances) < _MAX_IDLE
+            if is_named:
                 update.idle.instances.append(engine.load.instance)
             if update.ByteSize() > _MAX_BYTES:
                 del report.engines[-1]
+                if is_named:
+                    del update.idle.instances[-1]
                 break
             if engine.room > 0:
                 self._offered_at_s[engine.load.instance] = now
--- a/src/fireflyspur/gateway/scheduling/pool_loads.py
+++ b/src/fireflyspur/gateway/scheduling/pool_loads.py
@@ -13,11 +13,10 @@
 # reporting one has become silent.
 MAX_AGE_S = 4.5
 # Requests that an engine may have got from others since its report, for each
-# second of age. Its own pool fills few engines first, so one of them gets
-# several times the mean of 0.7 a second at the reference sizes.
+# second of age. Its own pool fills few engines first, which get several times
+# the mean.
 _UNSEEN_PER_S = 3.0
-# Memory that such requests may use, as an engine crashes without memory. One
-# prompt of medium length has 45,000 tokens.
+# Memory that such requests may use; an engine crashes when it has none left.
 _UNSEEN_TOKENS_PER_S = 45_000
 # Requests that were sent this long before a report may not be counted in it:
 # updates are batched for 2 ms, and domains are some milliseconds apart.
--- a/tests/gateway/requests/test_admission.py
+++ b/tests/gateway/requests/test_admission.py
@@ -75,6 +75,7 @@
             lambda: demand,
             place,
             lambda: None,
+            frozenset,
             lambda: True,
             lambda: True,
         )
