Read evacuations again soon beside nodes that confirm only the version

After a failed call, a node waits for reads of others, the longer the more nodes there are. Nodes of an older build confirm the version of the configuration and nothing else, so that a node whose call failed once kept an old state of the evacuations for up to a quarter of a second for each node. It now calls again on its own while the version is confirmed and the evacuations are not. In an outage, in which neither is, the shared waits stay as they are.

Run: pytest tests/gateway/configuration, passed; the new test fails without the change.

--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -309,13 +309,23 @@
         """Return whether no read of another node helps this one."""
         if self._age_s(topic) == float("inf") or self._is_behind(topic):
             return True
-        if topic == "config" and self._holder.table is None:
+        if topic == "config" and (
+            self._holder.table is None or self._lacks_evacuations()
+        ):
             return True
         resumed_at_s = self._detector.resumed_at_s()
         return resumed_at_s is not None and self._is_topic_outdated(
             topic, resumed_at_s
         )
 
+    def _lacks_evacuations(self) -> bool:
+        """Return whether other nodes confirm no more than the version.
+
+        Those of an older build know nothing of evacuations.
+        """
+        remaining_s = self._link.evacuations.remaining_s(self._rank("config"))
+        return remaining_s <= 0 and not self._is_late("config")
+
     def _is_behind(self, topic: str) -> bool:
         """Return whether another node has announced newer data."""
         if topic == "config":
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -199,6 +199,22 @@
         self.assertGreater(self.link.announce_config.call_count, 0)
         self.assertGreater(self.link.announce_evacuations.call_count, 0)
 
+    # The node waited for reads of others, who told only of the version.
+    @async_tests.in_loop
+    async def test_evacuations_are_read_again_soon_if_a_call_fails(self):
+        async def wait_config(wait_s):
+            self.registry.config_waits += 1
+            raise exceptions.StoreUnavailableError("busy")
+
+        self.set_rank(9)
+        self.registry.wait_config = wait_config
+        self.link.peers.audible_nodes.return_value = 400
+        self.link.evacuations.set_bounds(1.0, 1.0)
+        state = evacuations.EvacuationState(0, 1)
+        self.link.evacuations.update_from_store(state, clock.now_s())
+        await self.follow(4.0, reader_interval_s=0.1)
+        self.assertGreater(self.registry.config_waits, 2)
+
     @async_tests.in_loop
     async def test_first_node_that_reads_an_evacuation_tells_the_others(self):
         async def wait_config(wait_s):
