Announce many changes of endpoints in several datagrams

A read with more changes than fit in a datagram made each node read the list from the store, as after an outage in which entries expired. Up to some 100 changes are now sent in parts, which a receiver collects until the digest of the list matches. Builds that do not collect them read the store as before.

--- a/src/fireflyspur/gateway/endpoints/endpoint_sync.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_sync.py
@@ -22,9 +22,9 @@
         by which it said so
     """
 
-    # Changes must fit in one datagram beside other updates, 12 changed entries
-    # or some 60 removed ones. After more of them each node reads the store.
-    _MAX_UPDATE_BYTES = 900
+    # Changes that are announced, in several datagrams if needed: some 100
+    # changed entries. After more of them each node reads the store.
+    _MAX_UPDATE_BYTES = 8 * 900
     # Fewer changes than these leave room for entries that turned cold.
     _MAX_COLD = 8
 
@@ -41,6 +41,9 @@
         self._digest = 0
         self._epoch = 0
         self._is_behind = False
+        # Parts of an update that have arrived, and what they lead from and to.
+        self._collected: dict[str, endpoints.Endpoint] = {}
+        self._collected_versions = (0, 0)
 
     @property
     def is_behind(self) -> bool:
@@ -123,18 +126,29 @@
         elif seen.digest == self._digest:
             self._update(self._entries, read_at_s, seen.epoch)
         elif seen.base_digest == self._digest and latest is not None:
-            entries = dict(self._entries)
-            for instance in seen.gone:
-                entries.pop(instance, None)
-            for entry in seen.changed:
-                entries[entry.instance] = _from_entry(entry)
+            entries = self._collect(seen)
             if _digest(entries) == seen.digest:
                 self._update(entries, read_at_s, seen.epoch)
             else:
+                # Parts of the update are missing, which may still arrive.
                 self._is_behind = True
         else:
             self._is_behind = True
 
+    def _collect(
+        self, seen: peer_updates.EndpointsSeen
+    ) -> dict[str, endpoints.Endpoint]:
+        """Return the list with all parts of an update that have arrived."""
+        versions = (seen.base_digest, seen.digest)
+        if versions != self._collected_versions:
+            self._collected_versions = versions
+            self._collected = dict(self._entries)
+        for instance in seen.gone:
+            self._collected.pop(instance, None)
+        for entry in seen.changed:
+            self._collected[entry.instance] = _from_entry(entry)
+        return self._collected
+
     def _update(
         self,
         entries: dict[str, endpoints.Endpoint],
@@ -152,6 +166,7 @@
         self._digest = _digest(self._entries)
         self._epoch = read.epoch
         self._is_behind = False
+        self._collected_versions = (0, 0)
         self._directory.replace(read)
 
     def _version(self) -> peer_updates.EndpointsSeen:
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -433,7 +433,9 @@
         if update.HasField("config"):
             draft.config.CopyFrom(update.config)
         if update.HasField("endpoints"):
-            draft.endpoints.CopyFrom(update.endpoints)
+            if draft.endpoints.digest != update.endpoints.digest:
+                draft.ClearField("endpoints")
+            draft.endpoints.MergeFrom(update.endpoints)
 
     def _handle_config(self, seen: peer_updates.ConfigSeen) -> None:
         if seen.version == self._holder.version:
--- a/src/fireflyspur/gateway/fleet/update_channel.py
+++ b/src/fireflyspur/gateway/fleet/update_channel.py
@@ -18,6 +18,8 @@
 _BATCH_S = 0.002
 # Datagrams below the usual MTU are not fragmented.
 _MAX_DATAGRAM_BYTES = 1_200
+# Size from which changes of endpoints get a further datagram.
+_ENDPOINTS_BYTES = 900
 
 _log = logs.log_for("peers")
 
@@ -227,8 +229,33 @@
                     part.crashes.append(entry)
             part.is_for_pool = update.is_for_pool
             parts.append(part)
+    if update.endpoints.ByteSize() > _ENDPOINTS_BYTES:
+        for seen in _split_endpoints(update.endpoints):
+            part = peer_updates.PeerUpdate(endpoints=seen)
+            part.is_for_pool = update.is_for_pool
+            parts.append(part)
+        update.ClearField("endpoints")
     update.ClearField("started")
     update.ClearField("reports")
     update.ClearField("crashes")
     update.ClearField("pool_load")
     return [update, *parts]
+
+
+def _split_endpoints(
+    seen: peer_updates.EndpointsSeen,
+) -> list[peer_updates.EndpointsSeen]:
+    """Split the changes of a list; the receiver collects all parts."""
+    head = peer_updates.EndpointsSeen()
+    head.CopyFrom(seen)
+    head.ClearField("changed")
+    head.ClearField("gone")
+    parts = [peer_updates.EndpointsSeen()]
+    parts[0].CopyFrom(head)
+    for field in ("changed", "gone"):
+        for change in getattr(seen, field):
+            if parts[-1].ByteSize() > _ENDPOINTS_BYTES:
+                parts.append(peer_updates.EndpointsSeen())
+                parts[-1].CopyFrom(head)
+            getattr(parts[-1], field).append(change)
+    return parts
