--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -162,7 +162,7 @@
                     await asyncio.sleep(_INVALID_PAUSE_S)
                     continue
                 self._schedule.record_failure(
-                    topic, self._link.peers.audible_nodes(), is_own=is_own
+                    topic, self._link.peers.connected_nodes(), is_own=is_own
                 )
             else:
                 self._record_attempt(topic, started_at_s)
@@ -298,7 +298,7 @@
 
     def _wait_s(self, topic: str) -> float:
         """Return the time for which this node must not call the store."""
-        nodes = self._link.peers.audible_nodes()
+        nodes = self._link.peers.connected_nodes()
         if self._must_read(topic):
             return self._schedule.own_wait_s(
                 topic, nodes, self._longest_catch_up_s(topic)
@@ -412,7 +412,7 @@
                 what=topic,
                 reason=str(error),
                 age_s=round(self._age_s(topic), 1),
-                nodes=self._link.peers.audible_nodes(),
+                nodes=self._link.peers.connected_nodes(),
             )
 
     def _log_missing(self, read: registries.ConfigRead) -> None:
--- a/src/fireflyspur/gateway/endpoints/endpoint_pace.py
+++ b/src/fireflyspur/gateway/endpoints/endpoint_pace.py
@@ -1,4 +1,7 @@
-"""Pace of endpoints that start, recover, are cold or answer late."""
+"""Pace of endpoints that start, recover, are cold or answer late.
+
+A pace is an adaptive concurrency limit and a latency factor.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -58,7 +61,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Beginning:
+class SlowStart:
     """Why and since when an endpoint is to be tried with few requests.
 
     :param at_s: clock time of the start, the fault or the coldness
@@ -165,7 +168,7 @@
 
     :param outbox: sends changes to the nodes that share an endpoint
     :param find: returns the endpoint with an instance, or None
-    :param find_beginning: returns why an endpoint begins anew, or None
+    :param find_slow_start: returns why an endpoint begins anew, or None
     :param is_own: returns whether an endpoint is in the pool of this node
     :param on_recovered: called with an instance that answers another node in
         time after a fault that this node knows of
@@ -175,13 +178,13 @@
         self,
         outbox: UpdateOutbox,
         find: Callable[[str], endpoints.Endpoint | None],
-        find_beginning: Callable[[endpoints.Endpoint], Beginning | None],
+        find_slow_start: Callable[[endpoints.Endpoint], SlowStart | None],
         is_own: Callable[[endpoints.Endpoint], bool] = lambda _: True,
         on_recovered: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._outbox = outbox
         self._find = find
-        self._find_beginning = find_beginning
+        self._find_slow_start = find_slow_start
         self._is_own = is_own
         self._on_recovered = on_recovered
         self._paces: dict[str, _Pace] = {}
@@ -305,8 +308,8 @@
             (limit, factor),
             lowered_at_s,
         )
-        beginning = self._find_beginning(endpoint)
-        if beginning is not None and beginning.at_s > changed_at_s:
+        slow_start = self._find_slow_start(endpoint)
+        if slow_start is not None and slow_start.at_s > changed_at_s:
             return
         if before is not None and (limit is None or limit > before):
             self._on_recovered(seen.instance)
@@ -344,16 +347,16 @@
         born_ms = endpoint.born_ms or 0
         if pace is not None and pace.born_ms != born_ms:
             pace = None
-        beginning = self._find_beginning(endpoint)
-        if beginning is None:
+        slow_start = self._find_slow_start(endpoint)
+        if slow_start is None:
             return None if pace is None or pace.limit is None else pace
-        if pace is not None and pace.changed_at_s >= beginning.at_s:
+        if pace is not None and pace.changed_at_s >= slow_start.at_s:
             return None if pace.limit is None else pace
         # What the endpoint took before says nothing of the present.
         factor = 1.0 if pace is None or pace.limit is None else pace.factor
-        if beginning.is_cold:
+        if slow_start.is_cold:
             factor = max(factor, _COLD_FACTOR)
-        return _Pace(born_ms, _FIRST_LIMIT, factor, beginning.at_s)
+        return _Pace(born_ms, _FIRST_LIMIT, factor, slow_start.at_s)
 
     def _begin(self, endpoint: endpoints.Endpoint, limit: float) -> _Pace:
         return _Pace(endpoint.born_ms or 0, limit, 1.0, clock.now_s())
--- a/src/fireflyspur/gateway/endpoints/pace_beginnings.py
+++ b/src/fireflyspur/gateway/endpoints/slow_starts.py
@@ -16,7 +16,7 @@
 _UNINFORMED_S = 5.0
 
 
-class PaceBeginnings:
+class SlowStarts:
     """Tells which endpoints start, are back after a fault, or are cold.
 
     :param directory: the known endpoints, with their faults
@@ -40,7 +40,7 @@
 
     def find(
         self, endpoint: endpoints.Endpoint
-    ) -> endpoint_pace.Beginning | None:
+    ) -> endpoint_pace.SlowStart | None:
         """Return the latest reason, or None for an endpoint in use."""
         cold_since_s = self._ceiling.cold_since_s(endpoint)
         reasons = (
@@ -52,7 +52,7 @@
         latest = None
         for reason, at_s in reasons:
             if at_s is not None and (latest is None or at_s > latest.at_s):
-                latest = endpoint_pace.Beginning(
+                latest = endpoint_pace.SlowStart(
                     reason, at_s, cold_since_s is not None
                 )
         return latest
--- a/src/fireflyspur/gateway/fleet/endpoint_pacing.py
+++ b/src/fireflyspur/gateway/fleet/endpoint_pacing.py
@@ -7,7 +7,7 @@
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.endpoints import endpoint_pace
-from fireflyspur.gateway.endpoints import pace_beginnings
+from fireflyspur.gateway.endpoints import slow_starts
 from fireflyspur.gateway.fleet import peer_table
 from fireflyspur.generated import peer_updates_pb2 as peer_updates
 
@@ -41,13 +41,13 @@
             self._pool_size,
             name,
         )
-        beginnings = pace_beginnings.PaceBeginnings(
+        starts = slow_starts.SlowStarts(
             directory, self._ceiling, lambda: len(peers.live_names()) > 1
         )
         self._paces = endpoint_pace.EndpointPaces(
             outbox,
             directory.find_named,
-            beginnings.find,
+            starts.find,
             self._is_own,
             directory.record_success,
         )
--- a/src/fireflyspur/gateway/fleet/node_registration.py
+++ b/src/fireflyspur/gateway/fleet/node_registration.py
@@ -100,7 +100,7 @@
     async def _wait_for_retry(self) -> None:
         """Wait after a failure, or until the store answers other calls."""
         self._schedule.record_failure(
-            _TOPIC, self._peers.audible_nodes(), is_own=True
+            _TOPIC, self._peers.connected_nodes(), is_own=True
         )
         while (wait_s := self._schedule.retry_wait_s(_TOPIC)) > 0:
             await asyncio.sleep(min(wait_s, _REVIEW_S))
--- a/src/fireflyspur/gateway/fleet/peer_table.py
+++ b/src/fireflyspur/gateway/fleet/peer_table.py
@@ -18,7 +18,7 @@
 # A node that hears none of the others for this time is cut off from them. It
 # exceeds the interval of heartbeats, and leaves time for a read within the
 # bounds.
-_AUDIBLE_S = 1.25
+_CONNECTED_S = 1.25
 # A silent node still gets all updates for this time, since it may only be
 # unable to send.
 _RECIPIENT_S = 12.0
@@ -219,7 +219,7 @@
         ]
         return [self._name, *names]
 
-    def audible_nodes(self) -> int:
+    def connected_nodes(self) -> int:
         """Return the number of nodes that hear one another, with this one.
 
         Nodes of other pools are counted in the same proportion as those of
@@ -230,7 +230,7 @@
         for peer in self._pool_peers(self._pools.own):
             known += 1
             seen_at_s = peer.last_seen_at_s
-            if seen_at_s is not None and now - seen_at_s < _AUDIBLE_S:
+            if seen_at_s is not None and now - seen_at_s < _CONNECTED_S:
                 heard += not peer.is_stopping
         if heard == 1:
             return 1
--- a/src/fireflyspur/gateway/requests/admission.py
+++ b/src/fireflyspur/gateway/requests/admission.py
@@ -114,8 +114,8 @@
             placement = await self._defer(plan, trial, since_s)
         if placement is None and trial.may_wait():
             placement = await self._wait_for_room(plan, trial, since_s)
-        elif placement is not None and _is_guess(placement):
-            placement = await self._wait_before_guess(plan, trial, since_s)
+        elif placement is not None and _has_unknown_load(placement):
+            placement = await self._wait_for_known_room(plan, trial, since_s)
         engine = plan.service.engine
         if placement is not None and engine is not None:
             self._shares.record(
@@ -124,7 +124,7 @@
             )
         return placement
 
-    async def _wait_before_guess(
+    async def _wait_for_known_room(
         self, plan: request_plan.RequestPlan, trial: Trial, since_s: float
     ) -> placements.Placement | None:
         """Wait for known room rather than send to an engine that may be full.
@@ -133,13 +133,13 @@
         uses up an attempt.
         """
 
-        def place_if_known() -> placements.Placement | None:
+        def place_with_known_load() -> placements.Placement | None:
             placement = trial.place()
-            if placement is None or _is_guess(placement):
+            if placement is None or _has_unknown_load(placement):
                 return None
             return placement
 
-        known = dataclasses.replace(trial, place=place_if_known)
+        known = dataclasses.replace(trial, place=place_with_known_load)
         placement = await self._wait_for_room(plan, known, since_s)
         if placement is None and trial.may_go_on():
             placement = trial.place()
@@ -395,5 +395,5 @@
         )
 
 
-def _is_guess(placement: placements.Placement) -> bool:
+def _has_unknown_load(placement: placements.Placement) -> bool:
     return placement.load_source is placements.LoadSource.UNKNOWN
--- a/src/fireflyspur/gateway/scheduling/admission_queue.py
+++ b/src/fireflyspur/gateway/scheduling/admission_queue.py
@@ -45,7 +45,7 @@
 _MAX_SPREAD_S = 0.02
 # Urgency up to which a request uses that whole time: a short prompt whose wait
 # has just begun, and whose target is not in danger.
-_CALM_URGENCY = 1.0
+_BASE_URGENCY = 1.0
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -191,8 +191,8 @@
     if spread_s <= 0:
         return 0.0
     now = clock.now_s()
-    hurry = max(1.0, urgency(request, now) / _CALM_URGENCY)
-    delay_s = random.uniform(0, spread_s / hurry)
+    urgency_factor = max(1.0, urgency(request, now) / _BASE_URGENCY)
+    delay_s = random.uniform(0, spread_s / urgency_factor)
     # The last try comes before the end of the wait.
     return max(0.0, min(delay_s, request.remaining_s(now) / 2))
 
--- a/src/fireflyspur/gateway/scheduling/engine_candidates.py
+++ b/src/fireflyspur/gateway/scheduling/engine_candidates.py
@@ -156,7 +156,7 @@
             key=lambda i: random.random() ** (1 / i[1].likely_room),
         )
 
-    def reported_earlier(
+    def possibly_full(
         self,
         service: str,
         engine: routing_config.EngineSpec,
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -208,7 +208,7 @@
         placement = self._choose_known(search)
         if placement is not None:
             return placement
-        placement = self._choose_last(search)
+        placement = self._choose_fallback(search)
         if placement is None:
             return None
         return dataclasses.replace(placement, outlook=_NONE_FREE)
@@ -236,7 +236,7 @@
         in_pool = self._candidates.in_pool(search.service, search.excluded)
         own = self._own_candidates(search, in_pool)
         count = min(
-            _count_elsewhere(search.demand),
+            _other_pool_sample_size(search.demand),
             engine_candidates.MAX_COMPARED - len(own),
         )
         reported = self._candidates.reported(
@@ -247,11 +247,14 @@
             search, [*own, *others], full=len(in_pool) - len(own)
         )
 
-    def _choose_last(self, search: _Search) -> Placement | None:
+    def _choose_fallback(self, search: _Search) -> Placement | None:
         """Choose an engine of another pool that may turn out to be full."""
         service, excluded = search.service, search.excluded
-        reported = self._candidates.reported_earlier(
-            service, search.engine, excluded, _count_elsewhere(search.demand)
+        reported = self._candidates.possibly_full(
+            service,
+            search.engine,
+            excluded,
+            _other_pool_sample_size(search.demand),
         )
         candidates = self._remote_candidates(search, reported)
         placement = self._best(search, candidates)
@@ -411,7 +414,7 @@
         )
 
 
-def _count_elsewhere(demand: placement_cost.Demand) -> int:
+def _other_pool_sample_size(demand: placement_cost.Demand) -> int:
     """Return how many engines of other pools to compare for a prompt."""
     if demand.prompt_tokens < 2 * _MIN_PART_TOKENS:
         return _SAMPLED_ELSEWHERE
--- a/src/fireflyspur/gateway/scheduling/pool_load_report.py
+++ b/src/fireflyspur/gateway/scheduling/pool_load_report.py
@@ -29,7 +29,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OwnEngine:
+class ReportedEngine:
     """An engine of the own pool.
 
     :param room: number of further requests that it has slots for
@@ -51,7 +51,7 @@
         # Engines that the latest reports named as full.
         self._told_full: set[str] = set()
 
-    def count_due(self, engines: Sequence[OwnEngine], pools: int) -> int:
+    def count_due(self, engines: Sequence[ReportedEngine], pools: int) -> int:
         """Return how many other pools get a report now.
 
         :param pools: number of the other pools
@@ -79,7 +79,9 @@
         self._sent_at_s += [now] * count
         return count
 
-    def compose(self, engines: Sequence[OwnEngine]) -> peer_updates.PeerUpdate:
+    def compose(
+        self, engines: Sequence[ReportedEngine]
+    ) -> peer_updates.PeerUpdate:
         """Return a report, with a choice of the engines if they don't fit.
 
         Each pool gets another choice, so that several pools do not send their
@@ -117,7 +119,9 @@
             higher >= _CHANGE_FACTOR * lower
         )
 
-    def _rank(self, engines: Sequence[OwnEngine]) -> Iterator[OwnEngine]:
+    def _rank(
+        self, engines: Sequence[ReportedEngine]
+    ) -> Iterator[ReportedEngine]:
         for engine in engines:
             if engine.room <= 0 and engine.load.instance in self._offered_at_s:
                 yield engine
--- a/src/fireflyspur/gateway/scheduling/pool_load_reporter.py
+++ b/src/fireflyspur/gateway/scheduling/pool_load_reporter.py
@@ -64,12 +64,12 @@
         names = self._peers.live_names()
         return reader_rank.rank_of(self._name, names, _TOPIC) == 0
 
-    def _own_engines(self) -> list[pool_load_report.OwnEngine]:
+    def _own_engines(self) -> list[pool_load_report.ReportedEngine]:
         table = self._holder.table
         if table is None:
             return []
         return [
-            pool_load_report.OwnEngine(
+            pool_load_report.ReportedEngine(
                 load, service.engine.slots - load.in_flight
             )
             for service in table.config.services.values()
--- a/src/fireflyspur/gateway/scheduling/pool_loads.py
+++ b/src/fireflyspur/gateway/scheduling/pool_loads.py
@@ -24,7 +24,7 @@
 # At usual response lengths, an engine frees a slot several times a second, so
 # a report that it is full says little after this time.
 _FULL_S = 0.25
-_WEIGHT = 1.0
+_ASSUMED_WEIGHT = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,17 +143,21 @@
         age_s = max(0.0, now - report.load.taken_at_s)
         unseen = round(_UNSEEN_PER_S * age_s)
         others = max(0, report.load.in_flight - report.own_in_flight) + unseen
-        other_tokens = max(0, _used(report.load, engine) - report.own_tokens)
+        other_tokens = max(
+            0, _used_tokens(report.load, engine) - report.own_tokens
+        )
         other_tokens += round(_UNSEEN_TOKENS_PER_S * age_s)
         own = self._table.predict_load(instance, engine, now)
         sent = own
         if own.in_flight:
             since_s = report.load.taken_at_s - _TRANSIT_S
             sent = self._table.predict_load(instance, engine, now, since_s)
-        state = _add_state(
+        state = _combine_state(
             report.load, others, other_tokens, own, sent, engine
         )
-        predicted = _add_load(report.load, state, others, other_tokens, own)
+        predicted = _combine_load(
+            report.load, state, others, other_tokens, own
+        )
         likely_room = engine.slots - others - busy_slots(own)
         return RemoteLoad(predicted, likely_room + unseen, likely_room, age_s)
 
@@ -191,7 +195,7 @@
     return max(serving, load.in_flight - serving)
 
 
-def _add_state(
+def _combine_state(
     load: EngineLoad,
     others: int,
     other_tokens: int,
@@ -220,18 +224,22 @@
     )
 
 
-def _add_load(
+def _combine_load(
     load: EngineLoad,
     state: latency_model.EngineState,
     others: int,
     other_tokens: int,
     own: in_flight_table.PredictedLoad,
 ) -> in_flight_table.PredictedLoad:
-    stream = in_flight_table.Stream(load.min_gap_s or math.inf, _WEIGHT)
+    stream = in_flight_table.Stream(
+        load.min_gap_s or math.inf, _ASSUMED_WEIGHT
+    )
     # The targets of waiting prompts are not known. It is assumed that they
     # are just met.
     waiting_s = load.pending_prefill_ms / 1000
-    waiting = in_flight_table.WaitingPrompt(waiting_s, waiting_s, _WEIGHT)
+    waiting = in_flight_table.WaitingPrompt(
+        waiting_s, waiting_s, _ASSUMED_WEIGHT
+    )
     return in_flight_table.PredictedLoad(
         state,
         others + own.in_flight,
@@ -241,7 +249,7 @@
     )
 
 
-def _used(load: EngineLoad, engine: routing_config.EngineSpec) -> int:
+def _used_tokens(load: EngineLoad, engine: routing_config.EngineSpec) -> int:
     if load.free_tokens is None:
         return 0
     return max(0, engine.kv_tokens - load.free_tokens)
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -65,7 +65,7 @@
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
         link.announced_version = 0
         link.sync.is_behind = False
-        link.peers.audible_nodes.return_value = 1
+        link.peers.connected_nodes.return_value = 1
         link.sync.update_from_store = self.directory.replace
         link.evacuations = evacuations.Evacuations(
             self.directory.set_evacuated
@@ -218,7 +218,7 @@
 
         self.set_rank(9)
         self.registry.wait_config = wait_config
-        self.link.peers.audible_nodes.return_value = 400
+        self.link.peers.connected_nodes.return_value = 400
         self.link.evacuations.set_bounds(1.0, 1.0)
         state = evacuations.EvacuationState(0, 1)
         self.link.evacuations.update_from_store(state, clock.now_s())
@@ -306,7 +306,7 @@
 
     async def lose(self, seconds, *topics, nodes=70):
         """Follow until current, then let topics fail for some time."""
-        self.link.peers.audible_nodes.return_value = nodes
+        self.link.peers.connected_nodes.return_value = nodes
         await self.follow(0.2, reader_interval_s=None)
         self.registry.failing = set(topics)
         self.registry.attempts.clear()
@@ -348,14 +348,14 @@
         await self.follow(0.2, reader_interval_s=None)
         self.registry.failing = {"config"}
         self.registry.attempts.clear()
-        self.link.peers.audible_nodes.return_value = 70
+        self.link.peers.connected_nodes.return_value = 70
         await self.follow(3.0, reader_interval_s=0.1)
         self.assertLessEqual(self.registry.attempts["config"], 2)
 
     @async_tests.in_loop
     async def test_starting_node_is_current_soon_after_the_outage(self):
         self.set_rank(9)
-        self.link.peers.audible_nodes.return_value = 70
+        self.link.peers.connected_nodes.return_value = 70
         self.registry.failing = {"config", "endpoints"}
         await self.follow(3.0, reader_interval_s=None)
         self.assertLess(self.registry.attempts.total(), 14)
--- a/tests/gateway/endpoints/test_endpoint_pace.py
+++ b/tests/gateway/endpoints/test_endpoint_pace.py
@@ -53,7 +53,7 @@
         return paces, outbox
 
     def begin(self, reason="fault"):
-        self.beginning = endpoint_pace.Beginning(
+        self.beginning = endpoint_pace.SlowStart(
             reason, self.now, reason == "cold"
         )
 
--- a/tests/gateway/endpoints/test_pace_beginnings.py
+++ b/tests/gateway/endpoints/test_slow_starts.py
@@ -7,13 +7,13 @@
 from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
-from fireflyspur.gateway.endpoints import pace_beginnings
+from fireflyspur.gateway.endpoints import slow_starts
 from tests.support import fake_clock
 
 _UNIX_OFFSET_S = 1_000_000.0
 
 
-class PaceBeginningsTest(fake_clock.FakeClockTest):
+class SlowStartsTest(fake_clock.FakeClockTest):
     """Guards against full load on endpoints of which nothing is known."""
 
     def setUp(self):
@@ -39,7 +39,7 @@
         return self.now + _UNIX_OFFSET_S
 
     def make(self):
-        return pace_beginnings.PaceBeginnings(
+        return slow_starts.SlowStarts(
             self.directory,
             self.ceiling,
             lambda: self.hears,
--- a/tests/gateway/scheduling/test_paced_placement.py
+++ b/tests/gateway/scheduling/test_paced_placement.py
@@ -36,7 +36,7 @@
 
     def begin(self, *numbers, is_cold=False):
         for number in numbers:
-            self.beginnings[f"engine-{number}"] = endpoint_pace.Beginning(
+            self.beginnings[f"engine-{number}"] = endpoint_pace.SlowStart(
                 "fault", 0.0, is_cold
             )
 
--- a/tests/gateway/scheduling/test_pool_loads.py
+++ b/tests/gateway/scheduling/test_pool_loads.py
@@ -71,7 +71,9 @@
     def own_engines(self):
         loads = self.candidates.own_loads(_SERVICE.name, _ENGINE)
         return [
-            pool_load_report.OwnEngine(load, _ENGINE.slots - load.in_flight)
+            pool_load_report.ReportedEngine(
+                load, _ENGINE.slots - load.in_flight
+            )
             for load in loads
         ]
 
@@ -303,7 +305,7 @@
 
     def engines(self, count, in_flight=2):
         return [
-            pool_load_report.OwnEngine(
+            pool_load_report.ReportedEngine(
                 pool_loads.EngineLoad(
                     f"zone-a/models-{n}", in_flight, 900.0, 120_000, 0.25, 0.0
                 ),
