Count only calls as attempts to read the store (CONFIG)

A pause before a call counted as an attempt, so that a process that was resumed after a suspension served requests without having read the store: a withdrawn key was accepted. A call that failed as the process was suspended no longer counts as a failure of the store.

--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -150,6 +150,10 @@
         self, topic: str, read: Callable[[], Awaitable[None]]
     ) -> None:
         while True:
+            pause_s = self._pause_s(topic)
+            if pause_s > 0:
+                await self._pause(topic, pause_s)
+                continue
             started_at_s = clock.now_s()
             try:
                 await read()
@@ -157,6 +161,9 @@
                 self._log_failure(topic, error)
                 is_own = self._must_read(topic)
                 self._record_attempt(topic, started_at_s)
+                if self._was_suspended_since(started_at_s):
+                    # The call failed here, and says nothing of the store.
+                    continue
                 if isinstance(error, exceptions.RecordInvalidError):
                     # The store has answered.
                     await asyncio.sleep(_INVALID_PAUSE_S)
@@ -181,10 +188,30 @@
         is_old = self._age_s(topic) > self._bound_s(topic)
         return is_old and self._attempted_at_s[topic] < resumed_at_s
 
+    def _was_suspended_since(self, started_at_s: float) -> bool:
+        resumed_at_s = self._detector.resumed_at_s()
+        return resumed_at_s is not None and started_at_s < resumed_at_s
+
+    def _pause_s(self, topic: str) -> float:
+        """Return the time until this node calls the store, or 0 for now."""
+        wait_s = self._wait_s(topic)
+        if wait_s > 0:
+            return min(wait_s, _REVIEW_S)
+        if topic == "config":
+            if not self._is_config_read or self._is_config_behind():
+                return 0.0
+            if self._holder.table is None or self._rank("config") == 0:
+                return 0.0
+            return self._remaining_s("config")
+        remaining_s = self._remaining_s("endpoints")
+        if self._must_read("endpoints"):
+            return 0.0
+        if self._link.sync.is_behind:
+            return min(remaining_s, _REVIEW_S)
+        return remaining_s
+
     async def _follow_config(self) -> None:
-        if (wait_s := self._wait_s("config")) > 0:
-            await self._pause("config", min(wait_s, _REVIEW_S))
-        elif not self._is_config_read:
+        if not self._is_config_read:
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
             # All nodes have received the announcement of this version.
@@ -205,23 +232,12 @@
             self._apply_config(read, is_for_all=True)
             if read.config is not None or read.position < read.end:
                 await asyncio.sleep(_CHANGE_PAUSE_S)
-        elif (remaining_s := self._remaining_s("config")) > 0:
-            await self._pause("config", remaining_s)
         else:
             read = await self._registry.wait_config(0)
             self._apply_config(read, is_for_all=True)
 
     async def _follow_endpoints(self) -> None:
-        if (wait_s := self._wait_s("endpoints")) > 0:
-            await self._pause("endpoints", min(wait_s, _REVIEW_S))
-            return
-        remaining_s = self._remaining_s("endpoints")
-        is_due = remaining_s <= 0
-        if not is_due and not self._must_read("endpoints"):
-            if self._link.sync.is_behind:
-                remaining_s = min(remaining_s, _REVIEW_S)
-            await self._pause("endpoints", remaining_s)
-            return
+        is_due = self._remaining_s("endpoints") <= 0
         is_first = not self._directory.is_read
         read = await self._registry.read_endpoints()
         before_s = self._read_at_s("endpoints")
