Take the slack of targets and the wait of long prompts out again

Both used fewer engines for long prompts, or sent them later, so that short ones find engines clear.

Long prompts of deployments whose targets leave no slack became late. What is kept: short waits for room, the forecast of free slots, and the shares of accounts.

--- a/src/fireflyspur/gateway/requests/admission.py
+++ b/src/fireflyspur/gateway/requests/admission.py
@@ -6,7 +6,6 @@
 import contextlib
 import dataclasses
 import math
-import random
 
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.configuration import routing_config
@@ -25,9 +24,6 @@
 # Interval of tries without a change of the in-flight requests: pauses of
 # engines end and other pools report theirs without one.
 _POLL_S = 0.05
-# Longest interval of looks at the engines for a prompt that is better sent
-# later. A look compares groups of engines, which takes some milliseconds.
-_DEFER_S = 0.1
 # Time after which a caller returns if no engine is predicted to have room: at
 # usual response lengths, an engine frees a slot several times a second.
 _DEFAULT_RETURN_S = 0.25
@@ -86,8 +82,6 @@
         self._turns: dict[admission_queue.WaitingRequest, asyncio.Event] = {}
         self._shares = account_shares.AccountShares()
         self._returns = return_schedule.ReturnSchedule()
-        # Long prompts that look at the engines at intervals of their own.
-        self._deferred = 0
         self._is_waking = False
         self._has_changed = False
         table.set_listener(self.wake)
@@ -96,7 +90,7 @@
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return self._queue.count + self._deferred
+        return self._queue.count
 
     async def place(
         self, plan: request_plan.RequestPlan, trial: Trial
@@ -108,10 +102,6 @@
         since_s = clock.now_s()
         trial = self._share_fairly(plan, trial)
         placement = trial.place()
-        if placement is not None and self._should_defer(
-            plan, trial, placement
-        ):
-            placement = await self._defer(plan, trial, since_s)
         if placement is None and trial.may_wait():
             placement = await self._wait_for_room(plan, trial, since_s)
         elif placement is not None and _has_unknown_load(placement):
@@ -156,10 +146,10 @@
 
         def place() -> placements.Placement | None:
             placement = trial.place()
-            if placement is None or placement.outlook is None:
+            if placement is None or placement.free_share is None:
                 return placement
             if not self._shares.must_wait(
-                plan.account_name, placement.outlook.free_share
+                plan.account_name, placement.free_share
             ):
                 return placement
             trial.withhold()
@@ -167,52 +157,6 @@
 
         return dataclasses.replace(trial, place=place)
 
-    def _should_defer(
-        self,
-        plan: request_plan.RequestPlan,
-        trial: Trial,
-        placement: placements.Placement,
-    ) -> bool:
-        """Return whether a long prompt should be sent later."""
-        is_stopping = self._exits_at_s() is not None
-        return not is_stopping and admission_queue.is_better_later(
-            trial.demand(), plan.route.target_latency_s, placement
-        )
-
-    async def _defer(
-        self, plan: request_plan.RequestPlan, trial: Trial, since_s: float
-    ) -> placements.Placement | None:
-        """Wait until the slack of a long prompt or its cost to others ends.
-
-        It ends with the time for which a request may wait for room, as there
-        may be none any more by then.
-
-        :returns: None if there is no room any more, or if it may not be sent
-        """
-        engine = plan.service.engine
-        if engine is None:
-            return None
-        request = self._request(plan, engine, trial.demand(), since_s)
-        result = "ended"
-        self._deferred += 1
-        try:
-            while True:
-                await asyncio.sleep(random.uniform(_DEFER_S / 2, _DEFER_S))
-                if not trial.may_go_on():
-                    return None
-                placement = trial.place()
-                is_over = clock.now_s() >= request.expires_at_s
-                if (
-                    is_over
-                    or placement is None
-                    or not self._should_defer(plan, trial, placement)
-                ):
-                    result = "deferred"
-                    return placement
-        finally:
-            self._deferred -= 1
-            self._report(plan, request, result, 0.0)
-
     async def _wait_for_room(
         self, plan: request_plan.RequestPlan, trial: Trial, since_s: float
     ) -> placements.Placement | None:
--- a/src/fireflyspur/gateway/scheduling/admission_queue.py
+++ b/src/fireflyspur/gateway/scheduling/admission_queue.py
@@ -12,7 +12,6 @@
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.scheduling import latency_model
-from fireflyspur.gateway.scheduling import placement as placements
 from fireflyspur.gateway.scheduling import placement_cost
 
 # Longest wait for room, as a share of the target: a refusal after a longer one
@@ -23,18 +22,6 @@
 _LONG_TOKENS = 16_000
 # Time over which the rise of the probability of a missed target is taken.
 _RISE_S = 0.05
-# A prompt has slack while a time to its first event that is this share of its
-# target is ahead of it: one that takes 2.5 times as long as predicted, as some
-# do, still meets the target.
-_SLACK_SHARE = 0.4
-# A long prompt waits if less than this share of the engines would be left on
-# which short prompts meet their targets, and only while at least this share of
-# the slots is free, so that it gets one later.
-_CLEAR_SHARE = 0.25
-_FREE_SHARE = 0.25
-# Cost to requests in flight from which a long prompt waits: a quarter of a
-# short prompt's missed target.
-_DEFER_COST = 0.25
 # Share of the cost of a refusal that counts from the beginning of a wait.
 _REFUSAL_SHARE = 0.1
 # Time after which another node knows that a request was sent: a batch of
@@ -143,42 +130,6 @@
     return max(0.001, prefill_s + decode_s)
 
 
-def slack_s(demand: placement_cost.Demand, target_s: float) -> float:
-    """Return the time within which the first event should come, or 0.
-
-    :param demand: what the request needs from now on
-    :param target_s: its whole target
-    """
-    elapsed_s = target_s - demand.target_s
-    return max(0.0, _SLACK_SHARE * target_s - elapsed_s)
-
-
-def is_better_later(
-    demand: placement_cost.Demand,
-    target_s: float,
-    placement: placements.Placement,
-) -> bool:
-    """Return whether a long prompt should wait, as that costs less in total.
-
-    :param demand: what it needs from now on
-    :param target_s: its whole target
-    """
-    outlook, first_s = placement.outlook, placement.first_event_s
-    if outlook is None or first_s is None:
-        return False
-    if demand.prompt_tokens < _LONG_TOKENS:
-        return False
-    if first_s >= slack_s(demand, target_s):
-        return False
-    if outlook.free_share < _FREE_SHARE or not outlook.blocked_share:
-        # It may find no slot later, or nothing ends soon that it waits for.
-        return False
-    if 1 - outlook.used_share < _CLEAR_SHARE:
-        # It leaves too few engines clear at any time.
-        return False
-    return outlook.cost > _DEFER_COST or outlook.clear_share < _CLEAR_SHARE
-
-
 def turn_delay_s(request: WaitingRequest, nodes: int) -> float:
     """Return the time after which a request tries to get a slot that is free.
 
@@ -225,4 +176,4 @@
         return 1.0
     return placement_cost.miss_probability(
         first_event_s, demand.target_s
-    ) + placement_cost.wait_cost(first_event_s, demand.target_s)
+    ) + placement_cost.wait_cost(first_event_s)
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -63,25 +63,6 @@
     tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class Outlook:
-    """What a placement leaves to the other requests of the engines compared.
-
-    :param cost: cost to those that are in flight
-    :param used_share: share of the engines that it uses
-    :param clear_share: share of the engines on which short prompts still meet
-        their targets
-    :param blocked_share: share of the engines on which they do not now
-    :param free_share: share of the slots that are free
-    """
-
-    cost: float
-    used_share: float
-    clear_share: float
-    blocked_share: float
-    free_share: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """Endpoints selected for a request.
@@ -94,8 +75,8 @@
     :param load_source: where the load of the primary endpoint is known from
     :param load_age_s: age of the report with its load; None without one
     :param factor: factor of the primary endpoint, in the prediction
-    :param outlook: what remains for other requests; None for an endpoint
-        without published figures
+    :param free_share: share of the slots of the engines compared that is free;
+        None for an endpoint without published figures
     """
 
     primary: endpoints.Endpoint
@@ -105,7 +86,7 @@
     load_source: LoadSource = LoadSource.OWN_POOL
     load_age_s: float | None = None
     factor: float = 1.0
-    outlook: Outlook | None = None
+    free_share: float | None = None
 
     @property
     def is_elsewhere(self) -> bool:
@@ -128,12 +109,6 @@
     failed: Mapping[str, int]
 
 
-# Outlook if no engine is known to have room.
-_NONE_FREE = Outlook(
-    0.0, used_share=0.0, clear_share=0.0, blocked_share=0.0, free_share=0.0
-)
-
-
 class EndpointSelector:
     """Selects the endpoints whose predicted cost is lowest.
 
@@ -211,7 +186,7 @@
         placement = self._choose_fallback(search)
         if placement is None:
             return None
-        return dataclasses.replace(placement, outlook=_NONE_FREE)
+        return dataclasses.replace(placement, free_share=0.0)
 
     def record_full(
         self, service: routing_config.Service, instance: str
@@ -324,9 +299,9 @@
         best = min(options, key=lambda option: option[0].total, default=None)
         if best is None:
             return None
-        cost, placement = best
-        outlook = _outlook(search.engine, cost, placement, candidates, full)
-        return dataclasses.replace(placement, outlook=outlook)
+        _, placement = best
+        free_share = _free_share(search.engine, candidates, full)
+        return dataclasses.replace(placement, free_share=free_share)
 
     def _options(
         self,
@@ -421,30 +396,17 @@
     return engine_candidates.MAX_COMPARED
 
 
-def _outlook(
+def _free_share(
     engine: routing_config.EngineSpec,
-    cost: placement_cost.Cost,
-    placement: Placement,
     candidates: Sequence[placement_cost.Candidate],
     full: int,
-) -> Outlook:
-    """Return what a placement leaves to other requests.
+) -> float:
+    """Return the share of the slots that is free.
 
     :param candidates: engines with a free slot
     :param full: number of engines that have none
     """
-    compared = len(candidates) + full
-    used = {placement.primary.instance}
-    used |= {helper.endpoint.instance for helper in placement.helpers}
-    clear = [c for c in candidates if placement_cost.is_clear(c)]
-    left = sum(c.endpoint.instance not in used for c in clear)
     free = sum(
         engine.slots - pool_loads.busy_slots(c.load) for c in candidates
     )
-    return Outlook(
-        cost.to_others,
-        used_share=len(used) / compared,
-        clear_share=left / compared,
-        blocked_share=(len(candidates) - len(clear)) / compared,
-        free_share=free / (compared * engine.slots),
-    )
+    return free / ((len(candidates) + full) * engine.slots)
--- a/src/fireflyspur/gateway/scheduling/placement_cost.py
+++ b/src/fireflyspur/gateway/scheduling/placement_cost.py
@@ -16,13 +16,9 @@
 # actual time then exceeds the predicted one.
 _DISTURBED_SHARE = 0.1
 _DISTURBED_FACTOR = 2.5
-# Cost of a predicted wait as long as the target. An answer within its target
-# gains nothing from being earlier, so this only decides between placements
-# whose other costs are about equal.
-_EARLY_WAIT_COST = 0.01
-# Cost of one second of predicted wait beyond the target: a late answer is
-# worth more to its caller than one that is lost at the deadline.
-_LATE_COST_PER_S = 0.1
+# Cost of one second of predicted wait: the faster of two endpoints is chosen
+# if both meet the target.
+_WAIT_COST_PER_S = 0.1
 # Cost of a short prompt on an engine without streams: the engine would no
 # longer be idle for the next long prompts.
 _IDLE_ENGINE_COST = 0.05
@@ -30,14 +26,6 @@
 # proportion to the prompt's length.
 _WEIGHT_EXPONENT = 0.75
 _WEIGHT_UNIT_TOKENS = 5_000
-# A short prompt meets its target on an engine whose pending prefills end
-# within this time.
-_CLEAR_MS = 150.0
-# Cost of a pending prefill of that time or more to the short prompts that come
-# next: as much as that of a short prompt on an idle engine to long ones, and
-# for each second beyond, in which more short prompts come.
-_BLOCKED_ENGINE_COST = _IDLE_ENGINE_COST
-_BLOCKED_COST_PER_S = 0.2
 _NO_PREFILL = latency_model.Prefill(0, 0.0)
 # Prefilling a prompt shorter than this hardly delays streams.
 _SHORT_TOKENS = 16_000
@@ -89,12 +77,10 @@
 
     :param first_event_s: predicted time to the first event
     :param total: weighted probabilities of missed targets, and penalties
-    :param to_others: part of it that other requests in flight bear
     """
 
     first_event_s: float
     total: float
-    to_others: float
 
 
 def estimate_cost(
@@ -109,7 +95,7 @@
     :param prefill: part that each member prefills
     """
     first_ms = 0.0
-    others = blocked = 0.0
+    others = 0.0
     for index, member in enumerate(members):
         is_urgent = index > 0
         ms = latency_model.first_event_ms(
@@ -117,21 +103,14 @@
         )
         first_ms = max(first_ms, ms * member.factor)
         others += cost_to_others(engine, member, prefill, is_urgent=is_urgent)
-        blocked += blocked_engine_cost(engine, demand, member, prefill)
     first_s = first_ms / 1000
     own = (
         miss_probability(first_s, demand.target_s)
-        + wait_cost(first_s, demand.target_s)
+        + wait_cost(first_s)
         + sum(member.penalty for member in members)
     )
-    total = demand.weight * own + others + blocked
-    total += idle_engine_cost(demand, members[0])
-    return Cost(first_s, total, others)
-
-
-def is_clear(candidate: Candidate) -> bool:
-    """Return whether short prompts meet their targets on an engine."""
-    return candidate.load.state.pending_prefill_ms <= _CLEAR_MS
+    total = demand.weight * own + others + idle_engine_cost(demand, members[0])
+    return Cost(first_s, total)
 
 
 def idle_engine_cost(demand: Demand, candidate: Candidate) -> float:
@@ -146,35 +125,9 @@
     return _IDLE_ENGINE_COST * (is_short and is_idle)
 
 
-def blocked_engine_cost(
-    engine: routing_config.EngineSpec,
-    demand: Demand,
-    candidate: Candidate,
-    prefill: latency_model.Prefill,
-) -> float:
-    """Return the cost of a long prefill to the short prompts that come next.
-
-    On an engine that is prefilling a long prompt already, the next one costs
-    them less.
-    """
-    if demand.prompt_tokens < _SHORT_TOKENS:
-        return 0.0
-    pending_ms = candidate.load.state.pending_prefill_ms
-    end_ms = pending_ms + latency_model.prefill_ms(engine, prefill)
-    return _blocking_cost(end_ms) - _blocking_cost(pending_ms)
-
-
-def _blocking_cost(pending_ms: float) -> float:
-    share = min(1.0, pending_ms / _CLEAR_MS)
-    excess_s = max(0.0, pending_ms - _CLEAR_MS) / 1000
-    return _BLOCKED_ENGINE_COST * share + _BLOCKED_COST_PER_S * excess_s
-
-
-def wait_cost(predicted_s: float, target_s: float) -> float:
+def wait_cost(predicted_s: float) -> float:
     """Return the cost of a predicted wait, apart from a missed target."""
-    early_share = min(1.0, predicted_s / target_s)
-    late_s = max(0.0, predicted_s - target_s)
-    return _EARLY_WAIT_COST * early_share + _LATE_COST_PER_S * late_s
+    return _WAIT_COST_PER_S * predicted_s
 
 
 def cost_to_others(
