Choose engines without their paces

Paces of engines are still found, shared, logged and counted, and end pauses at other nodes; the choice between endpoints of plain services follows them.

--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -275,15 +275,9 @@
         load: in_flight_table.PredictedLoad,
         report_age_s: float | None = None,
     ) -> placement_cost.Candidate:
-        pace = self._paces.assess(endpoint, load.in_flight)
-        penalty = (
-            self._penalty(endpoint, search.failed)
-            + _AGE_COST_PER_S * (report_age_s or 0.0)
-            + _EXCESS_COST * pace.excess
-        )
-        return placement_cost.Candidate(
-            endpoint, load, penalty, report_age_s, pace.factor
-        )
+        penalty = self._penalty(endpoint, search.failed)
+        penalty += _AGE_COST_PER_S * (report_age_s or 0.0)
+        return placement_cost.Candidate(endpoint, load, penalty, report_age_s)
 
     def _best(
         self,
@@ -350,7 +344,6 @@
             if members[0].report_age_s is None
             else LoadSource.REPORT,
             members[0].report_age_s,
-            members[0].factor,
         )
         return cost, placement
 
--- a/src/fireflyspur/gateway/scheduling/placement_cost.py
+++ b/src/fireflyspur/gateway/scheduling/placement_cost.py
@@ -55,14 +55,12 @@
     :param penalty: added cost, as a share of the prompt's weight
     :param report_age_s: age of the report of another pool on which the load is
         based; None if this node's pool knows it
-    :param factor: ratio of actual to predicted times to the first event
     """
 
     endpoint: endpoints.Endpoint
     load: in_flight_table.PredictedLoad
     penalty: float
     report_age_s: float | None = None
-    factor: float = 1.0
 
 
 def prompt_weight(prompt_tokens: int) -> float:
@@ -101,7 +99,7 @@
         ms = latency_model.first_event_ms(
             engine, member.load.state, prefill, is_urgent=is_urgent
         )
-        first_ms = max(first_ms, ms * member.factor)
+        first_ms = max(first_ms, ms)
         others += cost_to_others(engine, member, prefill, is_urgent=is_urgent)
     first_s = first_ms / 1000
     own = (
