--- a/tests/gateway/test_fleet_exchange.py
+++ b/tests/gateway/test_fleet_exchange.py
@@ -339,7 +339,7 @@
         load = pool_loads.EngineLoad("engine-9", 2, 40.0, 9_000, 0.2, 0.0)
         report = pool_load_report.PoolLoadReport()
         for _ in range(8):
-            update = report.compose([pool_load_report.OwnEngine(load, 6)])
+            update = report.compose([pool_load_report.ReportedEngine(load, 6)])
             update.pool_load[0].age_ms = 200
             link = network.links[0]
             pool = link.peers.pools.others[0]
@@ -364,7 +364,7 @@
         load = pool_loads.EngineLoad("engine-9", 2, 40.0, 9_000, 0.2, 0.0)
         report = pool_load_report.PoolLoadReport()
         link.channel.send_to(peer_updates.PeerUpdate(), _address(1))
-        update = report.compose([pool_load_report.OwnEngine(load, 6)])
+        update = report.compose([pool_load_report.ReportedEngine(load, 6)])
         later_s = clock.now_s() + 2.0
         link.channel.send_to(update, _address(2))
         update.number += 10
