--- a/src/fireflyspur/gateway/configuration/read_schedule.py
+++ b/src/fireflyspur/gateway/configuration/read_schedule.py
@@ -15,8 +15,7 @@
 _FIRST_PER_S = 16.0
 _FIRST_S = 1.0
 # Intervals of a node that must read for itself, for each topic that fails: the
-# first one, after which they double, and the longest one. A node makes 1.4
-# calls a second in the long run, and is current again within 3 s.
+# first one, after which they double, and the longest one.
 _OWN_FIRST_S = 0.25
 _OWN_LONGEST_S = 0.7
 # Attempts of all nodes that must read for themselves, each second, as far as
--- a/src/fireflyspur/gateway/scheduling/placement.py
+++ b/src/fireflyspur/gateway/scheduling/placement.py
@@ -119,7 +119,8 @@
     :param table: in-flight requests that this node knows of
     :param candidates: finds the engines to compare
     :param failure_domain: failure domain of this node
-    :param paces: paces of endpoints, or None if they have none
+    :param paces: paces, by which endpoints of plain services are compared, or
+        None if there are none
     """
 
     def __init__(
