--- a/review/6/case.py
+++ b/review/6/case.py
@@ -156,8 +156,9 @@
     late = poison.late_retries()
     fleet.record.say(
         f"{len(poison.arrivals)} arrivals of the crashing request; {late} "
-        f"retries reached workers from machines in touch later than {TOUCH_S:.0f} s after the third "
-        f"crash; {ALLOWED} are allowed; {served} usual requests served, "
+        f"retries reached workers from machines in touch later than "
+        f"{TOUCH_S:.0f} s after the third crash; {ALLOWED} are allowed; "
+        f"{served} usual requests served, "
         f"{poison.cut_others} cut off by the crashes, {lost} of them lost"
     )
     print(
