End the nodes of a case also when it is interrupted

A script that got SIGTERM or SIGHUP left its nodes running. It now ends all that it started and exits with 2.

--- a/review/support-2/case.py
+++ b/review/support-2/case.py
@@ -3,14 +3,15 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
-import time
 
 import standins
 
 ZONES = ("aqaba-a", "aqaba-b", "maan-c")
 LIMIT_S = 110
+_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
 class Fleet:
@@ -40,9 +41,13 @@
             await worker.start()
             self.workers.append(worker)
         await asyncio.sleep(0.2)
-        for number in range(1, nodes + 1):
+        ips = [standins.node_ip(number) for number in range(1, nodes + 1)]
+        ports = standins.free_ports(ips, 3)
+        for number, ip in enumerate(ips, 1):
             node = standins.Node(
                 number,
+                ip,
+                ports,
                 ZONES[number % 3],
                 self.store,
                 self.work,
@@ -71,10 +76,17 @@
 
     async def play(work):
         fleet = Fleet(folder, work)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in _SIGNALS:
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 return await main(fleet, trouble)
         finally:
+            # Nothing may interrupt the end of what was started.
+            for number in _SIGNALS:
+                loop.remove_signal_handler(number)
+                signal.signal(number, signal.SIG_IGN)
             fleet.close()
             for task in asyncio.all_tasks() - {asyncio.current_task()}:
                 task.cancel()
@@ -84,6 +96,8 @@
     if not (standins.ROOT / "target" / "deps" / "fireflyspur").is_dir():
         print("cannot run: the build of the deploy file is missing")
         sys.exit(2)
+    for number in _SIGNALS:
+        signal.signal(number, lambda *_: sys.exit(2))
     keep = os.environ.get("KEEP_LOGS")
     with tempfile.TemporaryDirectory() as work:
         try:
@@ -91,5 +105,8 @@
         except (standins.CannotRun, TimeoutError, OSError) as error:
             print(f"cannot run: {error!r}")
             sys.exit(2)
+        except asyncio.CancelledError:
+            print("cannot run: interrupted")
+            sys.exit(2)
     print("broken" if is_broken else "held")
     sys.exit(1 if is_broken else 0)
--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -30,6 +31,38 @@
     return time.monotonic()
 
 
+def node_ip(number):
+    """Return the loopback address of a node.
+
+    No other run of a case is likely to use it.
+    """
+    return f"127.{40 + os.getpid() % 200}.{os.getpid() % 250}.{number}"
+
+
+def free_ports(ips, count):
+    """Return ports that are free at all of some loopback addresses.
+
+    They lie below those that the system gives to outgoing connections, which
+    could take a port while its process is restarted.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(10_000, 30_000)
+        if port not in found and all(_is_free(ip, port) for ip in ips):
+            found.append(port)
+    return found
+
+
+def _is_free(ip, port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as tried:
+            try:
+                tried.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
@@ -212,7 +245,7 @@
         self._tasks = set()
         self._sequence = 0
         self._beating = None
-        self._port = 0
+        self._port = free_ports(["127.0.0.1"], 1)[0]
         self.instance = None
         self.state = "ready"
         self.is_up = False
@@ -229,7 +262,6 @@
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self._port
         )
-        self._port = self._server.sockets[0].getsockname()[1]
         self.is_up = True
         self._beating = asyncio.ensure_future(self._beat(self.instance))
 
@@ -517,7 +549,7 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "jo-south"
-internal_port_range = [7340, 7355]
+internal_port_range = [{inner}, {inner}]
 seeds = []
 bootstrap = true
 fault_counted = false
@@ -532,8 +564,8 @@
 maan-c = "jo-south"
 
 [listen]
-front = "{ip}:8227"
-ready = "{ip}:8220"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
 
 [limits]
 cpu_share = 0.537
@@ -601,13 +633,16 @@
     """A machine of the system: one process, started with the deploy file.
 
     Each node has a loopback address of its own, so that all of them can use
-    the same ports, as on machines of their own.
+    the same ports, as on machines of their own. The port of the metrics is
+    that of the deploy file.
+
+    :param ports: for clients, for the platform's question, and between nodes
     """
 
-    def __init__(self, number, zone, store, folder, record):
+    def __init__(self, number, ip, ports, zone, store, folder, record):
         self.name = f"front-{zone}-{number}"
-        # An address that no other run of a case is likely to use.
-        self.ip = f"127.{40 + os.getpid() % 200}.{os.getpid() % 250}.{number}"
+        self.ip = ip
+        self._front_port, self._ready_port, self._inner_port = ports
         self._zone = zone
         self._store = store
         self._folder = pathlib.Path(folder)
@@ -618,7 +653,7 @@
 
     @property
     def front(self):
-        return self.ip, 8227
+        return self.ip, self._front_port
 
     @property
     def is_running(self):
@@ -628,7 +663,7 @@
     def exit_code(self):
         return self._process.poll()
 
-    def start(self, file_limit=None):
+    def start(self):
         """Start the process."""
         path = self._folder / f"{self.name}.toml"
         path.write_text(
@@ -637,6 +672,9 @@
                 ip=self.ip,
                 zone=self._zone,
                 store=self._store.address,
+                front=self._front_port,
+                ready=self._ready_port,
+                inner=self._inner_port,
             )
         )
         with open(self._folder / f"{self.name}.log", "ab") as log:
@@ -675,7 +713,9 @@
         """Ask as the balancer does; returns whether the answer is 200."""
         try:
             async with asyncio.timeout(1):
-                reader, writer = await asyncio.open_connection(self.ip, 8220)
+                reader, writer = await asyncio.open_connection(
+                    self.ip, self._ready_port
+                )
                 writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                 first, _, _ = await read_message(reader)
                 writer.close()
