Log and measure how late each configuration comes into force

Histograms config_delay_seconds (upper bound of the time since publication) and config_catch_up_seconds. What nodes know of announced versions moves from fleet_link to version_watch. The handling of failed calls is split by kind; it waits as before.

No decision changes.

--- a/src/fireflyspur/gateway/configuration/config_holder.py
+++ b/src/fireflyspur/gateway/configuration/config_holder.py
@@ -61,12 +61,13 @@
         """
         if config.version <= self.version:
             return False
-        previous = self.version
+        previous, age_s = self.version, self.age_s()
         self._table = route_table.RouteTable(config)
         _log.info(
             "Configuration in force",
             version=config.version,
             before=previous,
+            before_age_s=round(age_s, 2) if previous else None,
             routes=len(config.routes),
             accounts=len(config.accounts),
         )
--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.fleet import fleet_link
 from fireflyspur.gateway.node import suspension
@@ -52,6 +53,8 @@
 
 _log = logs.log_for("store")
 
+VersionObserver = Callable[[float, float], None]
+
 
 class StoreFollower:
     """Keeps the configuration and the endpoints within their maximum age.
@@ -69,6 +72,10 @@
     :param config_bound_s: time within which a new configuration is applied
     :param endpoints_bound_s: time after which a leaving endpoint no longer
         gets requests
+    :param observe_version: called with each version after the first that
+        comes into force: the age of the version before it, which exceeds the
+        time since the publication, and the time since this node heard of it,
+        both in seconds
     """
 
     def __init__(
@@ -82,6 +89,7 @@
         schedule: read_schedule.ReadSchedule,
         config_bound_s: float,
         endpoints_bound_s: float,
+        observe_version: VersionObserver = lambda delay_s, catch_up_s: None,
     ) -> None:
         self._name = name
         self._registry = registry
@@ -92,6 +100,7 @@
         self._schedule = schedule
         self._config_bound_s = config_bound_s
         self._endpoints_bound_s = endpoints_bound_s
+        self._observe_version = observe_version
         self._failing: dict[str, float] = {}
         self._is_config_read = False
         self._requested_version = 0
@@ -157,23 +166,33 @@
             started_at_s = clock.now_s()
             try:
                 await read()
-            except base_exceptions.FireflyspurError as error:
-                self._log_failure(topic, error)
-                is_own = self._must_read(topic)
+            except exceptions.RecordInvalidError as error:
+                # The store has answered.
+                _log.error("Record not used", what=topic, reason=str(error))
                 self._record_attempt(topic, started_at_s)
-                if self._was_suspended_since(started_at_s):
-                    # The call failed here, and says nothing of the store.
-                    continue
-                if isinstance(error, exceptions.RecordInvalidError):
-                    # The store has answered.
+                if not self._was_suspended_since(started_at_s):
                     await asyncio.sleep(_INVALID_PAUSE_S)
-                    continue
-                self._schedule.record_failure(
-                    topic, self._link.peers.connected_nodes(), is_own=is_own
-                )
+            except base_exceptions.FireflyspurError as error:
+                self._record_failure(topic, started_at_s, error)
             else:
                 self._record_attempt(topic, started_at_s)
 
+    def _record_failure(
+        self,
+        topic: str,
+        started_at_s: float,
+        error: base_exceptions.FireflyspurError,
+    ) -> None:
+        """Record a call that failed, and draw the wait for the next one."""
+        is_own = self._must_read(topic)
+        self._record_attempt(topic, started_at_s)
+        if not self._was_suspended_since(started_at_s):
+            self._schedule.record_failure(
+                topic, self._link.peers.connected_nodes(), is_own=is_own
+            )
+        # Otherwise the call failed here, and says nothing of the store.
+        self._log_failure(topic, error, is_own=is_own)
+
     def _record_attempt(self, topic: str, started_at_s: float) -> None:
         self._attempted_at_s[topic] = started_at_s
         self._attempt_ended.set()
@@ -215,7 +234,7 @@
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
             # All nodes have received the announcement of this version.
-            announced = self._link.announced_version
+            announced = self._link.versions.announced
             read = await self._registry.wait_config(0)
             # Asked for only now, as a call that failed has found nothing.
             self._requested_version = announced
@@ -270,7 +289,7 @@
             raise read.error
         self._is_config_read = True
         if read.config is not None:
-            self._holder.apply(read.config)
+            self._apply_version(read.config)
         self._holder.confirm(read.read_at_s)
         self._record_success("config")
         if is_for_all:
@@ -279,6 +298,13 @@
             )
             self._announce_config()
 
+    def _apply_version(self, config: routing_config.RoutingConfig) -> None:
+        is_first = self._holder.table is None
+        delay_s = self._holder.age_s()
+        catch_up_s = self._link.versions.behind_s()
+        if self._holder.apply(config) and not is_first:
+            self._observe_version(delay_s, catch_up_s)
+
     def _apply_evacuations(self, read: registries.ConfigRead) -> None:
         if read.evacuations is None:
             return
@@ -385,7 +411,7 @@
         return self._endpoints_bound_s
 
     def _is_config_behind(self) -> bool:
-        announced = self._link.announced_version
+        announced = self._link.versions.announced
         return announced > max(self._holder.version, self._requested_version)
 
     def _wake(self) -> None:
@@ -417,18 +443,27 @@
         return rank + min(pool_rank, _MAX_POOL_RANK)
 
     def _log_failure(
-        self, topic: str, error: base_exceptions.FireflyspurError
+        self,
+        topic: str,
+        error: base_exceptions.FireflyspurError,
+        *,
+        is_own: bool,
     ) -> None:
-        if isinstance(error, exceptions.RecordInvalidError):
-            _log.error("Record not used", what=topic, reason=str(error))
-        elif topic not in self._failing:
-            self._failing[topic] = clock.now_s()
+        """Log the first failure, and each one while this node must read."""
+        is_first = topic not in self._failing
+        self._failing.setdefault(topic, clock.now_s())
+        if is_first or is_own:
             _log.warning(
-                "Store lost",
+                "Store lost" if is_first else "Store still lost",
                 what=topic,
                 reason=str(error),
                 age_s=round(self._age_s(topic), 1),
                 nodes=self._link.peers.connected_nodes(),
+                is_own=is_own,
+                failures=self._schedule.failures(topic),
+                retry_s=round(self._schedule.retry_wait_s(topic), 2),
+                version=self._holder.version,
+                announced=self._link.versions.announced,
             )
 
     def _log_missing(self, read: registries.ConfigRead) -> None:
--- a/src/fireflyspur/gateway/fleet/fleet_link.py
+++ b/src/fireflyspur/gateway/fleet/fleet_link.py
@@ -11,6 +11,7 @@
 from fireflyspur.gateway.configuration import evacuations
 from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.configuration import version_watch
 from fireflyspur.gateway.endpoints import cold_ceiling
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
@@ -101,7 +102,7 @@
         self._parts = part_quarantine.PartQuarantine(
             lambda: self._channel.fleet_draft, self._trial_rank
         )
-        self._announced_version = 0
+        self._versions = version_watch.VersionWatch(holder)
         self._pool_loads = pool_loads.PoolLoads(table)
         self._candidates = self._build_candidates()
         self._load_reporter = pool_load_reporter.PoolLoadReporter(
@@ -175,9 +176,9 @@
         return self._candidates
 
     @property
-    def announced_version(self) -> int:
-        """Latest configuration version that another node announced."""
-        return self._announced_version
+    def versions(self) -> version_watch.VersionWatch:
+        """Versions of the configuration that other nodes announce."""
+        return self._versions
 
     def on_behind(self, callback: Callable[[], None]) -> None:
         """Set the callback for when another node has newer data."""
@@ -375,7 +376,7 @@
         for started in filter(in_flight_reporter.is_primary, update.started):
             self._directory.errors.add_request(started.instance)
         if update.HasField("config"):
-            self._handle_config(update.config)
+            self._handle_config(update.node, update.config)
         if update.HasField("endpoints"):
             self._sync.update_from_peer(update.endpoints)
             if self._sync.is_behind:
@@ -437,11 +438,10 @@
                 draft.ClearField("endpoints")
             draft.endpoints.MergeFrom(update.endpoints)
 
-    def _handle_config(self, seen: peer_updates.ConfigSeen) -> None:
-        if seen.version == self._holder.version:
-            self._holder.confirm(clock.now_s() - seen.age_ms / 1000)
-        elif seen.version > max(self._holder.version, self._announced_version):
-            self._announced_version = seen.version
+    def _handle_config(self, node: str, seen: peer_updates.ConfigSeen) -> None:
+        if self._versions.update_from_peer(
+            node, seen.version, seen.age_ms / 1000
+        ):
             self._on_behind()
 
     def _handle_crashes(
--- a/src/fireflyspur/gateway/node/gateway.py
+++ b/src/fireflyspur/gateway/node/gateway.py
@@ -185,6 +185,9 @@
             self._link.schedule,
             config_bound_s=self._settings.config_apply_s,
             endpoints_bound_s=self._settings.drain_s,
+            observe_version=lambda delay_s, catch_up_s: (
+                self._metrics.observe_version(delay_s, catch_up_s)
+            ),
         )
 
     def _build_evacuation_check(
--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -162,6 +162,18 @@
             "Longest pause between the events of a stream.",
             ("prompt",),
         )
+        self._config_delay = self._histogram(
+            "config_delay_seconds",
+            "Age of a configuration when a newer version replaced it, which"
+            " exceeds the time since the publication of that version.",
+            (),
+        )
+        self._config_catch_up = self._histogram(
+            "config_catch_up_seconds",
+            "Time from the first announcement of a newer configuration by"
+            " another node until this node has it in force.",
+            (),
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -211,6 +223,16 @@
         """Record the end of a wait for room on an engine."""
         self._waits.labels(result).observe(seconds)
 
+    def observe_version(self, delay_s: float, catch_up_s: float) -> None:
+        """Record that a newer configuration came into force.
+
+        :param delay_s: age of the one before it
+        :param catch_up_s: time since another node announced it; 0 if none did
+        """
+        self._config_delay.observe(delay_s)
+        if catch_up_s:
+            self._config_catch_up.observe(catch_up_s)
+
     def observe_longest_gap(self, prompt_tokens: int, seconds: float) -> None:
         """Record the longest gap between two events of a stream."""
         length = length_bins.length_bin(prompt_tokens)
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -63,7 +63,7 @@
         self.holder = config_holder.ConfigHolder()
         self.link = link = mock.MagicMock()
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
-        link.announced_version = 0
+        link.versions.announced = 0
         link.sync.is_behind = False
         link.peers.connected_nodes.return_value = 1
         link.sync.update_from_store = self.directory.replace
@@ -132,7 +132,7 @@
         self.set_rank(9)
         self.registry.endpoints = ()
         self.link.sync.is_behind = True
-        self.link.announced_version = 99
+        self.link.versions.announced = 99
         await self.follow(1.4, reader_interval_s=0.1)
         self.assertGreater(self.registry.endpoint_reads, 1)
         self.assertGreater(self.registry.config_waits, 0)
@@ -152,7 +152,7 @@
     @async_tests.in_loop
     async def test_announced_version_that_is_not_found_is_logged(self):
         self.set_rank(9)
-        self.link.announced_version = 99
+        self.link.versions.announced = 99
         with captured_logs.capture() as records:
             await self.follow(0.4, reader_interval_s=0.1)
         found = [r for r in records if "not found" in r["message"]]
@@ -175,7 +175,7 @@
         for version in range(2, count + 2):
             routes = [*large, gateway_fleet.route("safe", "safe", "desk")]
             fleet.publish(gateway_fleet.config(version=version, routes=routes))
-        self.link.announced_version = count + 1
+        self.link.versions.announced = count + 1
 
     # A node that missed over 1 MB of configurations took each part of the log
     # for all, and kept an old version seconds beyond its bound.
@@ -237,7 +237,7 @@
 
         self.set_rank(9)
         self.registry.wait_config = wait_config
-        self.link.announced_version = 99
+        self.link.versions.announced = 99
         for _ in range(4):
             self.follower._requested_version = 0
             await self.follow(0.3, reader_interval_s=0.1)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -35,6 +35,20 @@
         self.assertIn("fireflyspur_config_age_seconds", text)
         self.assertIn("fireflyspur_endpoints_age_seconds", text)
 
+    # Whether a change was late could not be told from logs or metrics.
+    @async_tests.in_loop
+    async def test_delay_of_each_new_configuration_is_served(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            node = await fleet.start_node()
+            fleet.publish(gateway_fleet.config(version=5))
+            node.gateway.link.versions.update_from_peer("node-2", 5, 0.0)
+            await gateway_fleet.wait_until(
+                lambda: node.gateway.config_version == 5
+            )
+            text = await node.metrics()
+        self.assertIn("fireflyspur_config_delay_seconds_count 1.0", text)
+        self.assertIn("fireflyspur_config_catch_up_seconds_count 1.0", text)
+
     @async_tests.in_loop
     async def test_endpoints_that_name_a_rate_are_counted(self):
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
