Retry a failed read of an announced version soon in a fleet of any size

Callers saw: a request that one node refused with 404 as the configuration before allowed, 3.4 s after the newer version was acknowledged (bound 3 s).

Cause: a node reads each announced version itself. If its call fails, it drew its next attempt around nodes / 50 s, up to 2.25 s with 75 nodes or more, which was meant for an outage that hits all nodes. One lost first packet of a connection is enough: 0.5 s until the call fails, with up to 0.78 s before it. A wait that grows with the fleet was used without regard to the time left.

Change: the intervals of a node that must read for itself start at 0.25 s and double; the number of nodes sets where they end, no longer where they start.

In an outage a node makes about two calls more at its start (test added: below five in two seconds, and less than 0.8 a second after four).

--- a/src/fireflyspur/gateway/configuration/read_schedule.py
+++ b/src/fireflyspur/gateway/configuration/read_schedule.py
@@ -15,11 +15,13 @@
 _FIRST_PER_S = 16.0
 _FIRST_S = 1.0
 # Intervals of a node that must read for itself, for each topic that fails: the
-# first one, after which they double, and the longest one.
+# first one, after which they double, and the longest one of a lone node. The
+# first ones do not depend on the number of nodes: a lost packet fails one call
+# of one node, and what it reads is due.
 _OWN_FIRST_S = 0.25
 _OWN_LONGEST_S = 0.7
-# Attempts of all nodes that must read for themselves, each second, as far as
-# the interval of a node stays below a limit.
+# Attempts of all nodes that must read for themselves, each second, once their
+# intervals have doubled and as far as these stay below a limit.
 _OWN_PER_S = 50.0
 _OWN_SPREAD_MAX_S = 1.5
 # Reads of all nodes that follow a change, each second.
@@ -239,10 +241,9 @@
 
         :param topics: number of topics that fail
         """
-        interval_s = _OWN_FIRST_S * 2.0 ** min(failures - 1, 8)
-        interval_s = topics * min(interval_s, _OWN_LONGEST_S)
+        doubled_s = topics * _OWN_FIRST_S * 2.0 ** min(failures - 1, 8)
+        longest_s = topics * _OWN_LONGEST_S
         if is_own:
             share_s = min(nodes / _OWN_PER_S, _OWN_SPREAD_MAX_S)
-        else:
-            share_s = nodes / _SHARED_PER_S
-        return max(interval_s, share_s)
+            return min(doubled_s, max(longest_s, share_s))
+        return max(min(doubled_s, longest_s), nodes / _SHARED_PER_S)
--- a/tests/gateway/configuration/test_read_schedule.py
+++ b/tests/gateway/configuration/test_read_schedule.py
@@ -122,6 +122,18 @@
             self.assertLess(max(gaps), 3.0, (count, served))
             self.assertLess(nodes.rate(start_s, self.now), 12, count)
 
+    def test_rate_of_nodes_that_must_all_read_falls_within_two_seconds(self):
+        for count in (8, 78, 300):
+            nodes = _Nodes(self, count, lambda number: False, is_own=True)
+            start_s = self.now
+            nodes.run(20.0)
+            first = nodes.rate(start_s, start_s + 2) * 2
+            self.assertLess(first, 5 * count, count)
+            self.assertLess(nodes.rate(start_s + 2, self.now), 1.6 * count)
+            if count >= 75:
+                # Each node then waits for 1.5 s.
+                self.assertLess(nodes.rate(start_s + 4, self.now), 0.8 * count)
+
 
 class LoneNodeTest(fake_clock.FakeClockTest):
     """Guards against a lone node that waits for others, or calls too often."""
