Read an announced version again if a read has not found it

Cause: a read that did not find the version which another node had announced confirmed the old one as the latest, and the version counted as asked for. The node read again only by its turn, when the confirmation had aged. The same class as the lost call: an attempt that brought nothing did not count as one that is due.

Change: such a read confirms nothing and counts as a failed attempt of a node that must read for itself, for as long as the bound; after that the version is left to the turns as before, since a restored store, or a build that cannot decode the version, would be asked for ever. The warning comes once a version.

A test of evacuations reset a private field that the follower no longer uses to let a node read again; it now gives it a new schedule, and asks the same.

--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -103,7 +103,10 @@
         self._observe_version = observe_version
         self._failing: dict[str, float] = {}
         self._is_config_read = False
-        self._requested_version = 0
+        # Announced versions that were not found: those that are not asked for
+        # any more, and those that have been logged.
+        self._abandoned_version = 0
+        self._missing_version = 0
         # When the latest read of each topic started that has ended.
         self._attempted_at_s = dict.fromkeys(_TOPICS, 0.0)
         self._attempt_ended = asyncio.Event()
@@ -234,12 +237,7 @@
             self._apply_config(await self._registry.read_config())
         elif self._is_config_behind():
             # All nodes have received the announcement of this version.
-            announced = self._link.versions.announced
-            read = await self._registry.wait_config(0)
-            # Asked for only now, as a call that failed has found nothing.
-            self._requested_version = announced
-            self._apply_config(read)
-            self._log_missing(read)
+            self._apply_config(await self._registry.wait_config(0))
             await asyncio.sleep(_CHANGE_PAUSE_S)
         elif self._holder.table is None or self._rank("config") == 0:
             wait_s = min(
@@ -290,6 +288,9 @@
         self._is_config_read = True
         if read.config is not None:
             self._apply_version(read.config)
+        if self._is_config_behind():
+            self._handle_missing(read)
+            return
         self._holder.confirm(read.read_at_s)
         self._record_success("config")
         if is_for_all:
@@ -298,6 +299,29 @@
             )
             self._announce_config()
 
+    def _handle_missing(self, read: registries.ConfigRead) -> None:
+        """Handle a read that lacks a version which another node has read.
+
+        It does not confirm the version in force. A version that is not found
+        within the bound is not asked for any more: the store may have been
+        restored, or this build can't decode it.
+        """
+        versions = self._link.versions
+        if versions.behind_s() >= self._config_bound_s:
+            self._abandoned_version = versions.announced
+        if versions.announced > self._missing_version:
+            self._missing_version = versions.announced
+            _log.warning(
+                "Announced version not found",
+                version=self._holder.version,
+                announced=versions.announced,
+                position=read.position,
+                end=read.end,
+            )
+        self._schedule.record_failure(
+            "config", self._link.peers.connected_nodes(), is_own=True
+        )
+
     def _apply_version(self, config: routing_config.RoutingConfig) -> None:
         is_first = self._holder.table is None
         delay_s = self._holder.age_s()
@@ -412,7 +436,7 @@
 
     def _is_config_behind(self) -> bool:
         announced = self._link.versions.announced
-        return announced > max(self._holder.version, self._requested_version)
+        return announced > max(self._holder.version, self._abandoned_version)
 
     def _wake(self) -> None:
         for event in self._wake_events.values():
@@ -466,16 +490,6 @@
                 announced=self._link.versions.announced,
             )
 
-    def _log_missing(self, read: registries.ConfigRead) -> None:
-        if self._holder.version < self._requested_version:
-            _log.warning(
-                "Announced version not found",
-                version=self._holder.version,
-                announced=self._requested_version,
-                position=read.position,
-                end=read.end,
-            )
-
     def _record_success(self, topic: str) -> None:
         failures = self._schedule.failures(topic)
         self._schedule.record_success(topic)
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -14,6 +14,7 @@
 from fireflyspur.gateway.configuration import read_schedule
 from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.configuration import store_follower
+from fireflyspur.gateway.configuration import version_watch
 from fireflyspur.gateway.endpoints import endpoint as endpoints
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.node import suspension
@@ -69,7 +70,7 @@
         self.holder = config_holder.ConfigHolder()
         self.link = link = mock.MagicMock()
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
-        link.versions.announced = 0
+        link.versions = version_watch.VersionWatch(self.holder)
         link.sync.is_behind = False
         link.peers.connected_nodes.return_value = 1
         link.sync.update_from_store = self.directory.replace
@@ -88,6 +89,10 @@
             endpoints_bound_s=2.0,
         )
 
+    def announce(self, version):
+        """Let another node announce a version of the configuration."""
+        self.link.versions.update_from_peer("node-2", version, 0.0)
+
     def set_rank(self, rank):
         patcher = mock.patch.object(reader_rank, "rank_of", lambda *a: rank)
         patcher.start()
@@ -138,7 +143,7 @@
         self.set_rank(9)
         self.registry.endpoints = ()
         self.link.sync.is_behind = True
-        self.link.versions.announced = 99
+        self.announce(99)
         await self.follow(1.4, reader_interval_s=0.1)
         self.assertGreater(self.registry.endpoint_reads, 1)
         self.assertGreater(self.registry.config_waits, 0)
@@ -158,7 +163,7 @@
     @async_tests.in_loop
     async def test_announced_version_that_is_not_found_is_logged(self):
         self.set_rank(9)
-        self.link.versions.announced = 99
+        self.announce(99)
         with captured_logs.capture() as records:
             await self.follow(0.4, reader_interval_s=0.1)
         found = [r for r in records if "not found" in r["message"]]
@@ -181,7 +186,7 @@
         for version in range(2, count + 2):
             routes = [*large, gateway_fleet.route("safe", "safe", "desk")]
             fleet.publish(gateway_fleet.config(version=version, routes=routes))
-        self.link.versions.announced = count + 1
+        self.announce(count + 1)
 
     # A node that missed over 1 MB of configurations took each part of the log
     # for all, and kept an old version seconds beyond its bound.
@@ -243,9 +248,9 @@
 
         self.set_rank(9)
         self.registry.wait_config = wait_config
-        self.link.versions.announced = 99
+        self.announce(99)
         for _ in range(4):
-            self.follower._requested_version = 0
+            self.follower._schedule = read_schedule.ReadSchedule()
             await self.follow(0.3, reader_interval_s=0.1)
         self.assertGreater(self.registry.config_waits, 3)
         self.link.announce_evacuations.assert_called_once_with()
@@ -271,17 +276,26 @@
 
 
 class _LosingRegistry(_Registry):
-    """Has a newer version, and loses the first packet of the next calls."""
+    """Has a newer version, and loses the first packet of the next calls.
+
+    Calls after these find no newer version while ``stale_reads`` last.
+    """
 
-    def __init__(self, lost_calls):
+    def __init__(self, lost_calls, stale_reads):
         super().__init__()
         self.lost_calls = lost_calls
+        self.stale_reads = stale_reads
 
     async def wait_config(self, wait_s):
+        self.config_waits += 1
         if self.lost_calls:
             self.lost_calls -= 1
             await asyncio.sleep(_CONNECT_TIMEOUT_S)
             raise exceptions.StoreUnavailableError("timed out")
+        if self.stale_reads:
+            self.stale_reads -= 1
+            await asyncio.sleep(wait_s)
+            return registry.ConfigRead(None, clock.now_s())
         return registry.ConfigRead(_config(version=2), clock.now_s())
 
 
@@ -292,7 +306,7 @@
     call waited as long as in an outage.
     """
 
-    async def catch_up(self, nodes, bound_s):
+    async def catch_up(self, nodes, bound_s, lost_calls=1, stale_reads=0):
         """Return the time from a version's publication until in force."""
         self.set_rank(9)
         self.follower.set_bounds(bound_s, bound_s)
@@ -302,12 +316,16 @@
         await self.follow(0.1, reader_interval_s=None)
         self.holder.confirm(clock.now_s())
         published_at_s = clock.now_s()
-        self.follower._registry = _LosingRegistry(lost_calls=1)
-        self.link.versions.announced = 2
+        self.follower._registry = _LosingRegistry(lost_calls, stale_reads)
+        self.announce(2)
         task = asyncio.ensure_future(self.follower.run())
-        await gateway_fleet.wait_until(lambda: self.holder.version == 2, 8.0)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        try:
+            await gateway_fleet.wait_until(
+                lambda: self.holder.version == 2, timeout_s=6.0
+            )
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
         return clock.now_s() - published_at_s
 
     @async_tests.in_loop
@@ -318,6 +336,20 @@
     async def test_version_is_in_force_within_the_bound_in_a_large_fleet(self):
         self.assertLess(await self.catch_up(300, 2.0), 2.0)
 
+    # A read that did not find an announced version confirmed the one before,
+    # and the node read again only when that confirmation had aged.
+    @async_tests.in_loop
+    async def test_version_that_a_read_has_not_found_is_read_again(self):
+        delay_s = await self.catch_up(78, 2.0, lost_calls=0, stale_reads=1)
+        self.assertLess(delay_s, 2.0)
+
+    @async_tests.in_loop
+    async def test_version_that_is_never_found_is_rarely_asked_for(self):
+        # As after a restore of the store, or if this build can't decode it.
+        with testtools.ExpectedException(TimeoutError):
+            await self.catch_up(78, 2.0, lost_calls=0, stale_reads=1_000)
+        self.assertLess(self.follower._registry.config_waits, 13)
+
 
 class _FailingRegistry(_Registry):
     """Counts the attempts, and fails on the topics in ``failing``."""
