Apply a valid configuration that an unusable record follows

Cause: of the records that one read returns only the last configuration was decoded. If it could not be used, a valid one before it was dropped for good, as the position had moved on and later reads confirmed the version before.

Change: the newest configuration that can be decoded is applied, and the record after it is logged as before.

Evidence: test_valid_version_before_an_unusable_record_is_in_force stayed at version 1 before and passes now.

--- a/src/fireflyspur/gateway/common/registry.py
+++ b/src/fireflyspur/gateway/common/registry.py
@@ -15,7 +15,8 @@
 class ConfigRead:
     """The newest configuration at one point in time.
 
-    :param config: None if there is none, or none newer than the last one
+    :param config: newest one that can be used; None if there is none, or none
+        newer than the last one
     :param read_at_s: clock of this node when the read started
     :param position: position in the store's log from which it was read
     :param end: position that the next record will have, as the store says
--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -283,11 +283,11 @@
         is_late = self._is_late("config")
         # First of all, as requests may be sent as soon as there are routes.
         self._apply_evacuations(read)
+        if read.config is not None:
+            self._apply_version(read.config)
         if read.error is not None:
             raise read.error
         self._is_config_read = True
-        if read.config is not None:
-            self._apply_version(read.config)
         if self._is_config_behind():
             self._handle_missing(read)
             return
--- a/src/fireflyspur/platform/store_registry.py
+++ b/src/fireflyspur/platform/store_registry.py
@@ -169,13 +169,16 @@
 ) -> registry.ConfigRead:
     """Return what operators' records say.
 
-    An invalid configuration must not hide the evacuations.
+    An invalid configuration must hide neither the evacuations nor a valid
+    one before it.
     """
-    values = [r.value for r in records if r.key == _CONFIG_KEY]
     config = error = None
-    if values:
+    for record in reversed(records):
+        if record.key != _CONFIG_KEY:
+            continue
         try:
-            config = config_codec.decode(values[-1])
+            config = config_codec.decode(record.value)
+            break
         except exceptions.RecordInvalidError as invalid:
-            error = invalid
+            error = error or invalid
     return registry.ConfigRead(config, read_at_s, position, end, seen, error)
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -199,6 +199,18 @@
             await self.follow(0.4, reader_interval_s=0.1)
         self.assertEqual(21, self.holder.version)
 
+    # The valid one was dropped, and later reads confirmed the old version.
+    @async_tests.in_loop
+    async def test_valid_version_before_an_unusable_record_is_in_force(self):
+        async with gateway_fleet.GatewayFleet() as fleet:
+            await self.start_behind(fleet, count=1)
+            for value in (b"{", b"[" * 100_000):
+                fleet.store.put("keyed.op", "config", value)
+            with captured_logs.capture() as records:
+                await self.follow(0.4, reader_interval_s=0.1)
+        self.assertEqual(2, self.holder.version)
+        self.assertIn("Record not used", [r["message"] for r in records])
+
     # A call that failed counted as if the version had been asked for.
     @async_tests.in_loop
     async def test_version_is_asked_for_again_if_a_call_fails(self):
