--- a/src/fireflyspur/gateway/requests/http_exchange.py
+++ b/src/fireflyspur/gateway/requests/http_exchange.py
@@ -30,6 +30,8 @@
 # this many bytes or parts of it.
 _MAX_UNINTERRUPTED_BYTES = 65_536
 _MAX_UNINTERRUPTED_PARTS = 64
+# Higher numbers are no status codes (RFC 9110, section 15).
+_MAX_STATUS = 599
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -143,6 +145,10 @@
                     "the connection was closed before the response",
                     is_connection_lost=True,
                 )
+            if event.status_code > _MAX_STATUS:
+                raise exceptions.BrokenResponseError(
+                    f"invalid status {event.status_code}"
+                )
             self.record_progress()
             names = {name for name, _ in event.headers}
             self._ends_with_connection = names.isdisjoint(_FRAMING_HEADERS)
--- a/tests/gateway/test_false_answers.py
+++ b/tests/gateway/test_false_answers.py
@@ -186,6 +186,37 @@
         self.assertEqual(events, response.body)
 
 
+class OddStatusTest(testtools.TestCase):
+    """Guards against an answer with a status that no server may send.
+
+    An endpoint in trouble sent 000, and the caller got it as an answer.
+    """
+
+    @async_tests.in_loop
+    async def test_caller_gets_no_status_that_is_none(self):
+        framings = ("Content-Length: 4", "Transfer-Encoding: identity", "X: 1")
+        for status in ("000 OK", "000", "099 Low", "600 High", "999 Max"):
+            for framing in framings:
+                for path in ("/safe/", "/unsafe/", "/chat/", "/once/"):
+                    response = await self.response_to(status, framing, path)
+                    context = (status, framing, path)
+                    self.assertIn(response.status, (502, 503), context)
+                    self.assertNotEqual(b"body", response.body, context)
+
+    async def response_to(self, status, framing, path):
+        async def respond(worker, arrival, stream):
+            head = fake_endpoint.response_head(
+                arrival, worker, framing, status=status
+            )
+            await stream.write(head + b"body")
+
+        async with gateway_fleet.GatewayFleet(desks=1, engines=1) as fleet:
+            node = await fleet.start_node()
+            for worker in (*fleet.desks, *fleet.engines):
+                worker.default_behaviour = respond
+            return await node.request(path)
+
+
 class CutHeadTest(testtools.TestCase):
     """Guards against an answer whose head was cut and that looks whole."""
 
