--- a/src/fireflyspur/gateway/requests/http_exchange.py
+++ b/src/fireflyspur/gateway/requests/http_exchange.py
@@ -62,6 +62,12 @@
         self._abandoned_reason: str | None = None
         self._uninterrupted_bytes = 0
         self._uninterrupted_parts = 0
+        self._writes: list[asyncio.Future[None]] = []
+
+    @property
+    def is_request_written(self) -> bool:
+        """Whether all of the request has been handed to the network."""
+        return all(w.done() and w.exception() is None for w in self._writes)
 
     @property
     def ends_with_connection(self) -> bool:
@@ -128,6 +134,7 @@
 
     def _write(self, data: bytes) -> None:
         written = self._stream.write(data)
+        self._writes.append(written)
         # If the write fails, the read of the response fails too.
         written.add_done_callback(lambda future: future.exception())
 
--- a/src/fireflyspur/gateway/requests/response_relay.py
+++ b/src/fireflyspur/gateway/requests/response_relay.py
@@ -174,6 +174,8 @@
         self, exchange: http_exchange.HttpExchange
     ) -> bytes | None:
         part = await exchange.read_chunk()
+        if part is None:
+            _check_request_written(exchange)
         self._size += len(part or b"")
         if self._size > _MAX_RESPONSE_BYTES:
             raise exceptions.BrokenResponseError(
@@ -255,3 +257,18 @@
             size += len(part)
         await self._connection.finish()
         return size
+
+
+def _check_request_written(exchange: http_exchange.HttpExchange) -> None:
+    """Check that the end of a connection may end a response.
+
+    An endpoint that closes before it has read the request resets the
+    connection, which can't always be told from its end.
+
+    :raises BrokenResponseError: if the request was still being written
+    """
+    if exchange.ends_with_connection and not exchange.is_request_written:
+        raise exceptions.BrokenResponseError(
+            "the connection was closed before the request was written",
+            is_connection_lost=True,
+        )
