Take no status that is none for a response in the own interface (MIXED)

Cause: the HTTP client of the own interface passes on any three digits as a status, so that a caller of a service got 000 as an answer, and a control call to an engine counted as successful.

Change: the shared client reports a status outside 200 to 599 as a lost connection.

Evidence: test_status_that_is_none_is_no_response failed before (status 0) and passes now.

--- a/src/fireflyspur/clients/http_client.py
+++ b/src/fireflyspur/clients/http_client.py
@@ -7,6 +7,8 @@
 # behind them.
 _MAX_CONNECTIONS = 10_000
 _MAX_RESPONSE_BYTES = 256 * 1024 * 1024
+# Other numbers are no status codes of a final response (RFC 9110, section 15).
+_STATUSES = range(200, 600)
 _FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
 
 
@@ -27,6 +29,8 @@
 
         Tornado takes a reset for the end of a body without a length.
         """
+        if self.code not in _STATUSES:
+            return f"invalid status {self.code}"
         is_framed = any(name in self.headers for name in _FRAMING_HEADERS)
         if not is_framed and self.stream.error is not None:
             return f"the response broke off: {self.stream.error}"
--- a/tests/clients/test_http_client.py
+++ b/tests/clients/test_http_client.py
@@ -70,3 +70,12 @@
     async def test_body_that_ends_with_the_connection_is_whole(self):
         response = await _fetch(b"HTTP/1.1 200 OK\r\nX: 1\r\n\r\nwhole")
         self.assertEqual((200, b"whole"), (response.code, response.body))
+
+    @async_tests.in_loop
+    async def test_status_that_is_none_is_no_response(self):
+        for status in (b"000 OK", b"099 Low", b"600 High", b"999 Max"):
+            head = b"HTTP/1.1 " + status + b"\r\nContent-Length: 4\r\n\r\n"
+            with testtools.ExpectedException(
+                simple_httpclient.HTTPStreamClosedError, ".*invalid status"
+            ):
+                await _fetch(head + b"body")
