Move the turns of readers out of the store's follower

Change: read_turns has ages, bounds, ranks and turns by topic; the follower asks it. Tests draw waits and record successes through the schedule that they build, no longer by replacing a private field. Nothing else changes.

--- a/src/fireflyspur/gateway/configuration/store_follower.py
+++ b/src/fireflyspur/gateway/configuration/store_follower.py
@@ -10,7 +10,7 @@
 from fireflyspur.gateway.common import registry as registries
 from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import read_schedule
-from fireflyspur.gateway.configuration import reader_rank
+from fireflyspur.gateway.configuration import read_turns
 from fireflyspur.gateway.configuration import routing_config
 from fireflyspur.gateway.endpoints import endpoint_directory
 from fireflyspur.gateway.fleet import fleet_link
@@ -22,15 +22,6 @@
 # noticed after this time.
 CONFIG_WAIT_S = 1.0
 _WAIT_SHARE = 0.5
-# Shares of the bounds: the age of the data at which a node reads the store
-# itself, the additional age for each rank, and the age at which every node
-# reads. The wait for a configuration ends before the share of the next rank.
-_ENDPOINTS_SHARE = 0.38
-_CONFIG_SHARE = 0.55
-_RANK_SHARE = 0.08
-_LAST_SHARE = 0.75
-# The first nodes of all further pools have the same rank.
-_MAX_POOL_RANK = 2
 # Maximum delay between the announcement of changes by another node and their
 # read, as a share of the bound that is left, and after an outage.
 _CATCH_UP_SHARE = 0.5
@@ -49,8 +40,6 @@
 # have become silent.
 _REVIEW_S = 0.1
 
-_TOPICS = ("config", "endpoints")
-
 _log = logs.log_for("store")
 
 VersionObserver = Callable[[float, float], None]
@@ -91,15 +80,22 @@
         endpoints_bound_s: float,
         observe_version: VersionObserver = lambda delay_s, catch_up_s: None,
     ) -> None:
-        self._name = name
         self._registry = registry
         self._holder = holder
         self._directory = directory
         self._link = link
         self._detector = detector
         self._schedule = schedule
-        self._config_bound_s = config_bound_s
-        self._endpoints_bound_s = endpoints_bound_s
+        self._turns = read_turns.ReadTurns(
+            name,
+            holder,
+            directory,
+            link.peers,
+            link.evacuations,
+            schedule,
+            config_bound_s,
+            endpoints_bound_s,
+        )
         self._observe_version = observe_version
         self._failing: dict[str, float] = {}
         self._is_config_read = False
@@ -108,17 +104,18 @@
         self._abandoned_version = 0
         self._missing_version = 0
         # When the latest read of each topic started that has ended.
-        self._attempted_at_s = dict.fromkeys(_TOPICS, 0.0)
+        self._attempted_at_s = dict.fromkeys(read_turns.TOPICS, 0.0)
         self._attempt_ended = asyncio.Event()
-        self._wake_events = {topic: asyncio.Event() for topic in _TOPICS}
+        self._wake_events = {
+            topic: asyncio.Event() for topic in read_turns.TOPICS
+        }
         link.on_behind(self._wake)
 
     def set_bounds(
         self, config_bound_s: float, endpoints_bound_s: float
     ) -> None:
         """Set other bounds."""
-        self._config_bound_s = config_bound_s
-        self._endpoints_bound_s = endpoints_bound_s
+        self._turns.set_bounds(config_bound_s, endpoints_bound_s)
 
     async def wait_until_current(self) -> None:
         """Wait for reads of the store if this process was suspended.
@@ -201,7 +198,9 @@
 
         Its call may have been lost alone, while the others wait for it.
         """
-        return not self._schedule.failures(topic) and self._rank(topic) == 0
+        return (
+            not self._schedule.failures(topic) and self._turns.rank(topic) == 0
+        )
 
     def _record_attempt(self, topic: str, started_at_s: float) -> None:
         self._attempted_at_s[topic] = started_at_s
@@ -210,11 +209,12 @@
     def _is_outdated(self, resumed_at_s: float) -> bool:
         """Return whether a topic is too old and not read since a time."""
         return any(
-            self._is_topic_outdated(topic, resumed_at_s) for topic in _TOPICS
+            self._is_topic_outdated(topic, resumed_at_s)
+            for topic in read_turns.TOPICS
         )
 
     def _is_topic_outdated(self, topic: str, resumed_at_s: float) -> bool:
-        is_old = self._age_s(topic) > self._bound_s(topic)
+        is_old = self._turns.age_s(topic) > self._turns.bound_s(topic)
         return is_old and self._attempted_at_s[topic] < resumed_at_s
 
     def _was_suspended_since(self, started_at_s: float) -> bool:
@@ -229,10 +229,10 @@
         if topic == "config":
             if not self._is_config_read or self._is_config_behind():
                 return 0.0
-            if self._holder.table is None or self._rank("config") == 0:
+            if self._holder.table is None or self._turns.rank("config") == 0:
                 return 0.0
-            return self._remaining_s("config")
-        remaining_s = self._remaining_s("endpoints")
+            return self._turns.remaining_s("config")
+        remaining_s = self._turns.remaining_s("endpoints")
         if self._must_read("endpoints"):
             return 0.0
         if self._link.sync.is_behind:
@@ -246,10 +246,10 @@
             # All nodes have received the announcement of this version.
             self._apply_config(await self._registry.wait_config(0))
             await asyncio.sleep(_CHANGE_PAUSE_S)
-        elif self._holder.table is None or self._rank("config") == 0:
+        elif self._holder.table is None or self._turns.rank("config") == 0:
             wait_s = min(
                 CONFIG_WAIT_S,
-                _WAIT_SHARE * self._config_bound_s,
+                _WAIT_SHARE * self._turns.bound_s("config"),
                 self._link.evacuations.wait_s(),
             )
             read = await self._registry.wait_config(wait_s)
@@ -261,18 +261,18 @@
             self._apply_config(read, is_for_all=True)
 
     async def _follow_endpoints(self) -> None:
-        is_due = self._remaining_s("endpoints") <= 0
+        is_due = self._turns.remaining_s("endpoints") <= 0
         is_first = not self._directory.is_read
         read = await self._registry.read_endpoints()
-        before_s = self._read_at_s("endpoints")
-        is_late = self._is_late("endpoints")
+        before_s = self._turns.read_at_s("endpoints")
+        is_late = self._turns.is_late("endpoints")
         seen = self._link.sync.update_from_store(read)
         # Changes that this node catches up with have been announced already.
         if is_due and not is_first:
             self._schedule.record_read_for_all(
                 "endpoints",
                 before_s,
-                self._read_at_s("endpoints"),
+                self._turns.read_at_s("endpoints"),
                 is_late=is_late,
             )
             self._link.announce_endpoints(seen)
@@ -286,8 +286,8 @@
         :param is_for_all: whether it is announced to the other nodes
         :raises RecordInvalidError: if the configuration cannot be used
         """
-        before_s = self._read_at_s("config")
-        is_late = self._is_late("config")
+        before_s = self._turns.read_at_s("config")
+        is_late = self._turns.is_late("config")
         # First of all, as requests may be sent as soon as there are routes.
         self._apply_evacuations(read)
         if read.config is not None:
@@ -302,7 +302,10 @@
         self._record_success("config")
         if is_for_all:
             self._schedule.record_read_for_all(
-                "config", before_s, self._read_at_s("config"), is_late=is_late
+                "config",
+                before_s,
+                self._turns.read_at_s("config"),
+                is_late=is_late,
             )
             self._announce_config()
 
@@ -314,7 +317,7 @@
         restored, or this build can't decode it.
         """
         versions = self._link.versions
-        if versions.behind_s() >= self._config_bound_s:
+        if versions.behind_s() >= self._turns.bound_s("config"):
             self._abandoned_version = versions.announced
         if versions.announced > self._missing_version:
             self._missing_version = versions.announced
@@ -349,26 +352,6 @@
             self._link.announce_config()
             self._link.announce_evacuations()
 
-    def _remaining_s(self, topic: str) -> float:
-        """Return the time until this node must read the store itself."""
-        share = min(self._turn_share(topic), _LAST_SHARE)
-        remaining_s = share * self._bound_s(topic) - self._age_s(topic)
-        if topic == "config":
-            # A confirmed version says nothing of the evacuations.
-            evacuations = self._link.evacuations
-            remaining_s = min(
-                remaining_s, evacuations.remaining_s(self._rank(topic))
-            )
-        return remaining_s
-
-    def _turn_share(self, topic: str) -> float:
-        """Return the share of the bound after which it is this node's turn.
-
-        The turns of all but the first nodes come too late.
-        """
-        first = _CONFIG_SHARE if topic == "config" else _ENDPOINTS_SHARE
-        return first + _RANK_SHARE * self._rank(topic)
-
     def _wait_s(self, topic: str) -> float:
         """Return the time for which this node must not call the store."""
         nodes = self._link.peers.connected_nodes()
@@ -379,14 +362,14 @@
         return self._schedule.shared_wait_s(
             topic,
             nodes,
-            self._read_at_s(topic),
-            is_late=self._is_late(topic),
-            has_turn=self._turn_share(topic) < _LAST_SHARE,
+            self._turns.read_at_s(topic),
+            is_late=self._turns.is_late(topic),
+            has_turn=self._turns.has_turn(topic),
         )
 
     def _must_read(self, topic: str) -> bool:
         """Return whether no read of another node helps this one."""
-        if self._age_s(topic) == float("inf") or self._is_behind(topic):
+        if self._turns.age_s(topic) == float("inf") or self._is_behind(topic):
             return True
         if topic == "config" and (
             self._holder.table is None or self._lacks_evacuations()
@@ -402,14 +385,16 @@
 
         Those of an older build know nothing of evacuations.
         """
-        remaining_s = self._link.evacuations.remaining_s(self._rank("config"))
-        return remaining_s <= 0 and not self._is_late("config")
+        remaining_s = self._link.evacuations.remaining_s(
+            self._turns.rank("config")
+        )
+        return remaining_s <= 0 and not self._turns.is_late("config")
 
     def _is_behind(self, topic: str) -> bool:
         """Return whether another node has announced newer data."""
         if topic == "config":
             return self._is_config_behind()
-        share = self._age_s(topic) / self._bound_s(topic)
+        share = self._turns.age_s(topic) / self._turns.bound_s(topic)
         return self._link.sync.is_behind and share > _ENDPOINTS_CATCH_UP_SHARE
 
     def _longest_catch_up_s(self, topic: str) -> float:
@@ -418,29 +403,12 @@
         What was announced was published after the newest data that this node
         has.
         """
-        age_s = self._age_s(topic)
+        age_s = self._turns.age_s(topic)
         if age_s == float("inf") or not self._is_behind(topic):
             return 0.0
-        left_s = self._bound_s(topic) - age_s
+        left_s = self._turns.bound_s(topic) - age_s
         return _CATCH_UP_SHARE * left_s if left_s > 0 else _OUTAGE_CATCH_UP_S
 
-    def _is_late(self, topic: str) -> bool:
-        """Return whether all of the first nodes have missed their turns."""
-        return self._age_s(topic) >= _LAST_SHARE * self._bound_s(topic)
-
-    def _read_at_s(self, topic: str) -> float:
-        return clock.now_s() - self._age_s(topic)
-
-    def _age_s(self, topic: str) -> float:
-        if topic == "config":
-            return self._holder.age_s()
-        return self._directory.age_s()
-
-    def _bound_s(self, topic: str) -> float:
-        if topic == "config":
-            return self._config_bound_s
-        return self._endpoints_bound_s
-
     def _is_config_behind(self) -> bool:
         announced = self._link.versions.announced
         return announced > max(self._holder.version, self._abandoned_version)
@@ -458,21 +426,6 @@
         except TimeoutError:
             return
 
-    def _rank(self, topic: str) -> int:
-        """Return the rank of this node among the readers of a topic.
-
-        The first node of the first pool reads for all. The first ones of
-        other pools stand in for it before the other nodes of its pool do. A
-        node that has read because all of these failed goes on in their place.
-        """
-        if self._schedule.is_reader(topic, self._read_at_s(topic)):
-            return 0
-        peers = self._link.peers
-        rank = reader_rank.rank_of(self._name, peers.live_names(), topic)
-        own, *others = (str(p) for p in (peers.pools.own, *peers.pools.others))
-        pool_rank = reader_rank.rank_of(own, [own, *others], topic)
-        return rank + min(pool_rank, _MAX_POOL_RANK)
-
     def _log_failure(
         self,
         topic: str,
@@ -488,7 +441,7 @@
                 "Store lost" if is_first else "Store still lost",
                 what=topic,
                 reason=str(error),
-                age_s=round(self._age_s(topic), 1),
+                age_s=round(self._turns.age_s(topic), 1),
                 nodes=self._link.peers.connected_nodes(),
                 is_own=is_own,
                 failures=self._schedule.failures(topic),
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 from unittest import mock
 
 import testtools
@@ -67,6 +68,8 @@
     def setUp(self):
         super().setUp()
         self.registry = _Registry()
+        self.draw = random.random
+        self.schedule = read_schedule.ReadSchedule(lambda: self.draw())
         self.holder = config_holder.ConfigHolder()
         self.link = link = mock.MagicMock()
         self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
@@ -84,7 +87,7 @@
             self.directory,
             link,
             suspension.SuspensionDetector(1.0),
-            read_schedule.ReadSchedule(),
+            self.schedule,
             config_bound_s=2.0,
             endpoints_bound_s=2.0,
         )
@@ -263,7 +266,7 @@
         self.announce(99)
         # The first run reads the newest records instead.
         for _ in range(5):
-            self.follower._schedule = read_schedule.ReadSchedule()
+            self.schedule.record_success("config")
             await self.follow(0.3, reader_interval_s=0.1)
         self.assertGreater(self.registry.config_waits, 3)
         self.link.announce_evacuations.assert_called_once_with()
@@ -331,7 +334,7 @@
         self.set_rank(9)
         self.follower.set_bounds(bound_s, bound_s)
         # The longest of all waits.
-        self.follower._schedule = read_schedule.ReadSchedule(lambda: 0.999)
+        self.draw = lambda: 0.999
         self.link.peers.connected_nodes.return_value = nodes
         await self.follow(0.1, reader_interval_s=None)
         self.holder.confirm(clock.now_s())
