Split the tests of the store's follower and the metrics' constructor

Change: the stand-ins move to tests/support/store_followers, the tests of single lost calls to test_lost_calls; histograms are added apart. No test changes.

--- a/src/fireflyspur/gateway/node/gateway_metrics.py
+++ b/src/fireflyspur/gateway/node/gateway_metrics.py
@@ -50,6 +50,7 @@
     ) -> None:
         self._registry = prometheus_client.CollectorRegistry()
         self._add_counters()
+        self._add_histograms()
         self._gauge(
             "requests_in_progress", in_progress, "Requests in progress."
         )
@@ -147,6 +148,8 @@
             "Calls to the store by topic and outcome.",
             ("topic", "outcome"),
         )
+
+    def _add_histograms(self) -> None:
         self._first_byte = self._histogram(
             "first_part_seconds",
             "Time from a request to the beginning of its answer.",
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -2,123 +2,22 @@
 
 import asyncio
 import collections
-import random
 from unittest import mock
 
-import testtools
-
 from fireflyspur.gateway.common import clock
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import registry
-from fireflyspur.gateway.configuration import config_holder
 from fireflyspur.gateway.configuration import evacuations
-from fireflyspur.gateway.configuration import read_schedule
-from fireflyspur.gateway.configuration import reader_rank
 from fireflyspur.gateway.configuration import store_follower
-from fireflyspur.gateway.configuration import version_watch
-from fireflyspur.gateway.endpoints import endpoint as endpoints
-from fireflyspur.gateway.endpoints import endpoint_directory
-from fireflyspur.gateway.node import suspension
-from fireflyspur.platform import config_codec
 from fireflyspur.platform import store_client
 from fireflyspur.platform import store_registry
 from tests.support import async_tests
 from tests.support import captured_logs
 from tests.support import gateway_fleet
-from tests.support import platform_config
-
-# Time after which a connection to the store counts as failed.
-_CONNECT_TIMEOUT_S = 0.5
-
-
-def _config(version=1):
-    encoded = platform_config.encode(gateway_fleet.config(version=version))
-    return config_codec.decode(encoded)
-
-
-class _Registry:
-    """Counts the waits for a configuration and the reads of endpoints.
-
-    Reads of endpoints never end unless ``endpoints`` is set.
-    """
-
-    def __init__(self):
-        self.config_waits = 0
-        self.endpoint_reads = 0
-        self.endpoints = None
-
-    async def read_config(self):
-        return registry.ConfigRead(_config(), clock.now_s())
-
-    async def wait_config(self, wait_s):
-        self.config_waits += 1
-        await asyncio.sleep(wait_s)
-        return registry.ConfigRead(None, clock.now_s())
-
-    async def read_endpoints(self):
-        self.endpoint_reads += 1
-        if self.endpoints is None:
-            await asyncio.sleep(60)
-        return endpoints.EndpointList(self.endpoints, clock.now_s())
-
+from tests.support import store_followers
 
-class _FollowerTest(testtools.TestCase):
-    """Runs a follower beside other nodes that it only seems to hear."""
 
-    def setUp(self):
-        super().setUp()
-        self.registry = _Registry()
-        self.draw = random.random
-        self.schedule = read_schedule.ReadSchedule(lambda: self.draw())
-        self.holder = config_holder.ConfigHolder()
-        self.link = link = mock.MagicMock()
-        self.directory = endpoint_directory.EndpointDirectory(3.6, 2.5)
-        link.versions = version_watch.VersionWatch(self.holder)
-        link.sync.is_behind = False
-        link.peers.connected_nodes.return_value = 1
-        link.sync.update_from_store = self.directory.replace
-        link.evacuations = evacuations.Evacuations(
-            self.directory.set_evacuated
-        )
-        self.follower = store_follower.StoreFollower(
-            "node-1",
-            self.registry,
-            self.holder,
-            self.directory,
-            link,
-            suspension.SuspensionDetector(1.0),
-            self.schedule,
-            config_bound_s=2.0,
-            endpoints_bound_s=2.0,
-        )
-
-    def announce(self, version):
-        """Let another node announce a version of the configuration."""
-        self.link.versions.update_from_peer("node-2", version, 0.0)
-
-    def set_rank(self, rank):
-        patcher = mock.patch.object(reader_rank, "rank_of", lambda *a: rank)
-        patcher.start()
-        self.addCleanup(patcher.stop)
-
-    async def follow(self, seconds, reader_interval_s):
-        """Run the follower while another node confirms the configuration.
-
-        :param reader_interval_s: seconds between confirmations, or None for no
-            confirmation
-        """
-        task = asyncio.ensure_future(self.follower.run())
-        loop = asyncio.get_running_loop()
-        end = loop.time() + seconds
-        while loop.time() < end:
-            await asyncio.sleep(reader_interval_s or seconds)
-            if reader_interval_s:
-                self.holder.confirm(clock.now_s())
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
-class StoreFollowerTest(_FollowerTest):
+class StoreFollowerTest(store_followers.FollowerTest):
     """Guards against redundant, missing and wrongly dated reads.
 
     Only one node is to read the configuration, and another one takes over
@@ -291,105 +190,7 @@
             self.assertLess(read.read_at_s, started + 0.1)
 
 
-class _LosingRegistry(_Registry):
-    """Has a newer version, and loses the first packet of the next calls.
-
-    Calls after these find no newer version while ``stale_reads`` last.
-    """
-
-    def __init__(self, lost_calls, stale_reads):
-        super().__init__()
-        self.lost_calls = lost_calls
-        self.stale_reads = stale_reads
-        self.is_served = False
-
-    async def wait_config(self, wait_s):
-        self.config_waits += 1
-        if self.lost_calls:
-            self.lost_calls -= 1
-            await asyncio.sleep(_CONNECT_TIMEOUT_S)
-            raise exceptions.StoreUnavailableError("timed out")
-        if self.stale_reads or self.is_served:
-            self.stale_reads = max(0, self.stale_reads - 1)
-            await asyncio.sleep(wait_s)
-            return registry.ConfigRead(None, clock.now_s())
-        self.is_served = True
-        return registry.ConfigRead(_config(version=2), clock.now_s())
-
-
-class LostCallTest(_FollowerTest):
-    """Guards against versions that are late on a node that lost one call.
-
-    One node of 78 had a version in force 3.5 s after the others, as its next
-    call waited as long as in an outage.
-    """
-
-    def setUp(self):
-        super().setUp()
-        # Nothing ticks here, which would look like a suspension.
-        self.follower._detector = mock.Mock(resumed_at_s=lambda: None)
-
-    async def catch_up(self, nodes, bound_s, lost_calls=1, stale_reads=0):
-        """Return the time from a version's publication until in force."""
-        self.set_rank(9)
-        self.follower.set_bounds(bound_s, bound_s)
-        # The longest of all waits.
-        self.draw = lambda: 0.999
-        self.link.peers.connected_nodes.return_value = nodes
-        await self.follow(0.1, reader_interval_s=None)
-        self.holder.confirm(clock.now_s())
-        published_at_s = clock.now_s()
-        self.follower._registry = _LosingRegistry(lost_calls, stale_reads)
-        self.announce(2)
-        task = asyncio.ensure_future(self.follower.run())
-        try:
-            await gateway_fleet.wait_until(
-                lambda: self.holder.version == 2, timeout_s=6.0
-            )
-        finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-        return clock.now_s() - published_at_s
-
-    @async_tests.in_loop
-    async def test_version_is_in_force_within_the_bound(self):
-        self.assertLess(await self.catch_up(78, 3.0), 3.0)
-
-    @async_tests.in_loop
-    async def test_version_is_in_force_within_the_bound_in_a_large_fleet(self):
-        self.assertLess(await self.catch_up(300, 2.0), 2.0)
-
-    # All others learned of the version only when it was their turn to read.
-    @async_tests.in_loop
-    async def test_reader_for_all_calls_again_soon_once(self):
-        self.set_rank(0)
-        self.link.peers.connected_nodes.return_value = 78
-        await self.follow(0.1, reader_interval_s=None)
-        self.follower._registry = losing = _LosingRegistry(1, 0)
-        await self.follow(1.0, reader_interval_s=None)
-        self.assertEqual(2, self.holder.version)
-        self.link.announce_config.assert_called()
-        losing.lost_calls = 1_000
-        losing.config_waits = 0
-        await self.follow(2.5, reader_interval_s=None)
-        self.assertEqual(2, losing.config_waits)
-
-    # A read that did not find an announced version confirmed the one before,
-    # and the node read again only when that confirmation had aged.
-    @async_tests.in_loop
-    async def test_version_that_a_read_has_not_found_is_read_again(self):
-        delay_s = await self.catch_up(78, 2.0, lost_calls=0, stale_reads=1)
-        self.assertLess(delay_s, 2.0)
-
-    @async_tests.in_loop
-    async def test_version_that_is_never_found_is_rarely_asked_for(self):
-        # As after a restore of the store, or if this build can't decode it.
-        with testtools.ExpectedException(TimeoutError):
-            await self.catch_up(78, 2.0, lost_calls=0, stale_reads=1_000)
-        self.assertLess(self.follower._registry.config_waits, 13)
-
-
-class _FailingRegistry(_Registry):
+class _FailingRegistry(store_followers.Registry):
     """Counts the attempts, and fails on the topics in ``failing``."""
 
     def __init__(self):
@@ -416,7 +217,7 @@
         return await super().read_endpoints()
 
 
-class StoreOutageTest(_FollowerTest):
+class StoreOutageTest(store_followers.FollowerTest):
     """Guards against calls that grow with the fleet while the store fails.
 
     Neither a node that is alone nor one that starts waits for other nodes.
