Give each process of a test suite ports of its own

The processes began 97 ports apart for each number of their ids, so that one walked into the ports of the next. That a test of silent endpoints could not listen before is the same kind, with two suites.

Change: the processes of a run divide the ports.

--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -13,8 +13,8 @@
 _FIRST_PORT = 10_000
 _PORTS = 22_000
 
-# Test processes that run beside one another begin at different places.
-_offsets = itertools.count(os.getpid() * 97)
+# Suites that run beside one another begin at different places.
+_offsets = itertools.count(os.getppid() * 97)
 
 
 def listen(server):
@@ -24,10 +24,24 @@
     return addresses.Address(*sockets[0].getsockname()[:2])
 
 
+def _own_ports():
+    """Return the ports of this process of a suite.
+
+    Nodes that are started again find their ports free only if no other
+    process of the suite takes them meanwhile.
+    """
+    processes = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+    number = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+    count = _PORTS // processes
+    first = _FIRST_PORT + number * count
+    return range(first, first + count)
+
+
 def free_port():
     """Return a port that is free for TCP and UDP."""
+    ports = _own_ports()
     while True:
-        port = _FIRST_PORT + next(_offsets) % _PORTS
+        port = ports[next(_offsets) % len(ports)]
         if _is_free(port):
             return port
 
