Wait for what two tests only assumed to have happened in time

One test of the follower gave its first read 0.2 s; it had logged nothing and not read by then. A test of pauses asked that callers return over 0.8 s, and got 0.68, since it added what Retry-After said to the times at which requests should have been sent; if sending lags, these are too early.

Change: the first waits until the version is in force; the second counts from the moment of each answer. The bounds of what they guard are the same.

--- a/tests/gateway/configuration/test_lost_calls.py
+++ b/tests/gateway/configuration/test_lost_calls.py
@@ -9,7 +9,6 @@
 from fireflyspur.gateway.common import exceptions
 from fireflyspur.gateway.common import registry
 from tests.support import async_tests
-from tests.support import gateway_fleet
 from tests.support import store_followers
 
 # Time after which a connection to the store counts as failed.
@@ -68,14 +67,7 @@
         published_at_s = clock.now_s()
         self.follower._registry = _LosingRegistry(lost_calls, stale_reads)
         self.announce(2)
-        task = asyncio.ensure_future(self.follower.run())
-        try:
-            await gateway_fleet.wait_until(
-                lambda: self.holder.version == 2, timeout_s=6.0
-            )
-        finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await self.follow_until_version(2)
         return clock.now_s() - published_at_s
 
     @async_tests.in_loop
--- a/tests/gateway/configuration/test_store_follower.py
+++ b/tests/gateway/configuration/test_store_follower.py
@@ -79,8 +79,7 @@
         self.follower._registry = store_registry.StoreRegistry(
             store_client.StoreClient(fleet.store.address)
         )
-        await self.follow(0.2, reader_interval_s=0.1)
-        self.assertEqual(1, self.holder.version)
+        await self.follow_until_version(1)
         large = [
             gateway_fleet.route(f"idle-{n}-{'r' * 200}", "safe", "desk")
             for n in range(200)
--- a/tests/gateway/test_endpoint_notices.py
+++ b/tests/gateway/test_endpoint_notices.py
@@ -32,12 +32,21 @@
     )
 
 
-async def send_for(node, seconds, path="/safe/"):
-    """Send requests at a constant rate and return the responses in order."""
+async def send_for(node, seconds, path="/safe/", answered_at_s=None):
+    """Send requests at a constant rate and return the responses in order.
+
+    :param answered_at_s: gets the time of each response by its number
+    """
     tasks = []
+    times = {} if answered_at_s is None else answered_at_s
+
+    async def send(number):
+        response = await node.request(path, attempt_id=f"{path}-{number}")
+        times[number] = time.monotonic()
+        return response
+
     for number in range(round(seconds * _RATE)):
-        request = node.request(path, attempt_id=f"{path}-{number}")
-        tasks.append(asyncio.ensure_future(request))
+        tasks.append(asyncio.ensure_future(send(number)))
         await asyncio.sleep(1 / _RATE)
     return await asyncio.gather(*tasks)
 
@@ -217,14 +226,17 @@
         async with gateway_fleet.GatewayFleet(desks=1) as fleet:
             node = await self.start(fleet, "2")
             started_s = time.monotonic()
-            responses = await send_for(node, 0.5)
+            answered_at_s = {}
+            responses = await send_for(node, 0.5, answered_at_s=answered_at_s)
             self.assertLess(time.monotonic() - started_s, 1.0)
             self.assertEqual([], fleet.desks[0].arrivals)
             self.assertEqual({503}, {r.status for r in responses})
             waits = [float(r.headers["retry-after"]) for r in responses]
             self.assertGreaterEqual(min(waits), 1.3)
             # They do not return as one wave, though all wait for one moment.
-            returns = sorted(n / _RATE + wait for n, wait in enumerate(waits))
+            returns = sorted(
+                answered_at_s[n] + wait for n, wait in enumerate(waits)
+            )
             self.assertGreater(returns[-1] - returns[0], 0.8)
 
     @async_tests.in_loop
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -107,3 +107,14 @@
                 self.holder.confirm(clock.now_s())
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+
+    async def follow_until_version(self, version):
+        """Run the follower until a version is in force, for 6 s at most."""
+        task = asyncio.ensure_future(self.follower.run())
+        try:
+            await gateway_fleet.wait_until(
+                lambda: self.holder.version == version, timeout_s=6.0
+            )
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
