--- /dev/null
+++ b/review/support-3/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform for the scripts of review 3."""
