--- a/review/12/play.py
+++ b/review/12/play.py
@@ -89,7 +89,9 @@
                     "unsafe" if is_unsafe else "safe",
                     "POST" if is_unsafe else "GET",
                     HOST,
-                    f"/puxa403/{number}" if is_unsafe else f"/cufi504/{number}",
+                    f"/puxa403/{number}"
+                    if is_unsafe
+                    else f"/cufi504/{number}",
                     DEADLINE_S,
                     self.sent,
                     body=b"x" * 100 if is_unsafe else b"",
@@ -159,7 +161,8 @@
     def is_stable(self, at_s):
         """Return whether the store was without disruption long enough."""
         return not any(
-            begin < at_s and end > at_s - STABLE_S for begin, end in self.losses
+            begin < at_s and end > at_s - STABLE_S
+            for begin, end in self.losses
         )
 
 
--- a/review/support-3/standins3/nodes.py
+++ b/review/support-3/standins3/nodes.py
@@ -179,9 +179,7 @@
         """Ask the node once whether it is ready."""
         try:
             async with asyncio.timeout(timeout_s):
-                reader, writer = await asyncio.open_connection(
-                    self.host, 8220
-                )
+                reader, writer = await asyncio.open_connection(self.host, 8220)
                 try:
                     writer.write(
                         b"GET /api/ready HTTP/1.1\r\nHost: ready\r\n"
